--- /dev/null
+++ b/cmd/medlarwind/main.go
@@ -0,0 +1,4 @@
+// Command medlarwind is the router fleet's one binary.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,154 @@
+// Package wire defines the messages of the inner protocol between instances. It
+// holds types and limits only; package peer carries them.
+//
+// Every message is state based: applying one late, twice or out of order does no
+// harm, because the receiver keeps the highest sequence for each sender
+// incarnation, and counters merge by maximum.
+package wire
+
+import "medlarwind.dev/medlarwind/internal/fleet"
+
+// Protocol is the version of the inner protocol.
+const Protocol = 1
+
+// Method names of the inner protocol.
+const (
+	MethodHello     = "hello"
+	MethodHeartbeat = "heartbeat"
+	MethodGrant     = "grant"
+	MethodConfig    = "config"
+)
+
+// Limits of the inner protocol, in bytes and entries.
+const (
+	MaxMessageBytes = 4 << 20
+	MaxEntries      = 65536
+)
+
+// Hello opens a connection in both directions: it is the request and the reply.
+type Hello struct {
+	Protocol    int                `json:"v"`
+	Instance    fleet.InstanceID   `json:"i"`
+	Incarnation fleet.Incarnation  `json:"n"`
+	DataCentre  fleet.DataCentreID `json:"d"`
+}
+
+// Heartbeat is what one instance tells another, regularly and after a change.
+// Running, Demand and Spare are whole states for the receiver, never differences.
+type Heartbeat struct {
+	Incarnation fleet.Incarnation `json:"n"`
+	// Seq rises by one for each heartbeat from this incarnation to this receiver.
+	Seq uint64 `json:"q"`
+	// EchoSeq is the highest Seq that this sender has received from the receiver's
+	// current incarnation, EchoIncarnation. Leases given by this heartbeat are
+	// anchored to the time at which the receiver sent EchoSeq.
+	EchoSeq         uint64            `json:"e,omitempty"`
+	EchoIncarnation fleet.Incarnation `json:"en,omitempty"`
+	// View is the digest of the sender's view of its own data centre's live
+	// instances; escrow is lent only between instances with the same view.
+	View uint64 `json:"w,omitempty"`
+	// Lends says that the sender lends the receiver its escrow on all targets that
+	// the receiver owns under View, for the agreed loan time from EchoSeq.
+	Lends bool `json:"l,omitempty"`
+	// Leaving says that the sender is stopping and takes no new work.
+	Leaving bool `json:"lv,omitempty"`
+	// ConfigVersion and ConfigDigest name the configuration in force at the sender.
+	ConfigVersion uint64 `json:"cv,omitempty"`
+	ConfigDigest  string `json:"cd,omitempty"`
+	// Running is the work that the sender runs, or holds permits for, on targets
+	// which it believes the receiver owns.
+	Running []Running `json:"r,omitempty"`
+	// GrantSeq is the highest Grant.Seq from the receiver's EchoIncarnation that is
+	// reflected in Running. Grants are numbered from 1 without gaps for each
+	// receiver incarnation; a missing one stays missing until Forget covers it.
+	GrantSeq uint64 `json:"g,omitempty"`
+	// Demand is the work waiting at the sender that the receiver may grant.
+	Demand []Demand `json:"dm,omitempty"`
+	// Spare is the number of starts that the sender, as an owner, could grant now.
+	Spare []Spare `json:"sp,omitempty"`
+	// Service carries changed service counters, the sender's or others'.
+	Service []Service `json:"s,omitempty"`
+	// Offsets carries changed lifts of customers' virtual time.
+	Offsets []Offset `json:"o,omitempty"`
+	// Suspects carries fingerprints of requests that may crash targets.
+	Suspects []Suspect `json:"x,omitempty"`
+}
+
+// Running counts the sender's work on one target.
+type Running struct {
+	Target fleet.TargetID `json:"t"`
+	Count  int            `json:"c"`
+}
+
+// Demand is the work of one customer that waits at the sender for one workload.
+type Demand struct {
+	Customer fleet.CustomerID `json:"c"`
+	Workload fleet.Workload   `json:"w"`
+	Waiting  int              `json:"n"`
+	// Estimate is the expected cost of the next request, in cost units.
+	Estimate fleet.Cost `json:"e,omitempty"`
+	// WaitMillis is how long the oldest request has waited, in milliseconds.
+	WaitMillis int64 `json:"a,omitempty"`
+}
+
+// Spare is the number of further requests an owner could start for a workload.
+type Spare struct {
+	Workload fleet.Workload `json:"w"`
+	Count    int            `json:"c"`
+}
+
+// Service is one grow-only service counter. Merge keeps the larger value.
+type Service struct {
+	Incarnation fleet.Incarnation `json:"n"`
+	Customer    fleet.CustomerID  `json:"c"`
+	Total       fleet.Cost        `json:"t"`
+}
+
+// Offset is the lift of a customer's virtual time. Merge keeps the larger value.
+type Offset struct {
+	Customer fleet.CustomerID `json:"c"`
+	// Lift is in cost units for one share.
+	Lift fleet.Cost `json:"l"`
+}
+
+// Grant is a permit to start one request. It is a lease: it must be used within
+// the agreed permit time of the moment at which the entry sent heartbeat EchoSeq.
+type Grant struct {
+	// Incarnation is the owner's; Seq numbers its grants to the receiver from 1.
+	Incarnation fleet.Incarnation `json:"n"`
+	Seq         uint64            `json:"q"`
+	// EchoIncarnation and EchoSeq name the entry's heartbeat that anchors the lease.
+	EchoIncarnation fleet.Incarnation `json:"en"`
+	EchoSeq         uint64            `json:"e"`
+	Customer        fleet.CustomerID  `json:"c"`
+	Workload        fleet.Workload    `json:"w"`
+	Target          fleet.TargetID    `json:"t"`
+	// BootID is the target's boot id as the owner knows it.
+	BootID string `json:"b,omitempty"`
+	// Alone says that the request must be the only one on the target.
+	Alone bool `json:"x,omitempty"`
+}
+
+// Suspect is one fingerprint that may crash targets.
+type Suspect struct {
+	// Fingerprint is a keyed hash of customer, workload and content.
+	Fingerprint uint64 `json:"f"`
+	// Crashes counts the targets that went down while it ran. Merge by maximum.
+	Crashes int `json:"c"`
+	// Cleared says that it ran to its end once.
+	Cleared bool `json:"k,omitempty"`
+}
+
+// ConfigRequest asks a peer for the configuration it has in force.
+type ConfigRequest struct {
+	// Have is the version that the asker has in force, 0 for none.
+	Have uint64 `json:"h,omitempty"`
+}
+
+// ConfigReply carries the configuration in force at the answering instance.
+type ConfigReply struct {
+	// Version is 0 if the answering instance has none or none above Have.
+	Version uint64 `json:"v,omitempty"`
+	Digest  string `json:"d,omitempty"`
+	Text    []byte `json:"t,omitempty"`
+}
