Add one instance's settings, checked whole before the start

Cause: a process learns its addresses and data centre from its settings and must not start on half-read ones. Change: package settings reads JSON with comments through its syntax tree, so that each fault has file, line and column, and reports all of them together. Ruled out: encoding/json with DisallowUnknownFields, which stops at the first fault and gives an offset after the value.

--- /dev/null
+++ b/internal/settings/errors.go
@@ -0,0 +1,76 @@
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Error is one fault of a settings file.
+type Error struct {
+	File string
+	// Line and Column count from 1; Column counts bytes. Both are 0 if the fault
+	// has no place.
+	Line    int
+	Column  int
+	Message string
+}
+
+// Error returns "FILE:LINE:COLUMN: MESSAGE".
+func (e Error) Error() string {
+	if e.Line == 0 {
+		return fmt.Sprintf("%s: %s", e.File, e.Message)
+	}
+	return fmt.Sprintf("%s:%d:%d: %s", e.File, e.Line, e.Column, e.Message)
+}
+
+// Errors holds all faults of a settings file, in the order of their position.
+type Errors struct {
+	List []Error
+}
+
+// Error returns one line for each fault.
+func (e *Errors) Error() string {
+	lines := make([]string, len(e.List))
+	for i, fault := range e.List {
+		lines[i] = fault.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// syntaxErrors turns an error of the JSON parser, which begins with its place.
+func syntaxErrors(file string, err error) *Errors {
+	fault := Error{File: file, Message: err.Error()}
+	var line, column int
+	if n, _ := fmt.Sscanf(fault.Message, "hujson: line %d, column %d:", &line, &column); n == 2 {
+		_, message, _ := strings.Cut(fault.Message, fmt.Sprintf("column %d: ", column))
+		fault = Error{File: file, Line: line, Column: column, Message: message}
+	}
+	return &Errors{List: []Error{fault}}
+}
+
+// fail reports a fault at a byte offset.
+func (d *decoder) fail(offset int, format string, args ...any) {
+	before := d.data[:offset]
+	d.errors = append(d.errors, Error{
+		File:    d.file,
+		Line:    1 + bytes.Count(before, []byte("\n")),
+		Column:  offset - bytes.LastIndexByte(before, '\n'),
+		Message: fmt.Sprintf(format, args...),
+	})
+}
+
+// result returns nil if there is no fault, otherwise the sorted faults.
+func (d *decoder) result() error {
+	if d.errors == nil {
+		return nil
+	}
+	slices.SortStableFunc(d.errors, func(a, b Error) int {
+		if a.Line != b.Line {
+			return a.Line - b.Line
+		}
+		return a.Column - b.Column
+	})
+	return &Errors{List: d.errors}
+}
