--- /dev/null
+++ b/internal/config/delta.go
@@ -0,0 +1,190 @@
+package config
+
+import (
+	"bytes"
+	"encoding/binary"
+	"strings"
+
+	"medlarwind.dev/medlarwind/internal/rules"
+)
+
+// digestLength is the length of a digest, in bytes of its text.
+var digestLength = len(Digest(nil))
+
+// A patch is the old text's digest, the new text's digest, the length of the new
+// text and then steps. Numbers are unsigned varints. A step is its length shifted
+// left by one; the lowest bit is stepAdd if that many bytes of new text follow,
+// and otherwise the offset follows from which they are copied out of the old text.
+const stepAdd = 1
+
+// Delta returns a patch that turns the old text into the new one. Equal lines are
+// copied, also where they have moved, so that its length is in proportion to the
+// lines changed. It takes time and memory in proportion to both texts.
+func Delta(old, new []byte) []byte {
+	w := &patchWriter{}
+	w.patch = append(w.patch, Digest(old)...)
+	w.patch = append(w.patch, Digest(new)...)
+	w.patch = binary.AppendUvarint(w.patch, uint64(len(new)))
+
+	prefix := commonPrefix(old, new)
+	suffix := commonSuffix(old[prefix:], new[prefix:])
+	w.copy(0, prefix)
+	w.middle(string(old[:len(old)-suffix]), string(new[prefix:len(new)-suffix]), prefix)
+	w.copy(len(old)-suffix, suffix)
+	w.flush()
+	return w.patch
+}
+
+// commonPrefix returns the length of the whole lines with which both begin.
+func commonPrefix(a, b []byte) int {
+	n := 0
+	for n < len(a) && n < len(b) && a[n] == b[n] {
+		n++
+	}
+	return bytes.LastIndexByte(a[:n], '\n') + 1
+}
+
+// commonSuffix returns the length of the whole lines with which both end.
+func commonSuffix(a, b []byte) int {
+	n := 0
+	for n < len(a) && n < len(b) && a[len(a)-1-n] == b[len(b)-1-n] {
+		n++
+	}
+	if n == len(a) || n == len(b) {
+		return n
+	}
+	tail := a[len(a)-n:]
+	return len(tail) - (bytes.IndexByte(tail, '\n') + 1)
+}
+
+// patchWriter appends steps and joins copies that follow one another.
+type patchWriter struct {
+	patch []byte
+	// from and length are the copy that is not yet written.
+	from   int
+	length int
+}
+
+// middle writes the lines between common prefix and suffix. Old lines before from
+// are only in the prefix and are not looked for.
+func (w *patchWriter) middle(old, new string, from int) {
+	if new == "" {
+		return
+	}
+	index := indexLines(old, from)
+	next := from
+	for line := range strings.Lines(new) {
+		at := next
+		if !strings.HasPrefix(old[at:], line) {
+			found, known := index[line]
+			if !known {
+				w.add(line)
+				continue
+			}
+			at = found
+		}
+		w.copy(at, len(line))
+		next = at + len(line)
+	}
+}
+
+// indexLines returns the offset of the first of each line from an offset on.
+func indexLines(text string, from int) map[string]int {
+	index := make(map[string]int)
+	for line := range strings.Lines(text[from:]) {
+		if _, known := index[line]; !known {
+			index[line] = from
+		}
+		from += len(line)
+	}
+	return index
+}
+
+func (w *patchWriter) copy(from, length int) {
+	if length == 0 {
+		return
+	}
+	if w.length > 0 && w.from+w.length == from {
+		w.length += length
+		return
+	}
+	w.flush()
+	w.from, w.length = from, length
+}
+
+func (w *patchWriter) add(line string) {
+	w.flush()
+	w.patch = binary.AppendUvarint(w.patch, uint64(len(line))<<1|stepAdd)
+	w.patch = append(w.patch, line...)
+}
+
+// flush writes the copy that waits.
+func (w *patchWriter) flush() {
+	if w.length > 0 {
+		w.patch = binary.AppendUvarint(w.patch, uint64(w.length)<<1)
+		w.patch = binary.AppendUvarint(w.patch, uint64(w.from))
+	}
+	w.length = 0
+}
+
+// Apply returns the new text of a patch. It returns ErrPatchBase if the patch is
+// not for the old text and ErrPatchDamaged if the result is not the text that the
+// patch was made from. It allocates at most rules.MaxTextBytes.
+func Apply(old, patch []byte) ([]byte, error) {
+	if len(patch) < 2*digestLength {
+		return nil, ErrPatchDamaged
+	}
+	if string(patch[:digestLength]) != Digest(old) {
+		return nil, ErrPatchBase
+	}
+	want := string(patch[digestLength : 2*digestLength])
+	r := &patchReader{rest: patch[2*digestLength:]}
+	size := r.number()
+	if r.bad || size > rules.MaxTextBytes {
+		return nil, ErrPatchDamaged
+	}
+	text := make([]byte, 0, size)
+	for len(r.rest) > 0 && !r.bad {
+		text = r.step(old, text)
+	}
+	if r.bad || len(text) != size || Digest(text) != want {
+		return nil, ErrPatchDamaged
+	}
+	return text, nil
+}
+
+// patchReader reads numbers and steps until the first one that is out of range.
+type patchReader struct {
+	rest []byte
+	bad  bool
+}
+
+// number reads one number that a length or an offset can be.
+func (r *patchReader) number() int {
+	n, size := binary.Uvarint(r.rest)
+	if size <= 0 || n > 2*rules.MaxTextBytes+1 {
+		r.bad = true
+		return 0
+	}
+	r.rest = r.rest[size:]
+	return int(n)
+}
+
+// step appends what one step gives, unless it is out of range or the text would
+// outgrow its capacity.
+func (r *patchReader) step(old, text []byte) []byte {
+	head := r.number()
+	length := head >> 1
+	source, from := r.rest, 0
+	if head&stepAdd == 0 {
+		source, from = old, r.number()
+	}
+	if r.bad || from > len(source) || length > len(source)-from || length > cap(text)-len(text) {
+		r.bad = true
+		return text
+	}
+	if head&stepAdd != 0 {
+		r.rest = r.rest[length:]
+	}
+	return append(text, source[from:from+length]...)
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -141,8 +141,12 @@
 
 // ConfigRequest asks a peer for the configuration it has in force.
 type ConfigRequest struct {
-	// Have is the version that the asker has in force, 0 for none.
-	Have uint64 `json:"h,omitempty"`
+	// Have is the version that the asker has in force, 0 for none, and HaveDigest
+	// its digest.
+	Have       uint64 `json:"h,omitempty"`
+	HaveDigest string `json:"hd,omitempty"`
+	// VersionOnly asks for no content, so that the reply is short.
+	VersionOnly bool `json:"o,omitempty"`
 }
 
 // ConfigReply carries the configuration in force at the answering instance.
@@ -150,5 +154,12 @@
 	// Version is 0 if the answering instance has none or none above Have.
 	Version uint64 `json:"v,omitempty"`
 	Digest  string `json:"d,omitempty"`
-	Text    []byte `json:"t,omitempty"`
+	// Settled says that the answering instance takes new work: it has itself asked
+	// its peers for the highest version.
+	Settled bool `json:"k,omitempty"`
+	// Patches lead from Have to Version one after another; they are in place of
+	// Text.
+	Patches [][]byte `json:"p,omitempty"`
+	// Text is the whole document, compressed with gzip.
+	Text []byte `json:"t,omitempty"`
 }
