limit, membership: add the ledger's interface and the path without faults

Cause: dispatch and instance need the interface of the ledger to build on. Change: escrow by rendezvous rank, loans for targets that the lender takes this instance to own, grants, permits, reports.

--- /dev/null
+++ b/internal/limit/grants.go
@@ -0,0 +1,120 @@
+package limit
+
+import (
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/wire"
+)
+
+// Grant counts out one start on a target for an entry. It returns false if none is
+// available or the entry has not been heard within PermitTime. A grant to this
+// instance itself is turned into a permit by GrantSelf.
+func (l *Ledger) Grant(id fleet.TargetID, to fleet.InstanceID, customer fleet.CustomerID, w fleet.Workload, now time.Time) (wire.Grant, bool) {
+	l.advance(now)
+	t, ok := l.targets[id]
+	if !ok || l.available(t, now) < 1 {
+		return wire.Grant{}, false
+	}
+	p := l.peer(to, now)
+	if to == l.self {
+		p.incarnation = l.incarnation
+	} else if p.incarnation == 0 || p.lost || !within(p.heard, l.params.PermitTime, now) {
+		return wire.Grant{}, false
+	}
+	p.grantSeq++
+	p.pending = append(p.pending, pendingGrant{seq: p.grantSeq, target: t, at: now})
+	t.add(1, now)
+	t.logGrant(p, l.grantMemory(), now)
+	return wire.Grant{
+		Incarnation:     l.incarnation,
+		Seq:             p.grantSeq,
+		EchoIncarnation: p.incarnation,
+		EchoSeq:         p.received,
+		Customer:        customer,
+		Workload:        w,
+		Target:          id,
+		BootID:          t.load.bootID,
+	}, true
+}
+
+// grantMemory is how long a grant can matter for the reading of a report.
+func (l *Ledger) grantMemory() time.Duration {
+	return l.params.PermitTime + l.params.Margin + l.params.ReportLag + peakBuckets*time.Second
+}
+
+// GrantSelf turns a grant to this instance itself into a permit.
+func (l *Ledger) GrantSelf(g *wire.Grant, now time.Time) (Permit, error) {
+	return l.ReceiveGrant(l.self, g, now)
+}
+
+// ReceiveGrant takes a grant from an owner. It returns ErrStaleIncarnation,
+// ErrDuplicate or ErrExpired; the next heartbeat to the owner then tells it that
+// the grant is not in use.
+func (l *Ledger) ReceiveGrant(from fleet.InstanceID, g *wire.Grant, now time.Time) (Permit, error) {
+	l.advance(now)
+	p := l.peer(from, now)
+	if g.Incarnation != p.incarnation || g.EchoIncarnation != l.incarnation {
+		return Permit{}, ErrStaleIncarnation
+	}
+	if g.Seq <= p.grantsFrom {
+		return Permit{}, ErrDuplicate
+	}
+	p.grantsFrom = g.Seq
+	anchor := l.grantAnchor(p, g, now)
+	expires := anchor.Add(l.params.PermitTime)
+	if !now.Before(expires) {
+		return Permit{}, ErrExpired
+	}
+	permit := Permit{
+		Target:   g.Target,
+		BootID:   g.BootID,
+		Customer: g.Customer,
+		Workload: g.Workload,
+		Alone:    g.Alone,
+		Owner:    from,
+		Expires:  expires,
+	}
+	permit.serial = l.entry.hold(g.Target, from, expires)
+	l.target(g.Target).add(1, now)
+	l.believe(g.Target, now)
+	return permit, nil
+}
+
+// grantAnchor returns the time from which a grant's lease runs, zero if it is too
+// long ago to be known. A grant to this instance itself runs from when it was made.
+func (l *Ledger) grantAnchor(p *peer, g *wire.Grant, now time.Time) time.Time {
+	if p.id != l.self {
+		at, _ := p.sent.at(g.EchoSeq)
+		return at
+	}
+	anchor := time.Time{}
+	for len(p.pending) > 0 && p.pending[0].seq <= g.Seq {
+		anchor = p.pending[0].at
+		p.pending[0].target.add(-1, now)
+		p.pending = p.pending[1:]
+	}
+	return anchor
+}
+
+// Usable tells whether the permit may start its request now, and counts it as used
+// if so. Ask immediately before the first byte is sent to the target.
+func (l *Ledger) Usable(p *Permit, now time.Time) bool {
+	l.advance(now)
+	return l.entry.use(p.serial, now)
+}
+
+// Done ends a permit: it is returned unused or its work has ended. Only the first
+// call for a permit has an effect.
+func (l *Ledger) Done(p *Permit, now time.Time) {
+	l.advance(now)
+	l.release(p.serial, now)
+}
+
+// release takes a permit out of the accounts, if it is there.
+func (l *Ledger) release(serial uint64, now time.Time) {
+	target, ok := l.entry.release(serial)
+	if ok {
+		l.target(target).add(-1, now)
+	}
+}
--- /dev/null
+++ b/internal/limit/lists.go
@@ -0,0 +1,182 @@
+package limit
+
+import (
+	"slices"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/membership"
+)
+
+// snapshot is the live instances by data centre under one version of the list.
+type snapshot struct {
+	members map[fleet.DataCentreID][]fleet.InstanceID
+	views   map[fleet.DataCentreID]membership.View
+	order   OwnerOrder
+	// until is when this version was replaced; zero while it is the current one.
+	until time.Time
+}
+
+// newSnapshot keeps the live instances of a list.
+func newSnapshot(instances []fleet.ListedInstance, order OwnerOrder) *snapshot {
+	s := &snapshot{
+		members: make(map[fleet.DataCentreID][]fleet.InstanceID),
+		views:   make(map[fleet.DataCentreID]membership.View),
+		order:   order,
+	}
+	for _, instance := range instances {
+		if instance.State == fleet.StateLive {
+			s.members[instance.DataCentre] = append(s.members[instance.DataCentre], instance.ID)
+		}
+	}
+	for dataCentre, members := range s.members {
+		slices.Sort(members)
+		s.views[dataCentre] = membership.NewView(members)
+	}
+	return s
+}
+
+// holders returns the instances among which the limits of a data centre's targets
+// are divided.
+func (s *snapshot) holders(dataCentre fleet.DataCentreID) []fleet.InstanceID {
+	if members := s.members[dataCentre]; len(members) > 0 {
+		return members
+	}
+	for _, next := range s.order[dataCentre] {
+		if members := s.members[next]; len(members) > 0 {
+			return members
+		}
+	}
+	return nil
+}
+
+// equal tells whether both versions give the same live instances and owner order.
+func (s *snapshot) equal(other *snapshot) bool {
+	if len(s.views) != len(other.views) || len(s.order) != len(other.order) {
+		return false
+	}
+	for dataCentre, view := range s.views {
+		if other.views[dataCentre] != view {
+			return false
+		}
+	}
+	for dataCentre, next := range s.order {
+		if !slices.Equal(next, other.order[dataCentre]) {
+			return false
+		}
+	}
+	return true
+}
+
+// part returns the escrow of the holder with the given rank, from 0, when limit is
+// divided over n holders: the remainder goes to the first ranks.
+func part(limit, rank, n int) int {
+	units := limit / n
+	if rank < limit%n {
+		units++
+	}
+	return units
+}
+
+// viewChange is a former view and when it was replaced.
+type viewChange struct {
+	view  membership.View
+	until time.Time
+}
+
+// viewHistory is the current view of one instance and its recent former ones.
+type viewHistory struct {
+	current membership.View
+	// since is when the unbroken record began.
+	since time.Time
+	past  []viewChange
+}
+
+// maxPastViews bounds the record; one that changes faster starts afresh.
+const maxPastViews = 16
+
+// restart begins a new record, with nothing known of the time before.
+func (h *viewHistory) restart(view membership.View, now time.Time) {
+	h.current = view
+	h.since = now
+	h.past = h.past[:0]
+}
+
+// set records the view at now, keeping former views for the given duration.
+func (h *viewHistory) set(view membership.View, keep time.Duration, now time.Time) {
+	if view == h.current {
+		return
+	}
+	h.past = slices.DeleteFunc(h.past, func(c viewChange) bool { return now.Sub(c.until) > keep })
+	if len(h.past) >= maxPastViews {
+		h.restart(view, now)
+		return
+	}
+	h.past = append(h.past, viewChange{view: h.current, until: now})
+	h.current = view
+}
+
+// decodedView is what a view says, under one of the known lists. The list is nil
+// if it is not known.
+type decodedView struct {
+	list    *snapshot
+	skipped []fleet.InstanceID
+	// known says that skipped was found too.
+	known bool
+}
+
+// decode finds which known list and which skipped members give a view of this
+// instance's data centre. The result is kept until the lists change.
+func (l *Ledger) decode(view membership.View) decodedView {
+	if found, ok := l.decoded[view]; ok {
+		return found
+	}
+	found := decodedView{}
+	for _, list := range l.lists {
+		if !view.SameList(list.views[l.dataCentre]) {
+			continue
+		}
+		found.list = list
+		found.skipped, found.known = view.Skipped(list.members[l.dataCentre], l.skipped)
+	}
+	if len(l.decoded) >= maxDecodedViews {
+		clear(l.decoded)
+	}
+	l.decoded[view] = found
+	return found
+}
+
+// maxDecodedViews bounds the cache of decoded views.
+const maxDecodedViews = 256
+
+// ownerUnder returns the owner of a target under a decoded view.
+func (l *Ledger) ownerUnder(t *target, v decodedView) (fleet.InstanceID, bool) {
+	for _, id := range l.ranked(t, v.list) {
+		if !slices.Contains(v.skipped, id) {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+// ranked returns the holders of a target under a list, in rendezvous order.
+func (l *Ledger) ranked(t *target, list *snapshot) []fleet.InstanceID {
+	if list == l.list() {
+		if t.order == nil {
+			t.order = membership.Rank(string(t.ID), list.holders(t.DataCentre))
+		}
+		return t.order
+	}
+	if t.former == nil {
+		t.former = make(map[*snapshot][]fleet.InstanceID)
+	}
+	order, ok := t.former[list]
+	if !ok {
+		order = membership.Rank(string(t.ID), list.holders(t.DataCentre))
+		t.former[list] = order
+	}
+	return order
+}
+
+// list returns the current list.
+func (l *Ledger) list() *snapshot { return l.lists[len(l.lists)-1] }
--- /dev/null
+++ b/internal/limit/peers.go
@@ -0,0 +1,316 @@
+package limit
+
+import (
+	"slices"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/membership"
+	"medlarwind.dev/medlarwind/internal/wire"
+)
+
+// sentWindow is how many heartbeats to one peer keep their send time.
+const sentWindow = 256
+
+// maxRetired is how many former incarnations of a peer are remembered.
+const maxRetired = 8
+
+// sentHeartbeat is when the heartbeat with a sequence number was sent.
+type sentHeartbeat struct {
+	seq uint64
+	at  time.Time
+}
+
+// sendTimes remembers the send times of the latest heartbeats to one peer.
+type sendTimes struct {
+	seq  uint64
+	ring [sentWindow]sentHeartbeat
+}
+
+// next numbers a heartbeat sent at now.
+func (s *sendTimes) next(now time.Time) uint64 {
+	s.seq++
+	s.ring[s.seq%sentWindow] = sentHeartbeat{seq: s.seq, at: now}
+	return s.seq
+}
+
+// at returns the send time of a heartbeat, or false if it is not known any more.
+func (s *sendTimes) at(seq uint64) (time.Time, bool) {
+	sent := s.ring[seq%sentWindow]
+	return sent.at, seq != 0 && sent.seq == seq
+}
+
+// pendingGrant is a grant that the entry has not yet reflected in its state.
+type pendingGrant struct {
+	seq    uint64
+	target *target
+	at     time.Time
+}
+
+// peer is what is known of another instance. The instance itself has one too, for
+// its account as an entry.
+type peer struct {
+	id         fleet.InstanceID
+	dataCentre fleet.DataCentreID
+
+	incarnation fleet.Incarnation
+	retired     []retiredIncarnation
+	// received is the highest heartbeat sequence of the incarnation.
+	received uint64
+	sent     sendTimes
+	// noted is when the peer became known, heard when its last heartbeat arrived and
+	// anchor when the latest of this instance's heartbeats that it echoed was sent.
+	noted  time.Time
+	heard  time.Time
+	anchor time.Time
+
+	leaving bool
+	lends   bool
+	// loanUntil is when the last loan ends.
+	loanUntil time.Time
+	views     viewHistory
+
+	// counts is the peer's latest state as an entry, stated after stated.
+	counts map[*target]int
+	stated time.Time
+	// pending are the grants not in counts, by rising sequence.
+	pending  []pendingGrant
+	grantSeq uint64
+	// lost says that the counts and pending grants are kept as lost work.
+	lost bool
+
+	// grantsFrom is the highest grant received from the peer's incarnation.
+	grantsFrom uint64
+}
+
+// retiredIncarnation is a former incarnation and when it was replaced.
+type retiredIncarnation struct {
+	incarnation fleet.Incarnation
+	at          time.Time
+}
+
+// peer returns the account of a peer, making one if needed.
+func (l *Ledger) peer(id fleet.InstanceID, now time.Time) *peer {
+	p, ok := l.peers[id]
+	if !ok {
+		p = &peer{id: id, noted: now, counts: make(map[*target]int)}
+		l.peers[id] = p
+	}
+	return p
+}
+
+// reachable tells whether heartbeats pass both ways, or may yet: a peer is given
+// DeadPeer from when it became known.
+func (p *peer) reachable(params Params, now time.Time) bool {
+	if p.heard.IsZero() {
+		return now.Sub(p.noted) <= params.DeadPeer
+	}
+	if now.Sub(p.heard) > params.DeadPeer {
+		return false
+	}
+	anchor := p.anchor
+	if anchor.IsZero() {
+		anchor = p.noted
+	}
+	return now.Sub(anchor) <= 2*params.DeadPeer
+}
+
+// FillHeartbeat sets the ledger's fields of the next heartbeat to a peer, which must
+// be sent at once. A Leaving that the caller has set stays.
+func (l *Ledger) FillHeartbeat(to fleet.InstanceID, hb *wire.Heartbeat, now time.Time) {
+	l.advance(now)
+	p := l.peer(to, now)
+	hb.Incarnation = l.incarnation
+	hb.Seq = p.sent.next(now)
+	hb.EchoSeq = p.received
+	hb.EchoIncarnation = p.incarnation
+	hb.View = uint64(l.views.current)
+	hb.Lends = l.lends(now)
+	hb.Leaving = hb.Leaving || l.leaving
+	hb.Running = l.runningFor(to, now)
+	hb.GrantSeq = p.grantsFrom
+}
+
+// lends tells whether this instance may lend its escrow now.
+func (l *Ledger) lends(now time.Time) bool {
+	return !l.restarting(now) && l.fresh(now)
+}
+
+// ReceiveHeartbeat takes a heartbeat from a peer. One that is late, repeated or of a
+// former incarnation is dropped.
+func (l *Ledger) ReceiveHeartbeat(from fleet.InstanceID, hb *wire.Heartbeat, now time.Time) {
+	l.advance(now)
+	p := l.peer(from, now)
+	anchor := l.echoed(p, hb)
+	if !l.accept(p, hb, anchor, now) {
+		return
+	}
+	p.received = hb.Seq
+	p.heard = now
+	p.leaving = hb.Leaving
+	lapsed := !within(p.anchor, l.params.LoanTime, now)
+	if anchor.After(p.anchor) {
+		p.anchor = anchor
+	}
+	l.takeView(p, hb, lapsed, now)
+	l.takeLoan(p, hb)
+	l.takeState(p, hb, now)
+	l.updateView(now)
+}
+
+// echoed returns the send time of the heartbeat that hb echoes, zero if it is not
+// one of this incarnation's latest.
+func (l *Ledger) echoed(p *peer, hb *wire.Heartbeat) time.Time {
+	if hb.EchoIncarnation != l.incarnation {
+		return time.Time{}
+	}
+	at, _ := p.sent.at(hb.EchoSeq)
+	return at
+}
+
+// accept tells whether hb is newer than what is known, and turns to its incarnation
+// if that is new.
+func (l *Ledger) accept(p *peer, hb *wire.Heartbeat, anchor, now time.Time) bool {
+	if hb.Incarnation == 0 {
+		return false
+	}
+	if hb.Incarnation == p.incarnation {
+		return hb.Seq > p.received
+	}
+	for _, former := range p.retired {
+		if former.incarnation == hb.Incarnation && !anchor.After(former.at) {
+			return false
+		}
+	}
+	l.turnIncarnation(p, hb.Incarnation, now)
+	return true
+}
+
+// turnIncarnation begins a new account for a restarted peer. What its former
+// incarnation ran stays counted as unresolved work.
+func (l *Ledger) turnIncarnation(p *peer, next fleet.Incarnation, now time.Time) {
+	if p.incarnation != 0 {
+		p.retired = slices.DeleteFunc(p.retired, func(r retiredIncarnation) bool {
+			return r.incarnation == next
+		})
+		if len(p.retired) >= maxRetired {
+			p.retired = slices.Delete(p.retired, 0, 1)
+		}
+		p.retired = append(p.retired, retiredIncarnation{incarnation: p.incarnation, at: now})
+	}
+	l.abandon(p, now)
+	p.incarnation = next
+	p.received = 0
+	p.anchor = time.Time{}
+	p.noted = now
+	p.lends = false
+	p.loanUntil = time.Time{}
+	p.views.restart(0, now)
+	p.stated = time.Time{}
+	p.grantSeq = 0
+	p.grantsFrom = 0
+}
+
+// takeView records the peer's view and whether the peer confirms the list. After a
+// lapse longer than a loan the record of the peer's views starts afresh.
+func (l *Ledger) takeView(p *peer, hb *wire.Heartbeat, lapsed bool, now time.Time) {
+	view := membership.View(hb.View)
+	if lapsed {
+		p.views.restart(view, now)
+	} else {
+		p.views.set(view, l.params.borrowDelay(), now)
+	}
+	if p.dataCentre == l.dataCentre && l.decode(view).list == nil {
+		l.disputed = now
+		return
+	}
+	if p.anchor.After(l.confirmed) {
+		l.confirmed = p.anchor
+	}
+}
+
+// takeLoan extends the loan of the peer's escrow.
+func (l *Ledger) takeLoan(p *peer, hb *wire.Heartbeat) {
+	p.lends = hb.Lends
+	if hb.Lends && !p.anchor.IsZero() {
+		p.loanUntil = p.anchor.Add(l.params.LoanTime)
+	}
+}
+
+// takeState replaces the peer's account as an entry by its new state.
+func (l *Ledger) takeState(p *peer, hb *wire.Heartbeat, now time.Time) {
+	l.recover(p, now)
+	next := make(map[*target]int, len(hb.Running))
+	for _, running := range hb.Running {
+		t := l.target(running.Target)
+		next[t] += running.Count
+	}
+	for t, count := range p.counts {
+		t.add(-count, now)
+	}
+	for t, count := range next {
+		t.add(count, now)
+	}
+	p.counts = next
+	p.stated = p.anchor
+	reflected := uint64(0)
+	if hb.EchoIncarnation == l.incarnation {
+		reflected = hb.GrantSeq
+	}
+	p.pending = slices.DeleteFunc(p.pending, func(g pendingGrant) bool {
+		missed := p.stated.Sub(g.at) > l.params.PermitTime+l.params.Margin
+		if g.seq > reflected && !missed {
+			return false
+		}
+		g.target.add(-1, now)
+		return true
+	})
+}
+
+// checkLost moves the account of an unreachable entry to the lost work.
+func (l *Ledger) checkLost(p *peer, now time.Time) {
+	if p.lost || p.id == l.self || p.reachable(l.params, now) {
+		return
+	}
+	p.lost = true
+	for t, count := range p.counts {
+		t.lose(count, l.permitsOver(now), now)
+	}
+	for _, g := range p.pending {
+		g.target.lose(1, l.permitsOver(now), now)
+	}
+}
+
+// recover takes the account of a returned entry back from the lost work.
+func (l *Ledger) recover(p *peer, now time.Time) {
+	if !p.lost {
+		return
+	}
+	p.lost = false
+	for t, count := range p.counts {
+		t.regain(count, now)
+	}
+	for _, g := range p.pending {
+		g.target.regain(1, now)
+	}
+}
+
+// abandon turns the account of a former incarnation into unresolved work for good.
+func (l *Ledger) abandon(p *peer, now time.Time) {
+	l.recover(p, now)
+	for t, count := range p.counts {
+		t.add(-count, now)
+		t.unresolve(count, l.permitsOver(now))
+	}
+	for _, g := range p.pending {
+		g.target.add(-1, now)
+		g.target.unresolve(1, l.permitsOver(now))
+	}
+	clear(p.counts)
+	p.pending = p.pending[:0]
+}
+
+// permitsOver returns when no permit granted until now can still be used.
+func (l *Ledger) permitsOver(now time.Time) time.Time {
+	return now.Add(l.params.PermitTime + l.params.Margin)
+}
--- /dev/null
+++ b/internal/membership/rendezvous.go
@@ -0,0 +1,93 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+)
+
+// Parameters of the 64-bit FNV-1a hash and of the SplitMix64 finalizer.
+const (
+	fnvOffset  = 0xcbf29ce484222325
+	fnvPrime   = 0x100000001b3
+	mixFirst   = 0xbf58476d1ce4e5b9
+	mixSecond  = 0x94d049bb133111eb
+	goldenStep = 0x9e3779b97f4a7c15
+)
+
+// Hash returns a stable, well-mixed 64-bit hash of s. It is the same on every
+// instance and in every release.
+func Hash(s string) uint64 {
+	h := uint64(fnvOffset)
+	for i := range len(s) {
+		h = (h ^ uint64(s[i])) * fnvPrime
+	}
+	return mix(h)
+}
+
+// Score returns the rendezvous weight of a member for a key, both given by their
+// Hash. The member with the highest score comes first.
+func Score(key, member uint64) uint64 {
+	return mix(key ^ mix(member+goldenStep))
+}
+
+// Rank returns the members in rendezvous order for key. Members keep their relative
+// order when another one joins or goes. It takes O(n log n) for n members.
+func Rank(key string, members []fleet.InstanceID) []fleet.InstanceID {
+	keyHash := Hash(key)
+	ranked := slices.Clone(members)
+	slices.SortFunc(ranked, func(a, b fleet.InstanceID) int {
+		if before(keyHash, a, b) {
+			return -1
+		}
+		if before(keyHash, b, a) {
+			return 1
+		}
+		return 0
+	})
+	return ranked
+}
+
+// Owner returns the member that Rank would put first, without allocating. It
+// returns false if there is no member. It takes O(n).
+func Owner(key string, members []fleet.InstanceID) (fleet.InstanceID, bool) {
+	if len(members) == 0 {
+		return "", false
+	}
+	keyHash := Hash(key)
+	first := members[0]
+	for _, member := range members[1:] {
+		if before(keyHash, member, first) {
+			first = member
+		}
+	}
+	return first, true
+}
+
+// Digest returns a digest of a set of instances, whatever their order.
+func Digest(members []fleet.InstanceID) uint64 {
+	sorted := slices.Sorted(slices.Values(members))
+	h := uint64(fnvOffset)
+	for _, member := range sorted {
+		h = mix(h ^ Hash(string(member)))
+	}
+	return h
+}
+
+// before tells whether a ranks before b; equal scores fall back to the names.
+func before(keyHash uint64, a, b fleet.InstanceID) bool {
+	scoreA := Score(keyHash, Hash(string(a)))
+	scoreB := Score(keyHash, Hash(string(b)))
+	if scoreA != scoreB {
+		return scoreA > scoreB
+	}
+	return strings.Compare(string(a), string(b)) < 0
+}
+
+// mix is the SplitMix64 finalizer.
+func mix(h uint64) uint64 {
+	h = (h ^ h>>30) * mixFirst
+	h = (h ^ h>>27) * mixSecond
+	return h ^ h>>31
+}
