Add fair accounts, dispatch decisions and crash quarantine as pure cores

Cause: entries and owners need the decisions whose turn it is, where work runs and which requests are unsafe, apart from any I/O. Ruled out here: a clamp to a fixed lag behind the leader. It ties all customers that compete with each other only, and so loses their order.

--- /dev/null
+++ b/internal/dispatch/alone.go
@@ -0,0 +1,158 @@
+package dispatch
+
+import (
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/wire"
+)
+
+// Occupancy says how many requests run, or hold permits, on a target.
+type Occupancy interface {
+	Running(t fleet.TargetID, now time.Time) int
+}
+
+// aloneState is the demand for requests that must run alone. An owner keeps one
+// target at a time free for them.
+type aloneState struct {
+	demands  map[fleet.InstanceID][]aloneDemand
+	reserved fleet.TargetID
+	// granted says that the reserved target's permit was given; started that it
+	// was since seen occupied; until bounds the wait for that.
+	granted, started bool
+	until            time.Time
+}
+
+type aloneDemand struct {
+	wire.Demand
+	since time.Time
+}
+
+// AloneStart bounds the time from a grant for a request alone to its appearance on
+// the target.
+const AloneStart = 5 * time.Second
+
+// SetAloneDemand replaces what waits at an entry for a target of its own.
+func (o *Owner) SetAloneDemand(entry fleet.InstanceID, ds []wire.Demand, now time.Time) {
+	if o.alone.demands == nil {
+		o.alone.demands = map[fleet.InstanceID][]aloneDemand{}
+	}
+	if len(ds) == 0 {
+		delete(o.alone.demands, entry)
+		return
+	}
+	waiting := make([]aloneDemand, 0, len(ds))
+	for _, d := range ds {
+		since := now.Add(-time.Duration(d.WaitMillis) * time.Millisecond)
+		waiting = append(waiting, aloneDemand{Demand: d, since: since})
+	}
+	o.alone.demands[entry] = waiting
+}
+
+// NextAlone returns a grant for a request that must run alone, once a target that
+// serves it is idle. It reserves one target at a time, the one with the fewest
+// running, which Next leaves out until the request is over. O(targets + demands).
+func (o *Owner) NextAlone(l Limiter, r Occupancy, now time.Time) (Decision, bool) {
+	o.releaseReserved(r, now)
+	if o.alone.granted {
+		return Decision{}, false
+	}
+	entry, d, ok := o.oldestAlone()
+	if !ok {
+		o.reserve("")
+		return Decision{}, false
+	}
+	t := o.reservedFor(d.Workload)
+	if t == nil {
+		t = o.leastRunning(d.Workload, r, now)
+	}
+	if t == nil {
+		return Decision{}, false
+	}
+	o.reserve(t.ID)
+	if r.Running(t.ID, now) > 0 || l.Available(t.ID, now) <= 0 {
+		return Decision{}, false
+	}
+	o.alone.granted = true
+	o.alone.started = false
+	o.alone.until = now.Add(AloneStart)
+	return Decision{
+		Customer:    d.Customer,
+		Workload:    d.Workload,
+		Entry:       entry,
+		Target:      t.ID,
+		Alone:       true,
+		Estimate:    d.Estimate,
+		VirtualTime: o.accounts.VirtualTime(d.Customer),
+	}, true
+}
+
+// releaseReserved ends the reservation when the request was seen on the target and
+// is over, or never came.
+func (o *Owner) releaseReserved(r Occupancy, now time.Time) {
+	a := &o.alone
+	if !a.granted {
+		return
+	}
+	if r.Running(a.reserved, now) > 0 {
+		a.started = true
+		return
+	}
+	if a.started || !now.Before(a.until) {
+		a.granted = false
+		o.reserve("")
+	}
+}
+
+// reserve makes t the only reserved target, none if empty.
+func (o *Owner) reserve(t fleet.TargetID) {
+	o.alone.reserved = t
+	for i := range o.targets {
+		o.targets[i].reserved = t != "" && o.targets[i].ID == t
+	}
+}
+
+func (o *Owner) oldestAlone() (fleet.InstanceID, aloneDemand, bool) {
+	var entry fleet.InstanceID
+	var oldest aloneDemand
+	found := false
+	for e, ds := range o.alone.demands {
+		for _, d := range ds {
+			if len(o.classTargets(d.Workload)) == 0 {
+				continue
+			}
+			if !found || d.since.Before(oldest.since) || (d.since.Equal(oldest.since) && e < entry) {
+				entry, oldest, found = e, d, true
+			}
+		}
+	}
+	return entry, oldest, found
+}
+
+func (o *Owner) classTargets(w fleet.Workload) []int {
+	if c, ok := o.classes[w]; ok {
+		return c.targets
+	}
+	return nil
+}
+
+func (o *Owner) reservedFor(w fleet.Workload) *ownedTarget {
+	for _, i := range o.classTargets(w) {
+		if t := &o.targets[i]; t.ID == o.alone.reserved {
+			return t
+		}
+	}
+	return nil
+}
+
+func (o *Owner) leastRunning(w fleet.Workload, r Occupancy, now time.Time) *ownedTarget {
+	var best *ownedTarget
+	least := 0
+	for _, i := range o.classTargets(w) {
+		t := &o.targets[i]
+		if n := r.Running(t.ID, now); best == nil || n < least {
+			best, least = t, n
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/fairness/accounts.go
@@ -0,0 +1,336 @@
+// Package fairness keeps the fleet-wide service accounts of customers and turns
+// them into virtual times, by which owners choose whom to serve next.
+//
+// Service is counted in grow-only counters, one for each pair of incarnation and
+// customer; counters merge by maximum. The virtual time of a customer is its
+// total service divided by its share, plus a lift. The lift is a max-register: it
+// rises when an idle customer becomes backlogged, and when a customer has fallen
+// too far behind those it competes with. Late, repeated and reordered messages
+// therefore do no harm.
+//
+// The package is pure and starts no goroutine. One goroutine owns an Accounts
+// value; no method may be called concurrently with another.
+package fairness
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/wire"
+)
+
+// MaxCustomers bounds the customers an Accounts value knows, configured or not.
+const MaxCustomers = wire.MaxEntries
+
+// Customer is a configured customer.
+type Customer struct {
+	ID fleet.CustomerID
+	// Share is the customer's weight, at least 1.
+	Share int
+}
+
+// Params are the constants of an Accounts value. Zero fields take the defaults.
+type Params struct {
+	// Clamp is the greatest lag, in cost units for one share, that a customer keeps
+	// behind the next one ahead of it.
+	Clamp fleet.Cost
+	// IdleAfter is how long a customer must have had no demand here and no service
+	// anywhere before it counts as idle. It should cover the information age.
+	IdleAfter time.Duration
+	// Threshold is the unsent growth of an own counter that makes it worth
+	// sending at once, in cost units.
+	Threshold fleet.Cost
+	// FlushAfter bounds how long a growth below Threshold stays unsent.
+	FlushAfter time.Duration
+	// FirstEstimate is the expected output cost of a customer's first request.
+	FirstEstimate fleet.Cost
+}
+
+// Defaults of Params.
+const (
+	DefaultClamp         fleet.Cost = 200_000
+	DefaultIdleAfter                = 2 * time.Second
+	DefaultThreshold     fleet.Cost = 1_000
+	DefaultFlushAfter               = time.Second
+	DefaultFirstEstimate fleet.Cost = 500
+)
+
+func (p Params) withDefaults() Params {
+	if p.Clamp <= 0 {
+		p.Clamp = DefaultClamp
+	}
+	if p.IdleAfter <= 0 {
+		p.IdleAfter = DefaultIdleAfter
+	}
+	if p.Threshold <= 0 {
+		p.Threshold = DefaultThreshold
+	}
+	if p.FlushAfter <= 0 {
+		p.FlushAfter = DefaultFlushAfter
+	}
+	if p.FirstEstimate <= 0 {
+		p.FirstEstimate = DefaultFirstEstimate
+	}
+	return p
+}
+
+// account is the state of one customer.
+type account struct {
+	id    fleet.CustomerID
+	share fleet.Cost
+	// live is the sum over incarnations not yet retired, own included.
+	live fleet.Cost
+	// retired is the sum over incarnations retired here; reported is the largest
+	// such sum that a peer reported.
+	retired, reported fleet.Cost
+	// own is this incarnation's counter; published is its value when it was last
+	// put into the change order.
+	own, published fleet.Cost
+	lift           fleet.Cost
+	// backlogged says that the customer has demand here; lastActive is when it last
+	// had, or was served at another instance.
+	backlogged bool
+	lastActive time.Time
+	estimate   estimate
+	unsent     bool
+}
+
+// total returns the customer's service over the whole fleet as known here.
+func (c *account) total() fleet.Cost {
+	return c.live + max(c.retired, c.reported)
+}
+
+func (c *account) virtualTime() int64 {
+	return int64(c.total()/c.share + c.lift)
+}
+
+// Accounts holds the service accounts as one instance knows them.
+type Accounts struct {
+	self     fleet.Incarnation
+	params   Params
+	now      time.Time
+	flushed  time.Time
+	index    map[fleet.CustomerID]int32
+	accounts []account
+	counters map[fleet.Incarnation][]fleet.Cost
+	retired  map[fleet.Incarnation]struct{}
+	changes  changeOrder
+	peers    map[fleet.InstanceID]*peerState
+	unsent   []int32
+	order    []int32
+	epoch    uint64
+}
+
+// New returns accounts for the incarnation self without any customer.
+func New(self fleet.Incarnation, p Params) *Accounts {
+	return &Accounts{
+		self:     self,
+		params:   p.withDefaults(),
+		index:    map[fleet.CustomerID]int32{},
+		counters: map[fleet.Incarnation][]fleet.Cost{},
+		retired:  map[fleet.Incarnation]struct{}{},
+		peers:    map[fleet.InstanceID]*peerState{},
+	}
+}
+
+// SetCustomers sets the shares of the configured customers. Accounts of customers
+// that are no longer configured stay, with a share of 1. O(customers).
+func (a *Accounts) SetCustomers(cs []Customer) {
+	for i := range a.accounts {
+		a.accounts[i].share = 1
+	}
+	for _, c := range cs {
+		if i, ok := a.intern(c.ID); ok {
+			a.accounts[i].share = fleet.Cost(max(1, c.Share))
+		}
+	}
+	a.epoch++
+}
+
+// intern returns the index of the customer's account, which it makes if there is
+// room for another.
+func (a *Accounts) intern(id fleet.CustomerID) (int32, bool) {
+	if i, ok := a.index[id]; ok {
+		return i, true
+	}
+	if len(a.accounts) >= MaxCustomers {
+		return 0, false
+	}
+	i := int32(len(a.accounts))
+	a.index[id] = i
+	a.accounts = append(a.accounts, account{id: id, share: 1})
+	a.changes.grow(len(a.accounts))
+	return i, true
+}
+
+// Epoch changes whenever a virtual time may have fallen: after a change of shares
+// and after Retire. In between, virtual times only rise.
+func (a *Accounts) Epoch() uint64 { return a.epoch }
+
+// Tick advances the accounts' clock and makes small unsent changes due for
+// sending every FlushAfter. O(customers charged since the last flush).
+func (a *Accounts) Tick(now time.Time) {
+	a.now = now
+	if now.Sub(a.flushed) < a.params.FlushAfter {
+		return
+	}
+	a.flushed = now
+	for _, i := range a.unsent {
+		a.publishOwn(i)
+	}
+	a.unsent = a.unsent[:0]
+}
+
+// Charge adds service that this instance, as an entry, saw for a customer. Cost
+// that is not positive is ignored, so the counter only grows. O(1).
+func (a *Accounts) Charge(c fleet.CustomerID, cost fleet.Cost) {
+	i, ok := a.intern(c)
+	if !ok || cost <= 0 {
+		return
+	}
+	acc := &a.accounts[i]
+	acc.own += cost
+	acc.live += cost
+	if acc.own-acc.published >= a.params.Threshold {
+		a.publishOwn(i)
+		return
+	}
+	if !acc.unsent {
+		acc.unsent = true
+		a.unsent = append(a.unsent, i)
+	}
+}
+
+func (a *Accounts) publishOwn(i int32) {
+	acc := &a.accounts[i]
+	acc.unsent = false
+	if acc.own == acc.published {
+		return
+	}
+	acc.published = acc.own
+	a.changes.touch(i, ownCounter)
+}
+
+// VirtualTime returns a customer's virtual time in cost units for one share. It
+// is 0 for an unknown customer. O(1).
+func (a *Accounts) VirtualTime(c fleet.CustomerID) int64 {
+	i, ok := a.index[c]
+	if !ok {
+		return 0
+	}
+	return a.accounts[i].virtualTime()
+}
+
+// Share returns a customer's share, 1 for an unknown customer. O(1).
+func (a *Accounts) Share(c fleet.CustomerID) int {
+	i, ok := a.index[c]
+	if !ok {
+		return 1
+	}
+	return int(a.accounts[i].share)
+}
+
+// Idle reports whether the customer has had no demand here and no service at
+// other instances for at least IdleAfter.
+func (a *Accounts) Idle(c fleet.CustomerID) bool {
+	i, ok := a.index[c]
+	if !ok {
+		return true
+	}
+	return a.idle(&a.accounts[i])
+}
+
+func (a *Accounts) idle(acc *account) bool {
+	if acc.backlogged {
+		return false
+	}
+	return acc.lastActive.IsZero() || a.now.Sub(acc.lastActive) >= a.params.IdleAfter
+}
+
+// Activate marks a customer backlogged. One that was idle is lifted to the least
+// virtual time of the backlogged, so that it banked no credit. O(customers).
+func (a *Accounts) Activate(c fleet.CustomerID) {
+	floor, found := int64(0), false
+	for i := range a.accounts {
+		acc := &a.accounts[i]
+		if !acc.backlogged {
+			continue
+		}
+		if v := acc.virtualTime(); !found || v < floor {
+			floor, found = v, true
+		}
+	}
+	a.ActivateAt(c, floor)
+}
+
+// ActivateAt is Activate for a caller that knows the least virtual time of those
+// with which the customer competes. O(1).
+func (a *Accounts) ActivateAt(c fleet.CustomerID, floor int64) {
+	i, ok := a.intern(c)
+	if !ok {
+		return
+	}
+	acc := &a.accounts[i]
+	if a.idle(acc) {
+		a.liftTo(i, floor)
+	}
+	acc.backlogged = true
+}
+
+// Deactivate marks a customer as having no demand here. O(1).
+func (a *Accounts) Deactivate(c fleet.CustomerID) {
+	i, ok := a.index[c]
+	if !ok {
+		return
+	}
+	a.accounts[i].backlogged = false
+	a.accounts[i].lastActive = a.now
+}
+
+// LiftTo raises a customer's virtual time to at least vt. O(1).
+func (a *Accounts) LiftTo(c fleet.CustomerID, vt int64) {
+	if i, ok := a.intern(c); ok {
+		a.liftTo(i, vt)
+	}
+}
+
+func (a *Accounts) liftTo(i int32, vt int64) {
+	acc := &a.accounts[i]
+	missing := vt - acc.virtualTime()
+	if missing <= 0 {
+		return
+	}
+	acc.lift += fleet.Cost(missing)
+	a.changes.touch(i, lift)
+}
+
+// Clamp bounds how far members, which compete with each other, lag behind. Where
+// two neighbours in the order of virtual time are more than Clamp apart, all below
+// the gap are lifted by one amount until half of Clamp is left. Differences below
+// the gap are kept: customers that compete only with each other stay in order
+// while a third one, which is served elsewhere as well, runs ahead of them.
+// O(n log n) for n members.
+func (a *Accounts) Clamp(members []fleet.CustomerID) {
+	a.order = a.order[:0]
+	for _, c := range members {
+		if i, ok := a.index[c]; ok {
+			a.order = append(a.order, i)
+		}
+	}
+	slices.SortFunc(a.order, func(x, y int32) int {
+		return cmp.Compare(a.accounts[y].virtualTime(), a.accounts[x].virtualTime())
+	})
+	clamp := int64(a.params.Clamp)
+	above, shift := int64(math.MaxInt64), int64(0)
+	for n, i := range a.order {
+		vt := a.accounts[i].virtualTime()
+		if n > 0 && above-vt-shift > clamp {
+			shift = above - vt - clamp/2
+		}
+		a.liftTo(i, vt+shift)
+		above = vt + shift
+	}
+}
--- /dev/null
+++ b/internal/fairness/status.go
@@ -0,0 +1,51 @@
+package fairness
+
+import "medlarwind.dev/medlarwind/internal/fleet"
+
+// CustomerStatus is one customer's account as a status page shows it.
+type CustomerStatus struct {
+	Customer fleet.CustomerID `json:"customer"`
+	Share    int              `json:"share"`
+	// Total is the service over the whole fleet; Own is this entry's part of it.
+	Total fleet.Cost `json:"total"`
+	Own   fleet.Cost `json:"own"`
+	// Lift and VirtualTime are in cost units for one share.
+	Lift        fleet.Cost `json:"lift"`
+	VirtualTime int64      `json:"virtual_time"`
+	Backlogged  bool       `json:"backlogged"`
+}
+
+// Status appends the accounts of all known customers to dst, in the order in
+// which they became known. O(customers).
+func (a *Accounts) Status(dst []CustomerStatus) []CustomerStatus {
+	for i := range a.accounts {
+		acc := &a.accounts[i]
+		dst = append(dst, CustomerStatus{
+			Customer:    acc.id,
+			Share:       int(acc.share),
+			Total:       acc.total(),
+			Own:         acc.own,
+			Lift:        acc.lift,
+			VirtualTime: acc.virtualTime(),
+			Backlogged:  acc.backlogged,
+		})
+	}
+	return dst
+}
+
+// Gap returns the greatest difference in virtual time between two customers that
+// are backlogged here, in cost units for one share. O(customers).
+func (a *Accounts) Gap() int64 {
+	least, most, found := int64(0), int64(0), false
+	for i := range a.accounts {
+		if !a.accounts[i].backlogged {
+			continue
+		}
+		v := a.accounts[i].virtualTime()
+		if !found {
+			least, most, found = v, v, true
+		}
+		least, most = min(least, v), max(most, v)
+	}
+	return most - least
+}
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,322 @@
+// Package quarantine finds requests that crash the targets that run them, by a
+// fingerprint of customer, workload and content, and bounds what they can take
+// down.
+//
+// Requests that ran on a target when it crashed become suspects. A suspect runs
+// next only alone on a target, one suspect at a time at each instance, and only at
+// the one instance that rendezvous hashing over the visible instances names for
+// its fingerprint. After a crash while it ran alone it is refused for RefuseFor.
+// Finishing clears it.
+//
+// The number of targets that one request can take down within RefuseFor, however
+// often its caller sends it again after a failure, is MaxTargets in a connected
+// fleet and MaxTargets·k in a fleet partitioned into k parts, if the failure is
+// told to the caller only after the suspicion has reached the instances of its
+// part. A caller that sends n copies before the first crash can take down n - 1
+// more.
+//
+// The state of a fingerprint is a counter that merges by maximum. An odd crash
+// count means one crash since the last clearing, an even one two; a crash after a
+// clearing advances the count to the next odd number. The package is pure; one
+// goroutine owns a Tracker.
+package quarantine
+
+import (
+	"cmp"
+	"encoding/binary"
+	"hash/fnv"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/wire"
+)
+
+// MaxTargets is the number of targets that one request can take down in a
+// connected fleet: one among others and one alone.
+const MaxTargets = 2
+
+// Verdict says what an entry does with a request.
+type Verdict int
+
+// The verdicts of Check.
+const (
+	// Run lets the request run like any other.
+	Run Verdict = iota
+	// RunAlone lets it run only as the single request on its target.
+	RunAlone
+	// Wait keeps it waiting, since another suspect runs here.
+	Wait
+	// Redirect refuses it as not run; the instance that Holder names runs it.
+	Redirect
+	// Refuse refuses it as run and failed.
+	Refuse
+)
+
+// String returns the verdict's name for logs.
+func (v Verdict) String() string {
+	switch v {
+	case Run:
+		return "run"
+	case RunAlone:
+		return "run_alone"
+	case Wait:
+		return "wait"
+	case Redirect:
+		return "redirect"
+	}
+	return "refuse"
+}
+
+// Params are the constants of a Tracker. Zero fields take the defaults.
+type Params struct {
+	// RefuseFor is how long a suspect is remembered after its last crash.
+	RefuseFor time.Duration
+	// MaxSuspects bounds the fingerprints remembered.
+	MaxSuspects int
+}
+
+// Defaults of Params.
+const (
+	DefaultRefuseFor   = 30 * time.Minute
+	DefaultMaxSuspects = 4096
+)
+
+// suspect is the state of one fingerprint.
+type suspect struct {
+	crashes int
+	cleared bool
+	// since is when the state last advanced.
+	since time.Time
+}
+
+// unsafe reports whether the request needs care.
+func (s suspect) unsafe() bool { return s.crashes > 0 && !s.cleared }
+
+// refused reports whether it crashed a target alone since the last clearing.
+func (s suspect) refused() bool { return s.unsafe() && s.crashes%2 == 0 }
+
+// less orders states of one fingerprint by age.
+func (s suspect) less(t suspect) bool {
+	if s.crashes != t.crashes {
+		return s.crashes < t.crashes
+	}
+	return !s.cleared && t.cleared
+}
+
+// Tracker holds what one instance knows of suspects and of its own running work.
+type Tracker struct {
+	params   Params
+	self     fleet.InstanceID
+	visible  []fleet.InstanceID
+	suspects map[uint64]suspect
+	// running counts the runs of a fingerprint on each target, from this entry.
+	running map[fleet.TargetID]map[uint64]int
+	changed map[uint64]struct{}
+}
+
+// New returns a tracker without suspects for the instance self.
+func New(self fleet.InstanceID, p Params) *Tracker {
+	if p.RefuseFor <= 0 {
+		p.RefuseFor = DefaultRefuseFor
+	}
+	if p.MaxSuspects <= 0 {
+		p.MaxSuspects = DefaultMaxSuspects
+	}
+	return &Tracker{
+		params:   p,
+		self:     self,
+		visible:  []fleet.InstanceID{self},
+		suspects: map[uint64]suspect{},
+		running:  map[fleet.TargetID]map[uint64]int{},
+		changed:  map[uint64]struct{}{},
+	}
+}
+
+// SetVisible sets the instances that take new work and are seen from here, among
+// which rendezvous hashing names the holder of a fingerprint.
+func (t *Tracker) SetVisible(ids []fleet.InstanceID) {
+	t.visible = append(t.visible[:0], ids...)
+}
+
+// Running notes that this entry started a request on a target.
+func (t *Tracker) Running(fp uint64, target fleet.TargetID) {
+	runs, ok := t.running[target]
+	if !ok {
+		runs = map[uint64]int{}
+		t.running[target] = runs
+	}
+	runs[fp]++
+}
+
+// Ended notes that a run on a target ended without the target's crash. finished
+// says that it ran to its end, which clears a suspect.
+func (t *Tracker) Ended(fp uint64, target fleet.TargetID, finished bool, now time.Time) {
+	if !t.stop(fp, target) {
+		return
+	}
+	s, ok := t.suspects[fp]
+	if finished && ok && s.unsafe() {
+		t.advance(fp, suspect{crashes: s.crashes, cleared: true, since: now})
+	}
+}
+
+// stop takes out one run and reports whether it was known.
+func (t *Tracker) stop(fp uint64, target fleet.TargetID) bool {
+	runs := t.running[target]
+	if runs[fp] == 0 {
+		return false
+	}
+	runs[fp]--
+	if runs[fp] == 0 {
+		delete(runs, fp)
+	}
+	if len(runs) == 0 {
+		delete(t.running, target)
+	}
+	return true
+}
+
+// Crashed notes that a target changed its boot id or broke its connections while
+// requests of this entry ran on it. It returns their fingerprints, which are now
+// suspects and run no more. O(running there).
+func (t *Tracker) Crashed(target fleet.TargetID, now time.Time) []uint64 {
+	runs := t.running[target]
+	fps := make([]uint64, 0, len(runs))
+	for fp := range runs {
+		fps = append(fps, fp)
+		s := t.suspects[fp]
+		crashes := s.crashes + 1
+		if s.cleared && crashes%2 == 0 {
+			crashes++
+		}
+		t.advance(fp, suspect{crashes: crashes, since: now})
+	}
+	delete(t.running, target)
+	return fps
+}
+
+// Check says what to do with a request that is about to be queued or started.
+// O(targets with running work) for a suspect, else O(1).
+func (t *Tracker) Check(fp uint64, now time.Time) Verdict {
+	s, ok := t.suspects[fp]
+	switch {
+	case !ok || !s.unsafe() || t.expired(s, now):
+		return Run
+	case s.refused():
+		return Refuse
+	case t.Holder(fp) != t.self:
+		return Redirect
+	case t.suspectRuns():
+		return Wait
+	}
+	return RunAlone
+}
+
+func (t *Tracker) expired(s suspect, now time.Time) bool {
+	return now.Sub(s.since) >= t.params.RefuseFor
+}
+
+// suspectRuns reports whether this entry runs a suspect now.
+func (t *Tracker) suspectRuns() bool {
+	for _, runs := range t.running {
+		for fp := range runs {
+			if t.suspects[fp].unsafe() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Holder returns the instance that runs a suspect: the one with the greatest
+// rendezvous weight for the fingerprint. O(visible instances).
+func (t *Tracker) Holder(fp uint64) fleet.InstanceID {
+	var holder fleet.InstanceID
+	most := uint64(0)
+	for _, id := range t.visible {
+		w := weight(fp, id)
+		if holder == "" || w > most || (w == most && id < holder) {
+			holder, most = id, w
+		}
+	}
+	return holder
+}
+
+func weight(fp uint64, id fleet.InstanceID) uint64 {
+	h := fnv.New64a()
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], fp)
+	_, _ = h.Write([]byte(id))
+	_, _ = h.Write(b[:])
+	return h.Sum64()
+}
+
+// advance sets a fingerprint's state and makes room if there are too many.
+func (t *Tracker) advance(fp uint64, s suspect) {
+	if _, ok := t.suspects[fp]; !ok && len(t.suspects) >= t.params.MaxSuspects {
+		t.evict()
+	}
+	t.suspects[fp] = s
+	t.changed[fp] = struct{}{}
+}
+
+// evict forgets a cleared suspect if there is one, else the oldest.
+func (t *Tracker) evict() {
+	var victim uint64
+	var worst suspect
+	found := false
+	for fp, s := range t.suspects {
+		better := s.cleared && !worst.cleared
+		older := s.cleared == worst.cleared && cmp.Compare(s.since.UnixNano(), worst.since.UnixNano()) < 0
+		if !found || better || older {
+			victim, worst, found = fp, s, true
+		}
+	}
+	t.forget(victim)
+}
+
+func (t *Tracker) forget(fp uint64) {
+	delete(t.suspects, fp)
+	delete(t.changed, fp)
+}
+
+// Merge takes in a peer's suspects; the further state wins.
+func (t *Tracker) Merge(ss []wire.Suspect, now time.Time) {
+	for _, w := range ss {
+		s := suspect{crashes: w.Crashes, cleared: w.Cleared, since: now}
+		if s.crashes > 0 && t.suspects[w.Fingerprint].less(s) {
+			t.advance(w.Fingerprint, s)
+		}
+	}
+}
+
+// Changed returns the states that advanced since the last call, for all peers.
+func (t *Tracker) Changed() []wire.Suspect {
+	ss := t.collect(func(fp uint64) bool { _, ok := t.changed[fp]; return ok })
+	clear(t.changed)
+	return ss
+}
+
+// All returns every state, for a peer that starts with nothing.
+func (t *Tracker) All() []wire.Suspect {
+	return t.collect(func(uint64) bool { return true })
+}
+
+func (t *Tracker) collect(want func(uint64) bool) []wire.Suspect {
+	var ss []wire.Suspect
+	for fp, s := range t.suspects {
+		if want(fp) {
+			ss = append(ss, wire.Suspect{Fingerprint: fp, Crashes: s.crashes, Cleared: s.cleared})
+		}
+	}
+	return ss
+}
+
+// Expire forgets what is older than RefuseFor. O(suspects).
+func (t *Tracker) Expire(now time.Time) {
+	for fp, s := range t.suspects {
+		if t.expired(s, now) {
+			t.forget(fp)
+		}
+	}
+}
