Add in-memory network with delays, cuts and byte counters

Cause: adapters, instances and experiments must run under testing/synctest with faults between groups of hosts. Ruled out: net.Pipe, whose unbuffered writes make an HTTP server and client wait on each other, and which has no close-after-data, delay or reset. Change: package memnet with buffered pipes that behave like TCP: a write succeeds once buffered, a reset is seen later, a close after the data before it. Faults: cut (breaking or silent), one-way cut, silence of existing connections, reset, delay, break after a number of bytes. The faults have no tests of their own yet.

--- /dev/null
+++ b/internal/memnet/memnet.go
@@ -0,0 +1,225 @@
+// Package memnet is an in-memory network with faults between hosts, for tests
+// and experiments. It works inside a testing/synctest bubble: every wait is on a
+// channel, a condition variable or a timer.
+//
+// A host is a name, by convention an IP address. Bytes travel over one link for
+// each ordered pair of hosts; a link has a delay, a byte counter and faults.
+// All methods are safe for concurrent use.
+package memnet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// acceptQueue is the number of connections that wait for Accept.
+	acceptQueue = 1024
+	// firstPort is the first port given to dialling ends.
+	firstPort = 49152
+	// handshakeTimeout bounds a dial over a link that loses every byte.
+	handshakeTimeout = 60 * time.Second
+)
+
+// Network is a set of hosts, listeners and links.
+type Network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	links     map[pair]*link
+	delay     func(from, to string) time.Duration
+	nextPort  int
+}
+
+// pair is an ordered pair of host names.
+type pair struct{ from, to string }
+
+// New returns a network without listeners, delays or faults.
+func New() *Network {
+	return &Network{
+		listeners: make(map[string]*listener),
+		links:     make(map[pair]*link),
+		nextPort:  firstPort,
+	}
+}
+
+// Host is one named end of the network.
+type Host struct {
+	net  *Network
+	name string
+}
+
+// Host returns the host of that name.
+func (n *Network) Host(name string) Host { return Host{net: n, name: name} }
+
+// Name returns the host's name.
+func (h Host) Name() string { return h.name }
+
+// Listen listens on addr, "HOST:PORT", for the host named in it.
+func (n *Network) Listen(addr string) (net.Listener, error) {
+	if _, _, err := net.SplitHostPort(addr); err != nil {
+		return nil, opError("listen", addr, err)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, taken := n.listeners[addr]; taken {
+		return nil, opError("listen", addr, syscall.EADDRINUSE)
+	}
+	l := &listener{net: n, addr: Addr(addr), queue: make(chan *Conn, acceptQueue), closed: make(chan struct{})}
+	n.listeners[addr] = l
+	return l, nil
+}
+
+// Dial connects from h to addr. It takes one round trip of the link's delay. A
+// missing listener or a breaking cut refuses at once; a silent cut makes it wait
+// for ctx.
+func (h Host) Dial(ctx context.Context, _, addr string) (net.Conn, error) {
+	remote, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return nil, opError("dial", addr, err)
+	}
+	out, in := h.net.link(h.name, remote), h.net.link(remote, h.name)
+	if err := handshake(ctx, out, in); err != nil {
+		return nil, opError("dial", addr, err)
+	}
+	l, local := h.net.route(h.name, addr)
+	if l == nil {
+		return nil, opError("dial", addr, syscall.ECONNREFUSED)
+	}
+	near, far := newConns(out, in, local, Addr(addr))
+	select {
+	case l.queue <- far:
+		out.conns.Add(1)
+		return near, nil
+	case <-l.closed:
+		near.breakBoth()
+		return nil, opError("dial", addr, syscall.ECONNREFUSED)
+	case <-ctx.Done():
+		near.breakBoth()
+		return nil, opError("dial", addr, ctx.Err())
+	}
+}
+
+// handshake waits for one round trip over the two links.
+func handshake(ctx context.Context, out, in *link) error {
+	if out.refusing.Load() || in.refusing.Load() {
+		return syscall.EHOSTUNREACH
+	}
+	wait := out.latency() + in.latency()
+	blocked := out.blocked.Load() || in.blocked.Load()
+	if blocked {
+		wait = handshakeTimeout
+	}
+	if wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if blocked {
+		return os.ErrDeadlineExceeded
+	}
+	return ctx.Err()
+}
+
+// route returns the listener at addr and a new local address for the dialler.
+func (n *Network) route(from, addr string) (*listener, Addr) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nextPort++
+	return n.listeners[addr], Addr(fmt.Sprintf("%s:%d", from, n.nextPort))
+}
+
+// link returns the link of an ordered pair of hosts.
+func (n *Network) link(from, to string) *link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	key := pair{from, to}
+	l := n.links[key]
+	if l == nil {
+		l = &link{pipes: make(map[*pipe]struct{})}
+		if n.delay != nil {
+			l.delay.Store(int64(n.delay(from, to)))
+		}
+		n.links[key] = l
+	}
+	return l
+}
+
+// Addr is an address of the network, "HOST:PORT".
+type Addr string
+
+// Network returns "tcp", since connections behave like TCP connections.
+func (Addr) Network() string { return "tcp" }
+
+// String returns "HOST:PORT".
+func (a Addr) String() string { return string(a) }
+
+// Host returns the host's name.
+func (a Addr) Host() string {
+	host, _, _ := net.SplitHostPort(string(a))
+	return host
+}
+
+// listener implements net.Listener.
+type listener struct {
+	net    *Network
+	addr   Addr
+	queue  chan *Conn
+	once   sync.Once
+	closed chan struct{}
+}
+
+// Accept returns the next dialled connection.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case <-l.closed:
+		return nil, opError("accept", string(l.addr), net.ErrClosed)
+	default:
+	}
+	select {
+	case c := <-l.queue:
+		return c, nil
+	case <-l.closed:
+		return nil, opError("accept", string(l.addr), net.ErrClosed)
+	}
+}
+
+// Close stops listening and resets the connections that nobody accepted.
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		l.net.mu.Lock()
+		delete(l.net.listeners, string(l.addr))
+		l.net.mu.Unlock()
+		close(l.closed)
+		l.reset()
+	})
+	return nil
+}
+
+// reset breaks the connections in the queue.
+func (l *listener) reset() {
+	for {
+		select {
+		case c := <-l.queue:
+			c.breakBoth()
+		default:
+			return
+		}
+	}
+}
+
+// Addr returns the address listened on.
+func (l *listener) Addr() net.Addr { return l.addr }
+
+// opError wraps err as package net does.
+func opError(op, addr string, err error) error {
+	return &net.OpError{Op: op, Net: "tcp", Addr: Addr(addr), Err: err}
+}
