Add adapter to model engines and plain services

Cause: the entry needs answers whole and in order, and an honest word on whether a failed request can have run. Ruled out: trusting the transport's errors, which do not tell a dial that failed from a request that was written; http.Client, which follows redirects. Change: package target over http.Transport. Connections count the writes that may have reached the peer; a failed exchange seals its connection before it reads the count. Messages have no GetBody, calls to be made once a connection of their own. Frames carry a running CRC-32C and are checked one by one. Broken connections are not tested yet.

--- /dev/null
+++ b/internal/target/client.go
@@ -0,0 +1,130 @@
+// Package target is the adapter to model engines and plain services over
+// HTTP/1.1, in the form that package enginewire names.
+//
+// A Client is used by many goroutines. It owns its connections: pooled ones for
+// repeatable requests and one of its own for each call that must run at most once.
+// A message is sent at most once on at most one connection; the one exception is
+// a pooled connection that took no byte of it. Every failure is an *Error that
+// says whether the request can have run.
+//
+// On connections to engines every read and write has a deadline, since an engine
+// sends blank lines while it has nothing to say. A missed deadline closes the
+// connection and the idle ones to the same address, so that the next request
+// dials. A Stream belongs to one goroutine.
+package target
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+// Options bound what a Client waits for and holds. Zero fields take the default.
+type Options struct {
+	// DialTimeout bounds one dial.
+	DialTimeout time.Duration
+	// SilenceTimeout is the longest time without a byte on a connection to an
+	// engine; it must exceed twice the engines' keep-alive interval.
+	SilenceTimeout time.Duration
+	// CallTimeout bounds a plain call that has no deadline.
+	CallTimeout time.Duration
+	// ControlTimeout bounds load reports, cancels, cache events and orders.
+	ControlTimeout time.Duration
+	// TransferTimeout bounds a KV cache export or import.
+	TransferTimeout time.Duration
+	// MaxLineBytes bounds one line of an answer stream.
+	MaxLineBytes int
+	// MaxHeldFrames bounds the frames held back for an earlier one.
+	MaxHeldFrames int
+	// MaxBodyBytes bounds the answer of a plain call and of control requests.
+	MaxBodyBytes int64
+	// MaxKVBytes bounds an exported KV cache.
+	MaxKVBytes int64
+	// MaxIdlePerTarget bounds the pooled connections for each target.
+	MaxIdlePerTarget int
+}
+
+// Default bounds.
+const (
+	DefaultDialTimeout      = 2 * time.Second
+	DefaultSilenceTimeout   = 5 * time.Second
+	DefaultCallTimeout      = 60 * time.Second
+	DefaultControlTimeout   = 2 * time.Second
+	DefaultTransferTimeout  = 30 * time.Second
+	DefaultMaxLineBytes     = 64 << 10
+	DefaultMaxHeldFrames    = 32
+	DefaultMaxBodyBytes     = 4 << 20
+	DefaultMaxKVBytes       = 64 << 20
+	DefaultMaxIdlePerTarget = 8
+)
+
+// withDefaults fills the zero fields.
+func (o Options) withDefaults() Options {
+	o.DialTimeout = orDefault(o.DialTimeout, DefaultDialTimeout)
+	o.SilenceTimeout = orDefault(o.SilenceTimeout, DefaultSilenceTimeout)
+	o.CallTimeout = orDefault(o.CallTimeout, DefaultCallTimeout)
+	o.ControlTimeout = orDefault(o.ControlTimeout, DefaultControlTimeout)
+	o.TransferTimeout = orDefault(o.TransferTimeout, DefaultTransferTimeout)
+	o.MaxLineBytes = orDefault(o.MaxLineBytes, DefaultMaxLineBytes)
+	o.MaxHeldFrames = orDefault(o.MaxHeldFrames, DefaultMaxHeldFrames)
+	o.MaxBodyBytes = orDefault(o.MaxBodyBytes, DefaultMaxBodyBytes)
+	o.MaxKVBytes = orDefault(o.MaxKVBytes, DefaultMaxKVBytes)
+	o.MaxIdlePerTarget = orDefault(o.MaxIdlePerTarget, DefaultMaxIdlePerTarget)
+	return o
+}
+
+// orDefault returns v, or fallback if v is zero.
+func orDefault[T comparable](v, fallback T) T {
+	var zero T
+	if v == zero {
+		return fallback
+	}
+	return v
+}
+
+// Client speaks to targets for one instance. It is safe for concurrent use.
+type Client struct {
+	opts     Options
+	registry *registry
+	engines  *pool
+	services *pool
+}
+
+// NewClient returns a client that opens its connections with dial.
+func NewClient(dial DialFunc, opts Options) *Client {
+	opts = opts.withDefaults()
+	r := newRegistry()
+	return &Client{
+		opts:     opts,
+		registry: r,
+		engines:  newPool(dial, r, opts, opts.SilenceTimeout),
+		services: newPool(dial, r, opts, 0),
+	}
+}
+
+// Close breaks every connection, also those with requests under way.
+func (c *Client) Close() {
+	c.engines.close()
+	c.services.close()
+	c.registry.closeAll()
+}
+
+// control sends a short message to an engine and returns the answer's body.
+func (c *Client) control(ctx context.Context, m message) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.ControlTimeout)
+	defer cancel()
+	return c.exchangeBody(ctx, c.engines, m, c.opts.MaxBodyBytes)
+}
+
+// exchangeBody sends m and returns the whole body of a 200 response.
+func (c *Client) exchangeBody(ctx context.Context, p *pool, m message, limit int64) ([]byte, error) {
+	resp, x, err := p.send(ctx, m)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer discardRefusal(resp)
+		return nil, refusal(resp)
+	}
+	return readAll(ctx, resp, x, limit)
+}
--- /dev/null
+++ b/internal/target/enginewire/frame.go
@@ -0,0 +1,208 @@
+package enginewire
+
+import (
+	"bytes"
+	"encoding/base64"
+	"encoding/json"
+	"math"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// Frame is one line of an answer stream.
+type Frame struct {
+	// Attempt is the attempt number of the request on this connection.
+	Attempt int `json:"a"`
+	// Sequence counts the frames of the answer from 0; the last frame's is Frames.
+	Sequence int64 `json:"s"`
+	// InputTokens and OutputTokens are the tokens read and generated so far.
+	InputTokens  int64 `json:"i"`
+	OutputTokens int64 `json:"o"`
+	// Checksum is the CRC-32C of the answer up to the end of this frame.
+	Checksum uint32 `json:"c"`
+	// Data is empty in the last frame.
+	Data []byte `json:"d,omitempty"`
+	// Last ends the answer; RequestID and Frames are set on it.
+	Last      bool   `json:"l,omitempty"`
+	RequestID string `json:"r,omitempty"`
+	// Frames is the number of frames that carry data.
+	Frames int64 `json:"n,omitempty"`
+	// Error ends the stream: the engine ran the request and failed.
+	Error string `json:"e,omitempty"`
+}
+
+// ErrFrame says that a line is not a frame.
+var ErrFrame = errors.New("malformed frame")
+
+// AppendFrame appends the frame as one line of JSON with its newline.
+func AppendFrame(b []byte, f Frame) []byte {
+	b = appendInt(b, `{"a":`, int64(f.Attempt))
+	b = appendInt(b, `,"s":`, f.Sequence)
+	b = appendInt(b, `,"i":`, f.InputTokens)
+	b = appendInt(b, `,"o":`, f.OutputTokens)
+	b = appendInt(b, `,"c":`, int64(f.Checksum))
+	if len(f.Data) > 0 {
+		b = append(b, `,"d":"`...)
+		b = base64.StdEncoding.AppendEncode(b, f.Data)
+		b = append(b, '"')
+	}
+	if f.Last {
+		b = append(b, `,"l":true`...)
+		b = appendInt(b, `,"n":`, f.Frames)
+	}
+	b = appendText(b, `,"r":`, f.RequestID)
+	b = appendText(b, `,"e":`, f.Error)
+	return append(b, '}', '\n')
+}
+
+// appendInt appends a key and a number.
+func appendInt(b []byte, key string, v int64) []byte {
+	return strconv.AppendInt(append(b, key...), v, 10)
+}
+
+// appendText appends a key and a JSON string, or nothing if text is empty.
+func appendText(b []byte, key, text string) []byte {
+	if text == "" {
+		return b
+	}
+	quoted, _ := json.Marshal(text)
+	return append(append(b, key...), quoted...)
+}
+
+// ParseFrame parses one line without its newline. The form that AppendFrame
+// writes takes a fast path with one allocation, for Data; any other JSON form of
+// a Frame is accepted too. The result does not refer to line.
+func ParseFrame(line []byte) (Frame, error) {
+	f, ok := parseFast(line)
+	if !ok {
+		f = Frame{}
+		if err := json.Unmarshal(line, &f); err != nil {
+			return Frame{}, errors.Wrap(ErrFrame, err.Error())
+		}
+	}
+	if f.Sequence < 0 || f.InputTokens < 0 || f.OutputTokens < 0 || f.Frames < 0 {
+		return Frame{}, errors.Wrap(ErrFrame, "negative number")
+	}
+	return f, nil
+}
+
+// parseFast parses an object of one-letter keys, plain integers, "true" and
+// strings without escapes. It returns false for anything else.
+func parseFast(line []byte) (Frame, bool) {
+	var f Frame
+	if len(line) < 2 || line[0] != '{' || line[len(line)-1] != '}' {
+		return f, false
+	}
+	rest := line[1 : len(line)-1]
+	for len(rest) > 0 {
+		if len(rest) < 5 || rest[0] != '"' || rest[2] != '"' || rest[3] != ':' {
+			return f, false
+		}
+		n, ok := f.setField(rest[1], rest[4:])
+		if !ok {
+			return f, false
+		}
+		rest = rest[4+n:]
+		if len(rest) == 0 {
+			break
+		}
+		if rest[0] != ',' || len(rest) == 1 {
+			return f, false
+		}
+		rest = rest[1:]
+	}
+	return f, true
+}
+
+// setField parses the value at the start of b into the field named by key and
+// returns the value's length.
+func (f *Frame) setField(key byte, b []byte) (int, bool) {
+	switch key {
+	case 'd', 'r', 'e':
+		return f.setText(key, b)
+	case 'l':
+		f.Last = true
+		return 4, bytes.HasPrefix(b, []byte("true"))
+	}
+	v, n := parseInt(b)
+	if n == 0 {
+		return 0, false
+	}
+	switch key {
+	case 'a':
+		f.Attempt = int(v)
+	case 's':
+		f.Sequence = v
+	case 'i':
+		f.InputTokens = v
+	case 'o':
+		f.OutputTokens = v
+	case 'c':
+		f.Checksum = uint32(v)
+		return n, v <= math.MaxUint32
+	case 'n':
+		f.Frames = v
+	default:
+		return 0, false
+	}
+	return n, true
+}
+
+// setText parses a string without escapes.
+func (f *Frame) setText(key byte, b []byte) (int, bool) {
+	if len(b) < 2 || b[0] != '"' {
+		return 0, false
+	}
+	end := bytes.IndexByte(b[1:], '"')
+	if end < 0 {
+		return 0, false
+	}
+	text := b[1 : 1+end]
+	if key == 'd' {
+		return end + 2, f.setData(text)
+	}
+	for _, c := range text {
+		if c == '\\' || c < ' ' || c > '~' {
+			return 0, false
+		}
+	}
+	if key == 'r' {
+		f.RequestID = string(text)
+	} else {
+		f.Error = string(text)
+	}
+	return end + 2, true
+}
+
+// setData decodes base64.
+func (f *Frame) setData(text []byte) bool {
+	if bytes.IndexByte(text, '\r') >= 0 || bytes.IndexByte(text, '\n') >= 0 {
+		return false
+	}
+	data := make([]byte, base64.StdEncoding.DecodedLen(len(text)))
+	n, err := base64.StdEncoding.Decode(data, text)
+	f.Data = data[:n]
+	return err == nil
+}
+
+// maxDigits keeps parseInt below the largest int64.
+const maxDigits = 18
+
+// parseInt parses a JSON integer without sign, and returns its length, 0 if
+// there is none or it has a form that only the slow path accepts.
+func parseInt(b []byte) (int64, int) {
+	var v int64
+	n := 0
+	for n < len(b) && b[n] >= '0' && b[n] <= '9' {
+		v = v*10 + int64(b[n]-'0')
+		n++
+		if n > maxDigits {
+			return 0, 0
+		}
+	}
+	if n > 1 && b[0] == '0' {
+		return 0, 0
+	}
+	return v, n
+}
