Add stand-ins for model engine, plain service and platform

Cause: tests and development need the outside systems, with their faults. Change: package standin with controls for crashes, cold starts, poison prompts, late reports and cache events, fencing numbers, stale and limited reads; each counts what it gets.

--- /dev/null
+++ b/internal/standin/cache.go
@@ -0,0 +1,143 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/target/enginewire"
+)
+
+// maxCacheEvents is the number of events that an engine keeps.
+const maxCacheEvents = 1024
+
+// kvBlockBytes is the size of an exported prefix.
+const kvBlockBytes = 4096
+
+// prefixCache holds the most recently used prefixes.
+type prefixCache struct {
+	capacity int
+	// order holds the prefixes, the most recently used last.
+	order  []prefix
+	events []timedEvent
+	seq    uint64
+}
+
+// prefix names a prefix of prompts to a model.
+type prefix struct {
+	model fleet.ModelID
+	hash  uint64
+}
+
+// timedEvent is an event and when it happened.
+type timedEvent struct {
+	enginewire.CacheEvent
+	at time.Time
+}
+
+// newPrefixCache returns an empty cache.
+func newPrefixCache(capacity int) *prefixCache { return &prefixCache{capacity: capacity} }
+
+// find returns the position of a prefix, or -1.
+func (c *prefixCache) find(p prefix) int {
+	for i, other := range c.order {
+		if other == p {
+			return i
+		}
+	}
+	return -1
+}
+
+// touch makes a prefix the most recently used and reports whether it was cached.
+func (c *prefixCache) touch(model fleet.ModelID, hash uint64) bool {
+	p := prefix{model, hash}
+	if i := c.find(p); i >= 0 {
+		c.order = append(append(c.order[:i:i], c.order[i+1:]...), p)
+		return true
+	}
+	c.order = append(c.order, p)
+	c.publish(enginewire.CacheStored, p)
+	if len(c.order) > c.capacity {
+		c.publish(enginewire.CacheEvicted, c.order[0])
+		c.order = c.order[1:]
+	}
+	return false
+}
+
+// publish appends an event.
+func (c *prefixCache) publish(op enginewire.CacheOp, p prefix) {
+	c.seq++
+	event := enginewire.CacheEvent{Seq: c.seq, Op: op, Model: p.model, Hash: p.hash}
+	c.events = append(c.events, timedEvent{event, time.Now()})
+	if len(c.events) > maxCacheEvents {
+		c.events = c.events[1:]
+	}
+}
+
+// since returns the events above after that are older than delay, without every
+// gap-th, and the number of the newest of them.
+func (c *prefixCache) since(after uint64, delay time.Duration, gap uint64) ([]enginewire.CacheEvent, uint64) {
+	events := []enginewire.CacheEvent{}
+	next := after
+	for _, e := range c.events {
+		if e.Seq <= after || time.Since(e.at) < delay {
+			continue
+		}
+		next = e.Seq
+		if gap == 0 || e.Seq%gap != 0 {
+			events = append(events, e.CacheEvent)
+		}
+	}
+	return events, next
+}
+
+// serveCacheEvents publishes the events after a number.
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	e.mu.Lock()
+	reply := enginewire.CacheEvents{BootID: e.bootID()}
+	reply.Events, reply.Next = e.cache.since(after, e.opts.EventDelay, e.opts.EventGap)
+	e.mu.Unlock()
+	writeJSON(w, reply)
+}
+
+// queryPrefix returns the prefix that a KV request names.
+func queryPrefix(r *http.Request) prefix {
+	query := r.URL.Query()
+	hash, _ := strconv.ParseUint(query.Get("hash"), 10, 64)
+	return prefix{fleet.ModelID(query.Get("model")), hash}
+}
+
+// serveExport answers with a cached prefix.
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	p := queryPrefix(r)
+	e.mu.Lock()
+	cached := e.cache.find(p) >= 0
+	e.mu.Unlock()
+	if !cached {
+		refuse(w, http.StatusNotFound, "not_cached")
+		return
+	}
+	_, _ = w.Write(exported(p))
+}
+
+// serveImport caches an exported prefix.
+func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
+	p := queryPrefix(r)
+	body := make([]byte, kvBlockBytes+1)
+	n, _ := io.ReadFull(r.Body, body)
+	if string(body[:n]) != string(exported(p)) {
+		refuse(w, http.StatusBadRequest, enginewire.ReasonMalformed)
+		return
+	}
+	e.mu.Lock()
+	e.cache.touch(p.model, p.hash)
+	e.mu.Unlock()
+}
+
+// exported is the content of an exported prefix.
+func exported(p prefix) []byte {
+	return Answer(string(p.model)+strconv.FormatUint(p.hash, 10), kvBlockBytes/bytesPerToken)
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,337 @@
+// Package standin holds small stand-ins for the systems outside: a model engine, a
+// plain service and the platform. Each is an http.Handler with controls for its
+// faults, and counts what it receives. They use timers only, so that they run
+// under testing/synctest. All methods are safe for concurrent use.
+package standin
+
+import (
+	"fmt"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/target/enginewire"
+)
+
+// EngineOptions say how an engine behaves. Zero fields take the default.
+type EngineOptions struct {
+	// Name begins the engine's boot ids.
+	Name string
+	// BatchLimit is how many requests run at once; more wait in the engine.
+	BatchLimit int
+	// ColdLimit is how many requests the engine bears while cold.
+	ColdLimit int
+	// WarmAfter is how many requests must complete before it is ready.
+	WarmAfter int64
+	// TokensPerFrame is the tokens of one frame and TokenTime the time for each.
+	TokensPerFrame int64
+	TokenTime      time.Duration
+	// PrefillTime is the time for each block of the prompt that is not cached.
+	PrefillTime time.Duration
+	// OutputTokens is the length of the answer to a prompt. By default it is the
+	// request's bound.
+	OutputTokens func(prompt string, maxTokens int64) int64
+	// KeepAlive is the time between blank lines.
+	KeepAlive time.Duration
+	// OrphanTime is how long a run goes on, or its answer is kept, unread.
+	OrphanTime time.Duration
+	// RestartTime is how long the engine answers nothing after a crash.
+	RestartTime time.Duration
+	// ReportLag is how old the figures of a load report are.
+	ReportLag time.Duration
+	// CacheBlocks is the size of the prefix cache. EventDelay is how late events
+	// are published; every EventGap-th is lost, none if it is 0.
+	CacheBlocks int
+	EventDelay  time.Duration
+	EventGap    uint64
+	// RefuseOldFence, CheckDeadline and Senders switch on the engine's checks;
+	// Senders is the whole list of instances that it obeys, all if empty.
+	RefuseOldFence bool
+	CheckDeadline  bool
+	Senders        []fleet.InstanceID
+}
+
+// Defaults of EngineOptions.
+const (
+	defaultBatchLimit     = 8
+	defaultColdLimit      = 2
+	defaultWarmAfter      = 4
+	defaultTokensPerFrame = 4
+	defaultTokenTime      = 5 * time.Millisecond
+	defaultKeepAlive      = time.Second
+	defaultOrphanTime     = 30 * time.Second
+	defaultCacheBlocks    = 64
+	defaultMaxTokens      = 16
+	bytesPerToken         = 4
+)
+
+// withDefaults fills the zero fields.
+func (o EngineOptions) withDefaults() EngineOptions {
+	setDefault(&o.Name, "engine")
+	setDefault(&o.BatchLimit, defaultBatchLimit)
+	setDefault(&o.ColdLimit, defaultColdLimit)
+	setDefault(&o.WarmAfter, defaultWarmAfter)
+	setDefault(&o.TokensPerFrame, defaultTokensPerFrame)
+	setDefault(&o.TokenTime, defaultTokenTime)
+	setDefault(&o.KeepAlive, defaultKeepAlive)
+	setDefault(&o.OrphanTime, defaultOrphanTime)
+	setDefault(&o.CacheBlocks, defaultCacheBlocks)
+	if o.OutputTokens == nil {
+		o.OutputTokens = func(_ string, maxTokens int64) int64 { return maxTokens }
+	}
+	return o
+}
+
+// setDefault sets a zero field.
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Arrival is one whole request for an answer that reached the engine.
+type Arrival struct {
+	RequestID string
+	Attempt   int
+	Instance  fleet.InstanceID
+	BootID    string
+	At        time.Time
+	// Resume says that it asked for a run under way; Refused is the reason if the
+	// engine did not run it.
+	Resume  bool
+	Refused string
+}
+
+// Engine is a model engine.
+type Engine struct {
+	opts EngineOptions
+	mux  *http.ServeMux
+
+	mu        sync.Mutex
+	boot      int
+	downUntil time.Time
+	state     fleet.TargetState
+	leaving   bool
+	warmed    int64
+	load      loadHistory
+	queue     []*run
+	active    map[*run]struct{}
+	runs      map[string]*run
+	cache     *prefixCache
+	poison    map[string]bool
+	fence     uint64
+	orders    []enginewire.Order
+	arrivals  []Arrival
+	peak      Peak
+	closed    bool
+}
+
+// Peak is the most requests that ran at once since boot, beside the limits, and
+// how often the engine went down, in all and because it was overloaded when cold.
+type Peak struct {
+	Running, ColdRunning   int
+	BatchLimit, ColdLimit  int
+	Crashes, ColdOverloads int
+}
+
+// NewEngine returns a cold engine.
+func NewEngine(opts EngineOptions) *Engine {
+	e := &Engine{opts: opts.withDefaults(), poison: make(map[string]bool)}
+	e.mux = e.routes()
+	e.start()
+	return e
+}
+
+// start is a boot; mu is held or the engine is new.
+func (e *Engine) start() {
+	e.boot++
+	e.state = fleet.TargetCold
+	e.warmed = 0
+	e.fence = 0
+	e.queue = nil
+	e.active = make(map[*run]struct{})
+	e.runs = make(map[string]*run)
+	e.cache = newPrefixCache(e.opts.CacheBlocks)
+	e.load = loadHistory{}
+	e.peak.Running, e.peak.ColdRunning = 0, 0
+	e.sample(0)
+}
+
+// bootID names the current boot.
+func (e *Engine) bootID() string { return fmt.Sprintf("%s-%d", e.opts.Name, e.boot) }
+
+// Crash restarts the engine: it cuts every stream, forgets every run, is cold and
+// has another boot id.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crash()
+}
+
+// crash is Crash with mu held.
+func (e *Engine) crash() {
+	e.peak.Crashes++
+	for _, r := range e.runs {
+		r.end(runCut)
+	}
+	e.downUntil = time.Now().Add(e.opts.RestartTime)
+	e.start()
+}
+
+// Close ends every run, so that no goroutine is left.
+func (e *Engine) Close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.closed = true
+	for _, r := range e.runs {
+		r.end(runCut)
+	}
+}
+
+// TurnCold makes the engine cold on the same boot.
+func (e *Engine) TurnCold() { e.setState(fleet.TargetCold) }
+
+// SetReady makes the engine ready on the same boot.
+func (e *Engine) SetReady() { e.setState(fleet.TargetReady) }
+
+// setState changes the state.
+func (e *Engine) setState(s fleet.TargetState) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state = s
+	e.warmed = 0
+	e.sample(0)
+}
+
+// Leave makes the engine report that it is leaving; it still serves.
+func (e *Engine) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+	e.sample(0)
+}
+
+// CrashOn makes the prompt crash the engine whenever it starts to run.
+func (e *Engine) CrashOn(prompt string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.poison[prompt] = true
+}
+
+// Arrivals returns the requests for answers received so far, in order.
+func (e *Engine) Arrivals() []Arrival {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.arrivals)
+}
+
+// Orders returns the orders carried out, in order.
+func (e *Engine) Orders() []enginewire.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.orders)
+}
+
+// Peak returns the most requests that ran at once since boot.
+func (e *Engine) Peak() Peak {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.peak
+	p.BatchLimit, p.ColdLimit = e.opts.BatchLimit, e.opts.ColdLimit
+	return p
+}
+
+// Now returns the load as it is, without lag.
+func (e *Engine) Now() fleet.LoadReport {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.load.last()
+}
+
+// sample records the load after completed further requests; mu is held.
+func (e *Engine) sample(completed int64) {
+	report := fleet.LoadReport{
+		BootID:    e.bootID(),
+		State:     e.state,
+		Running:   len(e.active),
+		Waiting:   len(e.queue),
+		Completed: e.load.last().Completed + completed,
+	}
+	if e.leaving {
+		report.State = fleet.TargetLeaving
+	}
+	e.load.add(report, e.opts.ReportLag)
+}
+
+// loadHistory remembers the load for the time of the report lag.
+type loadHistory struct{ samples []loadSample }
+
+// loadSample is the load from a point in time on.
+type loadSample struct {
+	since  time.Time
+	report fleet.LoadReport
+}
+
+// last returns the newest report.
+func (h *loadHistory) last() fleet.LoadReport {
+	if len(h.samples) == 0 {
+		return fleet.LoadReport{}
+	}
+	return h.samples[len(h.samples)-1].report
+}
+
+// add appends a report and forgets those that no lagging reader needs.
+func (h *loadHistory) add(r fleet.LoadReport, lag time.Duration) {
+	now := time.Now()
+	h.samples = append(h.samples, loadSample{now, r})
+	for len(h.samples) > 1 && !h.samples[1].since.After(now.Add(-lag)) {
+		h.samples = h.samples[1:]
+	}
+}
+
+// at returns the load as it was lag ago, or at boot if that is later.
+func (h *loadHistory) at(lag time.Duration) fleet.LoadReport {
+	then := time.Now().Add(-lag)
+	i := len(h.samples) - 1
+	for i > 0 && h.samples[i].since.After(then) {
+		i--
+	}
+	r := h.samples[i].report
+	r.AgeMillis = min(lag, time.Since(h.samples[0].since)).Milliseconds()
+	return r
+}
+
+// Answer is the answer that every engine gives to a prompt. A longer one begins
+// with the shorter one.
+func Answer(prompt string, tokens int64) []byte {
+	h := fnv.New64a()
+	h.Write([]byte(prompt))
+	x := h.Sum64() | 1
+	answer := make([]byte, tokens*bytesPerToken)
+	for i := range answer {
+		x ^= x << 13
+		x ^= x >> 7
+		x ^= x << 17
+		answer[i] = byte(x >> 32)
+	}
+	return answer
+}
+
+// Serve serves h on l until stop is called, which breaks its connections.
+func Serve(l net.Listener, h http.Handler) (stop func()) {
+	server := &http.Server{Handler: h}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(l)
+	}()
+	return func() {
+		_ = server.Close()
+		<-done
+	}
+}
--- /dev/null
+++ b/internal/standin/enginehttp.go
@@ -0,0 +1,240 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/target/enginewire"
+)
+
+// routes returns the engine's handlers.
+func (e *Engine) routes() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+enginewire.PathGenerate, e.serveGenerate)
+	mux.HandleFunc("POST "+enginewire.PathCancel, e.serveCancel)
+	mux.HandleFunc("GET "+enginewire.PathLoad, e.serveLoad)
+	mux.HandleFunc("GET "+enginewire.PathCacheEvents, e.serveCacheEvents)
+	mux.HandleFunc("GET "+enginewire.PathKV, e.serveExport)
+	mux.HandleFunc("POST "+enginewire.PathKV, e.serveImport)
+	mux.HandleFunc("POST "+enginewire.PathOrders, e.serveOrder)
+	return mux
+}
+
+// ServeHTTP serves the interface of targets. While the engine restarts it breaks
+// every connection.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	down := e.closed || time.Now().Before(e.downUntil)
+	e.mu.Unlock()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
+	e.mux.ServeHTTP(w, r)
+}
+
+// refuse answers that nothing was run.
+func refuse(w http.ResponseWriter, status int, reason string) {
+	w.Header().Set(enginewire.HeaderOutcome, enginewire.OutcomeNotRun)
+	w.Header().Set(enginewire.HeaderReason, reason)
+	w.WriteHeader(status)
+}
+
+// decode reads a JSON body, or refuses it.
+func decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if json.Unmarshal(body, v) != nil {
+		refuse(w, http.StatusBadRequest, enginewire.ReasonMalformed)
+		return false
+	}
+	return true
+}
+
+// serveGenerate runs or resumes a request and streams its answer.
+func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
+	var req enginewire.GenerateRequest
+	if !decode(w, r, &req) {
+		return
+	}
+	e.mu.Lock()
+	arrival := Arrival{
+		RequestID: req.RequestID,
+		Attempt:   req.Attempt,
+		Instance:  req.Instance,
+		BootID:    e.bootID(),
+		At:        time.Now(),
+		Resume:    req.BootID != "",
+		Refused:   e.objection(req),
+	}
+	e.arrivals = append(e.arrivals, arrival)
+	if arrival.Refused != "" {
+		e.mu.Unlock()
+		refuse(w, http.StatusConflict, arrival.Refused)
+		return
+	}
+	run := e.runs[req.RequestID]
+	if !arrival.Resume {
+		run = e.admit(req)
+	}
+	if run == nil {
+		e.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+	run.readers++
+	e.mu.Unlock()
+	defer e.detach(run)
+	w.Header().Set(enginewire.HeaderBootID, arrival.BootID)
+	w.Header().Set(enginewire.HeaderRequestID, req.RequestID)
+	e.stream(w, r, run, req)
+}
+
+// objection returns why the engine refuses a request, or nothing; mu is held.
+func (e *Engine) objection(req enginewire.GenerateRequest) string {
+	switch {
+	case e.opts.CheckDeadline && req.DeadlineMillis != 0 && time.Now().UnixMilli() > req.DeadlineMillis:
+		return enginewire.ReasonDeadline
+	case !e.obeys(req.Instance):
+		return enginewire.ReasonSender
+	case e.oldFence(req.Fence):
+		return enginewire.ReasonOldFence
+	case req.BootID == "":
+		return ""
+	case req.BootID != e.bootID():
+		return enginewire.ReasonBootChanged
+	case e.runs[req.RequestID] == nil:
+		return enginewire.ReasonUnknownRequest
+	}
+	return ""
+}
+
+// obeys reports whether the engine takes requests from the instance.
+func (e *Engine) obeys(sender fleet.InstanceID) bool {
+	return len(e.opts.Senders) == 0 || slices.Contains(e.opts.Senders, sender)
+}
+
+// oldFence notes a fencing number, and reports whether it must be refused; mu is
+// held. Number 0 is none.
+func (e *Engine) oldFence(fence uint64) bool {
+	if fence == 0 {
+		return false
+	}
+	old := fence < e.fence
+	e.fence = max(e.fence, fence)
+	return old && e.opts.RefuseOldFence
+}
+
+// detach ends a reader of a run.
+func (e *Engine) detach(r *run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r.readers--
+	if r.readers == 0 {
+		e.forgetLater(r)
+	}
+}
+
+// stream writes the frames of a run as they are made.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, run *run, req enginewire.GenerateRequest) {
+	control := http.NewResponseController(w)
+	keepAlive := time.NewTimer(e.opts.KeepAlive)
+	defer keepAlive.Stop()
+	next := req.FromFrame
+	var line []byte
+	for {
+		if control.Flush() != nil {
+			return
+		}
+		frames, state, changed := e.after(run, next)
+		line = line[:0]
+		for _, f := range frames {
+			f.Attempt = req.Attempt
+			line = enginewire.AppendFrame(line, f)
+		}
+		next += int64(len(frames))
+		if state == runCanceled {
+			line = enginewire.AppendFrame(line, enginewire.Frame{Attempt: req.Attempt, Error: "canceled"})
+		}
+		if state == runCut {
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := w.Write(line); err != nil || state >= runDone {
+			return
+		}
+		if len(frames) > 0 {
+			continue
+		}
+		keepAlive.Reset(e.opts.KeepAlive)
+		select {
+		case <-changed:
+		case <-keepAlive.C:
+			_, _ = w.Write([]byte("\n"))
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// after returns the frames of a run from a sequence on, its state and the channel
+// that is closed at its next change.
+func (e *Engine) after(r *run, from int64) ([]enginewire.Frame, runState, chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	from = min(max(from, 0), int64(len(r.frames)))
+	return r.frames[from:len(r.frames):len(r.frames)], r.state, r.changed
+}
+
+// serveCancel stops a run.
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	var req enginewire.CancelRequest
+	if !decode(w, r, &req) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if run := e.runs[req.RequestID]; run != nil {
+		e.leave(run, runCanceled)
+	}
+}
+
+// serveLoad reports the load as it was before the lag.
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	report := e.load.at(e.opts.ReportLag)
+	e.mu.Unlock()
+	writeJSON(w, report)
+}
+
+// writeJSON writes v as the answer.
+func writeJSON(w http.ResponseWriter, v any) {
+	body, _ := json.Marshal(v)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write(body)
+}
+
+// serveOrder carries out an order.
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order enginewire.Order
+	if !decode(w, r, &order) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.obeys(order.Instance) {
+		refuse(w, http.StatusForbidden, enginewire.ReasonSender)
+		return
+	}
+	if e.oldFence(order.Fence) {
+		w.Header().Set(enginewire.HeaderFence, strconv.FormatUint(e.fence, 10))
+		refuse(w, http.StatusConflict, enginewire.ReasonOldFence)
+		return
+	}
+	e.orders = append(e.orders, order)
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,271 @@
+package standin
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/platform"
+)
+
+// PlatformOptions bound what the platform answers. A zero rate is unlimited.
+type PlatformOptions struct {
+	// ReadsPerSecond bounds reads of the configuration and the list in all; a
+	// waiting watch is one.
+	ReadsPerSecond int
+	// WeightsPerMinute bounds fetches of weights.
+	WeightsPerMinute int
+	// MaxWait bounds how long a watch is held.
+	MaxWait time.Duration
+}
+
+// defaultMaxWait bounds how long a watch is held.
+const defaultMaxWait = 30 * time.Second
+
+// value is one version of something published.
+type value struct {
+	version uint64
+	body    []byte
+}
+
+// published is what a reader sees: configuration and list by path.
+type published map[string]value
+
+// Platform is the configuration service, the list and the weight store.
+type Platform struct {
+	opts PlatformOptions
+	mux  *http.ServeMux
+
+	mu      sync.Mutex
+	down    bool
+	now     published
+	stale   map[string]published
+	changed chan struct{}
+	weights map[string][]byte
+	reads   map[string]int
+	refused int
+	rate    window
+	fetches window
+}
+
+// window counts events in the current period.
+type window struct {
+	start time.Time
+	count int
+}
+
+// take counts one event, and returns how long to wait if limit is reached.
+func (w *window) take(limit int, period time.Duration) time.Duration {
+	now := time.Now()
+	if now.Sub(w.start) >= period {
+		w.start, w.count = now, 0
+	}
+	if limit > 0 && w.count >= limit {
+		return w.start.Add(period).Sub(now)
+	}
+	w.count++
+	return 0
+}
+
+// NewPlatform returns a platform with an empty list and no configuration.
+func NewPlatform(opts PlatformOptions) *Platform {
+	setDefault(&opts.MaxWait, defaultMaxWait)
+	p := &Platform{
+		opts:    opts,
+		mux:     http.NewServeMux(),
+		now:     make(published),
+		stale:   make(map[string]published),
+		changed: make(chan struct{}),
+		weights: make(map[string][]byte),
+		reads:   make(map[string]int),
+	}
+	p.mux.HandleFunc("GET "+platform.PathConfig, p.serveRead)
+	p.mux.HandleFunc("GET "+platform.PathList, p.serveRead)
+	p.mux.HandleFunc("GET "+platform.PathWeights+"{name}", p.serveWeights)
+	return p
+}
+
+// SetConfig publishes a version of the configuration.
+func (p *Platform) SetConfig(version uint64, text []byte) {
+	p.publish(platform.PathConfig, value{version, text})
+}
+
+// SetList publishes a list after the lag.
+func (p *Platform) SetList(list fleet.List, lag time.Duration) {
+	body, _ := json.Marshal(list)
+	v := value{list.Version, body}
+	if lag == 0 {
+		p.publish(platform.PathList, v)
+		return
+	}
+	time.AfterFunc(lag, func() { p.publish(platform.PathList, v) })
+}
+
+// publish replaces a value and wakes the watches.
+func (p *Platform) publish(path string, v value) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.now[path] = v
+	p.wake()
+}
+
+// wake makes the watches look again; mu is held.
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// SetDown makes every read fail, or work again; weights too.
+func (p *Platform) SetDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+	p.wake()
+}
+
+// everyone is the key of stale that stands for all readers.
+const everyone = ""
+
+// SetStale freezes what the readers at the given hosts see, or all readers if none
+// is given.
+func (p *Platform) SetStale(hosts ...string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	frozen := make(published)
+	for path, v := range p.now {
+		frozen[path] = v
+	}
+	if len(hosts) == 0 {
+		hosts = []string{everyone}
+	}
+	for _, host := range hosts {
+		p.stale[host] = frozen
+	}
+}
+
+// SetFresh ends all staleness.
+func (p *Platform) SetFresh() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.stale)
+	p.wake()
+}
+
+// SetWeights stores a value of the weight store.
+func (p *Platform) SetWeights(name string, data []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.weights[name] = data
+}
+
+// Reads returns how many reads of a path arrived; a waiting watch is one.
+func (p *Platform) Reads(path string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reads[path]
+}
+
+// Refused returns how many reads the rate limit refused.
+func (p *Platform) Refused() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refused
+}
+
+// ServeHTTP serves the platform's interface.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.mux.ServeHTTP(w, r) }
+
+// serveRead answers a read or a watch.
+func (p *Platform) serveRead(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	p.reads[r.URL.Path]++
+	retry := p.rate.take(p.opts.ReadsPerSecond, time.Second)
+	if retry > 0 {
+		p.refused++
+	}
+	p.mu.Unlock()
+	if retry > 0 {
+		limited(w, retry)
+		return
+	}
+	after, _ := strconv.ParseUint(r.URL.Query().Get(platform.QueryAfter), 10, 64)
+	wait, _ := strconv.ParseInt(r.URL.Query().Get(platform.QueryWait), 10, 64)
+	if after == 0 {
+		wait = 0
+	}
+	p.answer(w, r, after, min(time.Duration(wait)*time.Millisecond, p.opts.MaxWait))
+}
+
+// answer writes the value once it is above after, or says that none came in time.
+func (p *Platform) answer(w http.ResponseWriter, r *http.Request, after uint64, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for expired := false; ; {
+		v, down, changed := p.see(r)
+		switch {
+		case down || (after == 0 && v.version == 0):
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case v.version > after:
+			w.Header().Set(platform.HeaderVersion, strconv.FormatUint(v.version, 10))
+			_, _ = w.Write(v.body)
+			return
+		case expired:
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			expired = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// see returns what the reader of r sees now.
+func (p *Platform) see(r *http.Request) (value, bool, chan struct{}) {
+	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	view := p.now
+	if frozen, ok := p.stale[everyone]; ok {
+		view = frozen
+	}
+	if frozen, ok := p.stale[host]; ok {
+		view = frozen
+	}
+	return view[r.URL.Path], p.down, p.changed
+}
+
+// serveWeights answers a fetch of weights.
+func (p *Platform) serveWeights(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	p.reads[platform.PathWeights]++
+	data, ok := p.weights[r.PathValue("name")]
+	down := p.down
+	retry := p.fetches.take(p.opts.WeightsPerMinute, time.Minute)
+	p.mu.Unlock()
+	switch {
+	case down:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case retry > 0:
+		limited(w, retry)
+	case !ok:
+		w.WriteHeader(http.StatusNotFound)
+	default:
+		_, _ = w.Write(data)
+	}
+}
+
+// limited refuses a read because of a rate limit.
+func limited(w http.ResponseWriter, retry time.Duration) {
+	seconds := (retry + time.Second - 1) / time.Second
+	w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	w.WriteHeader(http.StatusTooManyRequests)
+}
--- /dev/null
+++ b/internal/standin/service.go
@@ -0,0 +1,133 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/target/enginewire"
+)
+
+// CallFault says what a service does with a call.
+type CallFault int
+
+// The faults of a service.
+const (
+	// CallWorks: the call runs and is answered.
+	CallWorks CallFault = iota
+	// CallRefused: the call does not run, and the service says so.
+	CallRefused
+	// CallFails: the call runs and fails, and the service says so.
+	CallFails
+	// CallCut: the call runs and the connection breaks before the answer.
+	CallCut
+)
+
+// Service is a plain service that echoes the body of every call.
+type Service struct {
+	mux *http.ServeMux
+
+	mu        sync.Mutex
+	delay     time.Duration
+	fault     CallFault
+	runs      map[string]int
+	arrivals  int
+	running   int
+	completed int64
+}
+
+// NewService returns a service without faults.
+func NewService() *Service {
+	s := &Service{mux: http.NewServeMux(), runs: make(map[string]int)}
+	s.mux.HandleFunc("POST "+enginewire.PathCall+"{method}", s.serveCall)
+	s.mux.HandleFunc("GET "+enginewire.PathLoad, s.serveLoad)
+	return s
+}
+
+// SetDelay makes every later call take that long.
+func (s *Service) SetDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
+// SetFault chooses what happens to later calls.
+func (s *Service) SetFault(f CallFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Runs returns how often the call with that id ran.
+func (s *Service) Runs(callID string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[callID]
+}
+
+// Arrivals returns how many requests for calls began to arrive, whole or not.
+func (s *Service) Arrivals() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.arrivals
+}
+
+// ServeHTTP serves the interface of targets.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// serveCall runs a call once its whole body is there.
+func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.arrivals++
+	fault, delay := s.fault, s.delay
+	s.mu.Unlock()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if fault == CallRefused {
+		refuse(w, http.StatusServiceUnavailable, enginewire.ReasonOverloaded)
+		return
+	}
+	s.run(r.Header.Get(enginewire.HeaderCallID), delay)
+	switch fault {
+	case CallCut:
+		panic(http.ErrAbortHandler)
+	case CallFails:
+		w.Header().Set(enginewire.HeaderOutcome, enginewire.OutcomeFailed)
+		w.Header().Set(enginewire.HeaderReason, "service_failed")
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set(enginewire.HeaderChecksum, strconv.FormatUint(uint64(enginewire.Checksum(0, body)), 10))
+	_, _ = w.Write(body)
+}
+
+// run counts a call and takes its time.
+func (s *Service) run(callID string, delay time.Duration) {
+	s.mu.Lock()
+	s.runs[callID]++
+	s.running++
+	s.mu.Unlock()
+	time.Sleep(delay)
+	s.mu.Lock()
+	s.running--
+	s.completed++
+	s.mu.Unlock()
+}
+
+// serveLoad reports the load.
+func (s *Service) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	report := fleet.LoadReport{
+		BootID:    "service",
+		State:     fleet.TargetReady,
+		Running:   s.running,
+		Completed: s.completed,
+	}
+	s.mu.Unlock()
+	writeJSON(w, report)
+}
