--- /dev/null
+++ b/internal/peer/ephemeral.go
@@ -0,0 +1,90 @@
+package peer
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+)
+
+// Lifetime of what an EphemeralCA issues.
+const (
+	ephemeralBackdate = time.Hour
+	ephemeralLifetime = 365 * 24 * time.Hour
+	serialBits        = 120
+)
+
+// EphemeralCA is a certificate authority in memory, for development and tests. It
+// is safe for concurrent use.
+type EphemeralCA struct {
+	key         *ecdsa.PrivateKey
+	certificate *x509.Certificate
+}
+
+// NewEphemeralCA makes a certificate authority with a key that is kept nowhere.
+func NewEphemeralCA() (*EphemeralCA, error) {
+	template := certificateTemplate("medlarwind ephemeral CA")
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	key, der, err := sign(template, nil)
+	if err != nil {
+		return nil, err
+	}
+	certificate, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, failure(KindTLS, err)
+	}
+	return &EphemeralCA{key: key, certificate: certificate}, nil
+}
+
+// Issue returns a TLS configuration, like LoadTLS, for one instance.
+func (ca *EphemeralCA) Issue(id fleet.InstanceID) (*tls.Config, error) {
+	template := certificateTemplate(string(id))
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	key, der, err := sign(template, ca)
+	if err != nil {
+		return nil, err
+	}
+	authorities := x509.NewCertPool()
+	authorities.AddCert(ca.certificate)
+	return newTLSConfig(tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, authorities), nil
+}
+
+func certificateTemplate(name string) *x509.Certificate {
+	now := time.Now()
+	return &x509.Certificate{
+		Subject:   pkix.Name{CommonName: name},
+		NotBefore: now.Add(-ephemeralBackdate),
+		NotAfter:  now.Add(ephemeralLifetime),
+	}
+}
+
+// sign makes a key and its certificate; without a ca the certificate signs itself.
+func sign(template *x509.Certificate, ca *EphemeralCA) (*ecdsa.PrivateKey, []byte, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, nil, failure(KindTLS, err)
+	}
+	template.SerialNumber = serial
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, nil, failure(KindTLS, err)
+	}
+	parent, signer := template, key
+	if ca != nil {
+		parent, signer = ca.certificate, ca.key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, key.Public(), signer)
+	if err != nil {
+		return nil, nil, failure(KindTLS, err)
+	}
+	return key, der, nil
+}
