--- /dev/null
+++ b/internal/cli/devload.go
@@ -0,0 +1,184 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwind.dev/medlarwind/client"
+	medlarwindv1 "medlarwind.dev/medlarwind/gen/medlarwind/v1"
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/localfleet"
+	"medlarwind.dev/medlarwind/internal/standin"
+)
+
+// Sizes of sample requests, in tokens.
+const (
+	dossierTokens = 400
+	lookupTokens  = 8
+)
+
+// devConcurrency bounds the sample requests of one customer under way at once.
+const devConcurrency = 8
+
+// devSummary is what "dev" prints.
+type devSummary struct {
+	Requests     int           `json:"requests"`
+	Whole        int           `json:"whole"`
+	Refused      int           `json:"refused"`
+	Broken       int           `json:"broken"`
+	ControlBytes int64         `json:"control_bytes"`
+	Millis       int64         `json:"milliseconds"`
+	Customers    []devCustomer `json:"customers"`
+}
+
+// devCustomer is one customer's part of the summary.
+type devCustomer struct {
+	Customer fleet.CustomerID `json:"customer"`
+	Share    int              `json:"share"`
+	Whole    int              `json:"whole"`
+	Refused  int              `json:"refused"`
+	Broken   int              `json:"broken"`
+	Service  fleet.Cost       `json:"service"`
+}
+
+// sampleResult is how one sample request ended.
+type sampleResult int
+
+const (
+	sampleWhole sampleResult = iota
+	sampleRefused
+	sampleBroken
+)
+
+// runSamples sends the sample requests of all customers at once.
+func runSamples(ctx context.Context, local *localfleet.Fleet, f *devFlags) devSummary {
+	ctx, cancel := context.WithTimeout(ctx, f.duration)
+	defer cancel()
+	begun := time.Now()
+	rows := make([]devCustomer, len(local.Spec.Customers))
+	var group sync.WaitGroup
+	for i, customer := range local.Spec.Customers {
+		rows[i] = devCustomer{Customer: customer.ID, Share: customer.Share}
+		count := f.requests / len(rows)
+		if i < f.requests%len(rows) {
+			count++
+		}
+		rng := rand.New(rand.NewPCG(f.seed, uint64(i)))
+		seed := local.Members[i%len(local.Members)]
+		c := local.Client(fmt.Sprintf("caller-%d", i), customer, seed)
+		group.Go(func() { sampleCustomer(ctx, c, rng, count, &rows[i]) })
+	}
+	group.Wait()
+	summary := devSummary{Requests: f.requests, Customers: rows, Millis: time.Since(begun).Milliseconds()}
+	for i := range rows {
+		rows[i].Service = serviceOf(local, rows[i].Customer)
+		summary.Whole += rows[i].Whole
+		summary.Refused += rows[i].Refused
+		summary.Broken += rows[i].Broken
+	}
+	for _, m := range local.Members {
+		summary.ControlBytes += m.Instance.ControlBytes()
+	}
+	return summary
+}
+
+// sampleCustomer sends one customer's requests, a few at once.
+func sampleCustomer(ctx context.Context, c *client.Client, rng *rand.Rand, count int, row *devCustomer) {
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	slots := make(chan struct{}, devConcurrency)
+	for n := range count {
+		kind := rng.IntN(10)
+		slots <- struct{}{}
+		group.Go(func() {
+			defer func() { <-slots }()
+			result := sample(ctx, c, kind, fmt.Sprintf("%s lot %d", row.Customer, n))
+			mu.Lock()
+			defer mu.Unlock()
+			row.add(result)
+		})
+	}
+	group.Wait()
+}
+
+func (r *devCustomer) add(result sampleResult) {
+	switch result {
+	case sampleWhole:
+		r.Whole++
+	case sampleRefused:
+		r.Refused++
+	default:
+		r.Broken++
+	}
+}
+
+// sample sends one request: a dossier, a lookup, or a call that may not be
+// repeated.
+func sample(ctx context.Context, c *client.Client, kind int, text string) sampleResult {
+	switch {
+	case kind == 0:
+		return sampleCall(ctx, c, text)
+	case kind < 4:
+		return sampleGenerate(ctx, c, text, dossierTokens)
+	default:
+		return sampleGenerate(ctx, c, text, lookupTokens)
+	}
+}
+
+func sampleGenerate(ctx context.Context, c *client.Client, prompt string, tokens int64) sampleResult {
+	request := &medlarwindv1.GenerateRequest{Model: "appraise", Prompt: prompt, MaxTokens: tokens}
+	answer, err := c.Generate(ctx, request, nil)
+	if err != nil {
+		return refusedOrBroken(err)
+	}
+	if !bytes.Equal(answer.Data, standin.Answer(prompt, tokens)) {
+		return sampleBroken
+	}
+	return sampleWhole
+}
+
+func sampleCall(ctx context.Context, c *client.Client, text string) sampleResult {
+	id, err := c.IssueCallID(ctx)
+	if err != nil {
+		return refusedOrBroken(err)
+	}
+	body, err := c.CallOnce(ctx, id, string(localfleet.ServiceName), "settle", []byte(text))
+	if err != nil {
+		return refusedOrBroken(err)
+	}
+	if string(body) != text {
+		return sampleBroken
+	}
+	return sampleWhole
+}
+
+func refusedOrBroken(err error) sampleResult {
+	var failed *client.RequestError
+	if errors.As(err, &failed) && failed.Kind == client.NotRun {
+		return sampleRefused
+	}
+	return sampleBroken
+}
+
+// serviceOf adds up what all entries saw of one customer.
+func serviceOf(local *localfleet.Fleet, customer fleet.CustomerID) fleet.Cost {
+	var total fleet.Cost
+	for _, m := range local.Members {
+		status, err := m.Instance.Status(context.Background())
+		if err != nil {
+			continue
+		}
+		for _, row := range status.Customers {
+			if row.Customer == customer {
+				total += row.Own
+			}
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/internal/cli/standin.go
@@ -0,0 +1,167 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/standin"
+)
+
+// StandinCommand runs small stand-ins of the systems outside, for trying the fleet
+// out on loopback.
+func StandinCommand(stdout, stderr io.Writer) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "standin",
+		ShortUsage: "medlarwind standin <engine|service|platform> [flags]",
+		ShortHelp:  "run a stand-in of an engine, a service or the platform",
+		FlagSet:    newFlags("medlarwind standin", stderr),
+		Subcommands: []*ffcli.Command{
+			standinEngineCommand(stdout, stderr),
+			standinServiceCommand(stdout, stderr),
+			standinPlatformCommand(stdout, stderr),
+		},
+		Exec: showHelp,
+	}
+}
+
+func standinEngineCommand(stdout, stderr io.Writer) *ffcli.Command {
+	flags := newFlags("medlarwind standin engine", stderr)
+	addr := flags.String("addr", "", "IP:PORT to serve on")
+	name := flags.String("name", "engine", "name that begins the boot ids")
+	batch := flags.Int("batch", 8, "requests that run at once")
+	cold := flags.Int("cold", 1, "requests that the engine bears while cold")
+	warm := flags.Int64("warm-after", 2, "requests to complete before it is ready")
+	token := flags.Duration("token-time", 5*time.Millisecond, "time for each token")
+	return &ffcli.Command{
+		Name:       "engine",
+		ShortUsage: "medlarwind standin engine -addr IP:PORT",
+		ShortHelp:  "run a model engine stand-in",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			engine := standin.NewEngine(standin.EngineOptions{
+				Name:       *name,
+				BatchLimit: *batch,
+				ColdLimit:  *cold,
+				WarmAfter:  *warm,
+				TokenTime:  *token,
+			})
+			defer engine.Close()
+			return serveStandin(ctx, *addr, engine, stdout)
+		},
+	}
+}
+
+func standinServiceCommand(stdout, stderr io.Writer) *ffcli.Command {
+	flags := newFlags("medlarwind standin service", stderr)
+	addr := flags.String("addr", "", "IP:PORT to serve on")
+	return &ffcli.Command{
+		Name:       "service",
+		ShortUsage: "medlarwind standin service -addr IP:PORT",
+		ShortHelp:  "run a plain service stand-in",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			return serveStandin(ctx, *addr, standin.NewService(), stdout)
+		},
+	}
+}
+
+func standinPlatformCommand(stdout, stderr io.Writer) *ffcli.Command {
+	flags := newFlags("medlarwind standin platform", stderr)
+	addr := flags.String("addr", "", "IP:PORT to serve on")
+	rulesPath := flags.String("rules", "", "rules file; it is read again when it changes, each time as a new version")
+	listPath := flags.String("list", "", "list file (JSON); read again when it changes")
+	return &ffcli.Command{
+		Name:       "platform",
+		ShortUsage: "medlarwind standin platform -addr IP:PORT -rules FILE -list FILE",
+		ShortHelp:  "run a stand-in of the configuration service and the list",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			p := standin.NewPlatform(standin.PlatformOptions{})
+			files := &platformFiles{platform: p, rulesPath: *rulesPath, listPath: *listPath}
+			if err := files.read(); err != nil {
+				return &UsageError{err}
+			}
+			go files.follow(ctx)
+			return serveStandin(ctx, *addr, p, stdout)
+		},
+	}
+}
+
+// serveStandin serves a handler until ctx ends.
+func serveStandin(ctx context.Context, addr string, h http.Handler, stdout io.Writer) error {
+	if addr == "" {
+		return &UsageError{errors.New("standin: -addr is missing")}
+	}
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Wrap(err, "standin")
+	}
+	stop := standin.Serve(listener, h)
+	defer stop()
+	fmt.Fprintf(stdout, "serving on %s\n", listener.Addr())
+	<-ctx.Done()
+	return nil
+}
+
+// filePollInterval is the time between two looks at the platform's files.
+const filePollInterval = 200 * time.Millisecond
+
+// platformFiles publishes files as the platform stand-in's values.
+type platformFiles struct {
+	platform  *standin.Platform
+	rulesPath string
+	listPath  string
+	rules     []byte
+	list      []byte
+	version   uint64
+}
+
+// read publishes what changed since the last read.
+func (f *platformFiles) read() error {
+	text, err := os.ReadFile(f.rulesPath)
+	if err != nil {
+		return errors.Wrap(err, "rules")
+	}
+	if string(text) != string(f.rules) {
+		f.version++
+		f.rules = text
+		f.platform.SetConfig(f.version, text)
+	}
+	raw, err := os.ReadFile(f.listPath)
+	if err != nil {
+		return errors.Wrap(err, "list")
+	}
+	if string(raw) == string(f.list) {
+		return nil
+	}
+	var list fleet.List
+	if err := json.Unmarshal(raw, &list); err != nil {
+		return errors.Wrap(err, f.listPath)
+	}
+	f.list = raw
+	f.platform.SetList(list, 0)
+	return nil
+}
+
+func (f *platformFiles) follow(ctx context.Context) {
+	ticker := time.NewTicker(filePollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			_ = f.read()
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/answer.go
@@ -0,0 +1,196 @@
+package entry
+
+import (
+	"context"
+	"hash/crc32"
+	"sync"
+
+	medlarwindv1 "medlarwind.dev/medlarwind/gen/medlarwind/v1"
+	"medlarwind.dev/medlarwind/internal/fleet"
+)
+
+// castagnoli is the table of the checksum in trailers.
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// answer holds the retained window of one answer between the goroutine that runs
+// the request and the callers' streams that read it. All methods are safe for
+// concurrent use. A frame is never changed after it was appended.
+//
+// The window is bounded in bytes: append blocks while a reader, or the place where
+// the last reader stopped, is a whole window behind.
+type answer struct {
+	id       string
+	customer fleet.CustomerID
+	window   int
+
+	mu       sync.Mutex
+	frames   []*medlarwindv1.Frame
+	first    int64
+	bytes    int
+	position int64
+	checksum uint32
+	done     bool
+	err      error
+	readers  map[*reader]struct{}
+	space    chan struct{}
+}
+
+// reader is one caller's stream. Its wake channel holds one token.
+type reader struct {
+	next int64
+	wake chan struct{}
+}
+
+func newAnswer(id string, customer fleet.CustomerID, window int) *answer {
+	return &answer{
+		id:       id,
+		customer: customer,
+		window:   window,
+		readers:  make(map[*reader]struct{}),
+		space:    make(chan struct{}, 1),
+	}
+}
+
+// append adds data as the next frame; it waits for room until ctx ends.
+func (a *answer) append(ctx context.Context, data []byte) error {
+	for {
+		if a.tryAppend(data) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-a.space:
+		}
+	}
+}
+
+func (a *answer) tryAppend(data []byte) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.trim(len(data))
+	if a.bytes > 0 && a.bytes+len(data) > a.window {
+		return false
+	}
+	frame := &medlarwindv1.Frame{
+		RequestId: a.id,
+		Sequence:  a.first + int64(len(a.frames)),
+		Data:      data,
+	}
+	a.frames = append(a.frames, frame)
+	a.bytes += len(data)
+	a.checksum = crc32.Update(a.checksum, castagnoli, data)
+	a.wakeReaders()
+	return true
+}
+
+// trim drops frames that every reader has passed when room is needed.
+func (a *answer) trim(need int) {
+	passed := a.position
+	for r := range a.readers {
+		passed = min(passed, r.next)
+	}
+	for a.bytes+need > a.window && len(a.frames) > 0 && a.first < passed {
+		a.bytes -= len(a.frames[0].Data)
+		a.frames[0] = nil
+		a.frames = a.frames[1:]
+		a.first++
+	}
+}
+
+// finish appends the trailer frame; nothing may be appended after it.
+func (a *answer) finish(inputTokens, outputTokens int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	sequence := a.first + int64(len(a.frames))
+	a.frames = append(a.frames, &medlarwindv1.Frame{
+		RequestId: a.id,
+		Sequence:  sequence,
+		Trailer: &medlarwindv1.Trailer{
+			Frames:       sequence,
+			Checksum:     a.checksum,
+			InputTokens:  inputTokens,
+			OutputTokens: outputTokens,
+		},
+	})
+	a.done = true
+	a.wakeReaders()
+}
+
+// fail ends the answer with an error, which readers get after the last frame.
+func (a *answer) fail(err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.done {
+		return
+	}
+	a.done = true
+	a.err = err
+	a.wakeReaders()
+}
+
+// attach starts a reader at a sequence; false if that frame is no longer held.
+func (a *answer) attach(sequence int64) (*reader, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if sequence < a.first || sequence > a.first+int64(len(a.frames)) {
+		return nil, false
+	}
+	r := &reader{next: sequence, wake: make(chan struct{}, 1)}
+	a.readers[r] = struct{}{}
+	return r, true
+}
+
+// detach ends a reader and reports how many are left.
+func (a *answer) detach(r *reader) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.readers, r)
+	a.signalSpace()
+	return len(a.readers)
+}
+
+// read returns the reader's next frame, or done with the answer's error.
+func (a *answer) read(ctx context.Context, r *reader) (frame *medlarwindv1.Frame, done bool, err error) {
+	for {
+		frame, done, err = a.tryRead(r)
+		if frame != nil || done {
+			return frame, done, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, true, ctx.Err()
+		case <-r.wake:
+		}
+	}
+}
+
+func (a *answer) tryRead(r *reader) (*medlarwindv1.Frame, bool, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	index := r.next - a.first
+	if index < int64(len(a.frames)) {
+		frame := a.frames[index]
+		r.next++
+		a.position = max(a.position, r.next)
+		a.signalSpace()
+		return frame, false, nil
+	}
+	return nil, a.done, a.err
+}
+
+func (a *answer) wakeReaders() {
+	for r := range a.readers {
+		select {
+		case r.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (a *answer) signalSpace() {
+	select {
+	case a.space <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/entry/attempt.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"hash"
+
+	"github.com/pkg/errors"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/target"
+)
+
+// errDiverged means that a fresh attempt's output does not start with what the
+// caller already has.
+var errDiverged = errors.New("a fresh attempt's output differs from what was sent")
+
+// attemptOutput passes on what one attempt adds to the bytes already sent.
+type attemptOutput struct {
+	generation *generation
+	// skip is how many bytes of this attempt the caller already has from an earlier
+	// one; seen digests them.
+	skip int64
+	seen hash.Hash
+	// frames counts the chunks taken in this attempt and checksum covers them, for
+	// resuming.
+	frames       int64
+	checksum     uint32
+	boot         string
+	inputTokens  int64
+	outputTokens int64
+}
+
+func newAttemptOutput(g *generation) *attemptOutput {
+	return &attemptOutput{generation: g, skip: g.sent.bytes, seen: sha256.New()}
+}
+
+// add takes the next chunk in order.
+func (o *attemptOutput) add(ctx context.Context, c target.Chunk) error {
+	o.inputTokens = c.InputTokens
+	o.outputTokens = c.OutputTokens
+	data, err := o.fresh(c.Data)
+	if err != nil {
+		return err
+	}
+	if len(data) > 0 {
+		if err := o.generation.answer.append(ctx, data); err != nil {
+			return err
+		}
+		o.generation.sent.add(data)
+	}
+	o.frames = c.Sequence + 1
+	o.checksum = c.Checksum
+	return nil
+}
+
+// fresh drops the part that the caller already has, and compares it.
+func (o *attemptOutput) fresh(data []byte) ([]byte, error) {
+	if o.skip == 0 {
+		return data, nil
+	}
+	n := min(o.skip, int64(len(data)))
+	o.seen.Write(data[:n])
+	o.skip -= n
+	if o.skip == 0 && !bytes.Equal(o.seen.Sum(nil), o.generation.sent.digest.Sum(nil)) {
+		return nil, errDiverged
+	}
+	return data[n:], nil
+}
+
+// outcomeOf turns the target layer's error into the entry's.
+func outcomeOf(err error) *OutcomeError {
+	var broken *target.Error
+	if !errors.As(err, &broken) {
+		return &OutcomeError{Kind: Unknown, Reason: ReasonConnectionBroken, Err: err}
+	}
+	switch broken.Kind {
+	case target.NotRun:
+		return &OutcomeError{Kind: NotRun, Reason: ReasonNoTarget, Err: err}
+	case target.Failed:
+		return &OutcomeError{Kind: Failed, Reason: ReasonTargetFailed, Err: err}
+	default:
+		return &OutcomeError{Kind: Unknown, Reason: ReasonConnectionBroken, Err: err}
+	}
+}
+
+func isBroken(err error) bool {
+	return err != nil && !errors.Is(err, errDiverged) && outcomeOf(err).Kind == Unknown
+}
+
+func endKind(outcome *OutcomeError) EndKind {
+	switch outcome.Kind {
+	case NotRun:
+		return EndUnreachable
+	case Failed:
+		return EndFailed
+	default:
+		return EndBroken
+	}
+}
+
+// fingerprint hashes customer, workload and content, the same on every instance.
+func fingerprint(customer fleet.CustomerID, workload fleet.Workload, method string, content []byte) uint64 {
+	digest := sha256.New()
+	for _, part := range []string{string(customer), workload.String(), method} {
+		digest.Write([]byte(part))
+		digest.Write([]byte{0})
+	}
+	digest.Write(content)
+	return binary.BigEndian.Uint64(digest.Sum(nil))
+}
--- /dev/null
+++ b/internal/entry/call.go
@@ -0,0 +1,230 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"hash/crc32"
+	"time"
+
+	"connectrpc.com/connect"
+
+	medlarwindv1 "medlarwind.dev/medlarwind/gen/medlarwind/v1"
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/rules"
+	"medlarwind.dev/medlarwind/internal/target"
+)
+
+// plainCall is one call of a plain service.
+type plainCall struct {
+	server  *Server
+	work    Work
+	rule    rules.Call
+	request target.CallRequest
+	end     time.Time
+}
+
+// IssueCallID implements RouterService.
+func (s *Server) IssueCallID(_ context.Context, req *connect.Request[medlarwindv1.IssueCallIDRequest]) (*connect.Response[medlarwindv1.IssueCallIDResponse], error) {
+	customer, outcome := s.authenticate(req.Header())
+	if outcome != nil {
+		return nil, connectError(outcome)
+	}
+	s.onceMu.Lock()
+	id, ok := s.once.issue(customer, randomUint64(), time.Now())
+	s.onceMu.Unlock()
+	if !ok {
+		return nil, connectError(refuse(ReasonMemory, time.Second))
+	}
+	return connect.NewResponse(&medlarwindv1.IssueCallIDResponse{
+		CallId:     id.String(),
+		LifetimeMs: s.options.CallIDLifetime.Milliseconds(),
+		Address:    s.directory.SelfAddress(),
+	}), nil
+}
+
+// Call implements RouterService. A call goes on when its caller goes away, since it
+// may have had its effect already; the answer waits under the call id.
+func (s *Server) Call(ctx context.Context, req *connect.Request[medlarwindv1.CallRequest]) (*connect.Response[medlarwindv1.CallResponse], error) {
+	customer, outcome := s.authenticate(req.Header())
+	if outcome != nil {
+		return nil, connectError(outcome)
+	}
+	c, outcome := s.newCall(customer, req.Msg)
+	if outcome != nil {
+		return nil, connectError(outcome)
+	}
+	var body []byte
+	if c.rule.Once {
+		body, outcome = s.callOnce(ctx, customer, req.Msg, c)
+	} else {
+		body, outcome = s.callRepeatable(ctx, c)
+	}
+	if outcome != nil {
+		return nil, connectError(outcome)
+	}
+	return connect.NewResponse(&medlarwindv1.CallResponse{
+		Body:     body,
+		Checksum: crc32.Checksum(body, castagnoli),
+	}), nil
+}
+
+func (s *Server) newCall(customer fleet.CustomerID, m *medlarwindv1.CallRequest) (*plainCall, *OutcomeError) {
+	if len(m.Body) > MaxPromptBytes {
+		return nil, refuse(ReasonBadRequest, 0)
+	}
+	key := rules.CallKey{Service: fleet.ServiceID(m.Service), Method: m.Method}
+	rule, known := s.directory.Call(key)
+	if !known {
+		return nil, refuse(ReasonUnknownWorkload, 0)
+	}
+	now := time.Now()
+	workload := fleet.Workload{Service: key.Service}
+	end := now.Add(s.options.RequestTimeout)
+	id := randomHex(16)
+	return &plainCall{
+		server: s,
+		rule:   rule,
+		end:    end,
+		work: Work{
+			RequestID:   id,
+			Customer:    customer,
+			Workload:    workload,
+			Cost:        rule.Cost,
+			Fingerprint: fingerprint(customer, workload, m.Method, m.Body),
+			Deadline:    now.Add(s.options.QueueTimeout),
+		},
+		request: target.CallRequest{
+			Method:   m.Method,
+			Body:     m.Body,
+			CallID:   id,
+			Once:     rule.Once,
+			Deadline: end,
+			Instance: s.options.Instance,
+		},
+	}, nil
+}
+
+// callRepeatable runs a call that is safe to repeat, for as long as its caller
+// waits.
+func (s *Server) callRepeatable(ctx context.Context, c *plainCall) ([]byte, *OutcomeError) {
+	s.running.Add(1)
+	defer s.running.Done()
+	ctx, cancel := context.WithDeadline(ctx, c.end)
+	defer cancel()
+	return c.run(ctx)
+}
+
+// callOnce runs a call that may not be repeated, under its id.
+func (s *Server) callOnce(ctx context.Context, customer fleet.CustomerID, m *medlarwindv1.CallRequest, c *plainCall) ([]byte, *OutcomeError) {
+	if m.CallId == "" {
+		return nil, refuse(ReasonCallIDRequired, 0)
+	}
+	id, err := parseCallID(m.CallId)
+	if err != nil {
+		return nil, refuse(ReasonBadRequest, 0)
+	}
+	s.onceMu.Lock()
+	run, start, outcome := s.once.begin(id, customer, callContent(m), time.Now())
+	s.onceMu.Unlock()
+	if outcome != nil {
+		return nil, outcome
+	}
+	if start {
+		c.request.CallID = id.String()
+		s.running.Go(func() { s.runOnce(run, c) })
+	}
+	return awaitOnce(ctx, run)
+}
+
+// runOnce runs the call apart from its caller's connection and records the end.
+func (s *Server) runOnce(run *onceRun, c *plainCall) {
+	ctx, cancel := context.WithDeadline(context.Background(), c.end)
+	defer cancel()
+	body, outcome := c.run(ctx)
+	s.onceMu.Lock()
+	defer s.onceMu.Unlock()
+	s.once.end(run, body, outcome)
+}
+
+// awaitOnce waits for the end of a run and gives its result.
+func awaitOnce(ctx context.Context, run *onceRun) ([]byte, *OutcomeError) {
+	select {
+	case <-run.ended:
+		return run.body, run.err
+	case <-ctx.Done():
+		return nil, &OutcomeError{Kind: Unknown, Reason: ReasonCancelled, Err: ctx.Err()}
+	}
+}
+
+// callContent is a digest of what the call asks for, so that an id cannot be used
+// for two different calls.
+func callContent(m *medlarwindv1.CallRequest) [sha256.Size]byte {
+	digest := sha256.New()
+	for _, part := range []string{m.Service, m.Method} {
+		digest.Write([]byte(part))
+		digest.Write([]byte{0})
+	}
+	digest.Write(m.Body)
+	return [sha256.Size]byte(digest.Sum(nil))
+}
+
+// run starts the call on a target, again only where that is proven safe: a call
+// that did not run may start again; one that may have run only if it is repeatable.
+func (c *plainCall) run(ctx context.Context) ([]byte, *OutcomeError) {
+	ran := false
+	for attempt := 1; ; attempt++ {
+		c.work.Attempt = attempt
+		lease, outcome := c.server.admission.Admit(ctx, &c.work)
+		if outcome != nil {
+			return nil, c.final(outcome, ran)
+		}
+		body, outcome := c.attempt(ctx, lease)
+		if outcome == nil {
+			return body, nil
+		}
+		ran = ran || outcome.Kind != NotRun
+		if ctx.Err() != nil || attempt >= maxAttempts || !c.retryable(outcome) {
+			return nil, c.final(outcome, ran)
+		}
+	}
+}
+
+func (c *plainCall) retryable(outcome *OutcomeError) bool {
+	switch outcome.Kind {
+	case NotRun:
+		return true
+	case Unknown:
+		return !c.rule.Once
+	default:
+		return false
+	}
+}
+
+// final keeps "not run" honest after an earlier attempt may have run.
+func (c *plainCall) final(outcome *OutcomeError, ran bool) *OutcomeError {
+	if !ran || outcome.Kind != NotRun {
+		return outcome
+	}
+	changed := *outcome
+	changed.Kind = Unknown
+	return &changed
+}
+
+func (c *plainCall) attempt(ctx context.Context, lease Lease) ([]byte, *OutcomeError) {
+	if !lease.Begin() {
+		lease.End(EndUnused)
+		return nil, refuse(ReasonNoTarget, 0)
+	}
+	body, err := c.server.targets.Call(ctx, lease.Assignment().Addr, c.request)
+	if err == nil {
+		lease.End(EndFinished)
+		return body, nil
+	}
+	outcome := outcomeOf(err)
+	if ctx.Err() != nil && outcome.Kind == Unknown {
+		lease.End(EndCancelled)
+		return nil, outcome
+	}
+	lease.End(endKind(outcome))
+	return nil, outcome
+}
--- /dev/null
+++ b/internal/entry/generate.go
@@ -0,0 +1,227 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"hash"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	medlarwindv1 "medlarwind.dev/medlarwind/gen/medlarwind/v1"
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/target"
+	"medlarwind.dev/medlarwind/internal/target/enginewire"
+)
+
+// maxPrefixes bounds the prefix hashes of one prompt.
+const maxPrefixes = 16
+
+// cancelTimeout bounds the order to a target to stop a cancelled request.
+const cancelTimeout = 2 * time.Second
+
+// generation runs one model request. Its fields belong to the goroutine of run.
+type generation struct {
+	server  *Server
+	answer  *answer
+	work    Work
+	request *medlarwindv1.GenerateRequest
+	ctx     context.Context
+	stop    context.CancelFunc
+	end     time.Time
+	sent    sentPrefix
+	// ran is set once a byte of the request may have reached a target.
+	ran bool
+}
+
+// sentPrefix is a digest of what the caller was already given, so that a fresh
+// attempt continues only if its output starts with exactly that.
+type sentPrefix struct {
+	bytes  int64
+	digest hash.Hash
+}
+
+func (p *sentPrefix) add(data []byte) {
+	p.bytes += int64(len(data))
+	p.digest.Write(data)
+}
+
+func (s *Server) newGeneration(customer fleet.CustomerID, m *medlarwindv1.GenerateRequest) (*generation, *OutcomeError) {
+	if len(m.Prompt) > MaxPromptBytes || m.MaxTokens < 0 || m.ExpectedTokens < 0 {
+		return nil, refuse(ReasonBadRequest, 0)
+	}
+	if _, known := s.directory.Model(fleet.ModelID(m.Model)); !known {
+		return nil, refuse(ReasonUnknownWorkload, 0)
+	}
+	now := time.Now()
+	end := now.Add(s.options.RequestTimeout)
+	ctx, stop := context.WithDeadline(context.Background(), end)
+	workload := fleet.Workload{Model: fleet.ModelID(m.Model)}
+	g := &generation{
+		server:  s,
+		answer:  newAnswer(randomHex(16), customer, s.options.AnswerWindow),
+		request: m,
+		ctx:     ctx,
+		stop:    stop,
+		end:     end,
+		sent:    sentPrefix{digest: sha256.New()},
+	}
+	g.work = Work{
+		RequestID:      g.answer.id,
+		Customer:       customer,
+		Workload:       workload,
+		PromptTokens:   int64(len(m.Prompt)+bytesPerToken-1) / bytesPerToken,
+		ExpectedTokens: m.ExpectedTokens,
+		Fingerprint:    fingerprint(customer, workload, "", []byte(m.Prompt)),
+		Prefixes:       enginewire.PrefixHashes(workload.Model, m.Prompt, maxPrefixes),
+		Deadline:       now.Add(s.options.QueueTimeout),
+	}
+	if !s.answers.add(&heldAnswer{answer: g.answer, cancel: stop}) {
+		stop()
+		return nil, refuse(ReasonMemory, time.Second)
+	}
+	return g, nil
+}
+
+// run tries the request until it has a whole answer or a final outcome.
+func (g *generation) run() {
+	defer g.stop()
+	for attempt := 1; ; attempt++ {
+		g.work.Attempt = attempt
+		lease, outcome := g.server.admission.Admit(g.ctx, &g.work)
+		if outcome != nil {
+			g.answer.fail(g.final(outcome))
+			return
+		}
+		outcome = g.attempt(lease)
+		if outcome == nil {
+			return
+		}
+		if !g.retryable(outcome, attempt) {
+			g.answer.fail(g.final(outcome))
+			return
+		}
+	}
+}
+
+// retryable reports whether another attempt may serve the caller. Model requests
+// are safe to run again; only a target's own word that it failed is final.
+func (g *generation) retryable(outcome *OutcomeError, attempt int) bool {
+	if g.ctx.Err() != nil || attempt >= maxAttempts {
+		return false
+	}
+	return outcome.Kind != Failed
+}
+
+// final keeps "not run" honest: once a byte of the request may have reached a
+// target, a later refusal no longer means that the request did not run.
+func (g *generation) final(outcome *OutcomeError) *OutcomeError {
+	if g.ran && outcome.Kind == NotRun {
+		changed := *outcome
+		changed.Kind = Unknown
+		return &changed
+	}
+	return outcome
+}
+
+// attempt runs the request once under a lease; nil means that the answer is whole.
+func (g *generation) attempt(lease Lease) *OutcomeError {
+	if !lease.Begin() {
+		lease.End(EndUnused)
+		return refuse(ReasonNoTarget, 0)
+	}
+	assigned := lease.Assignment()
+	request := target.GenerateRequest{
+		RequestID: g.answer.id,
+		Attempt:   g.work.Attempt,
+		Model:     g.work.Workload.Model,
+		Prompt:    g.request.Prompt,
+		MaxTokens: g.maxTokens(),
+		Deadline:  g.end,
+		Instance:  g.server.options.Instance,
+	}
+	output := newAttemptOutput(g)
+	err := g.stream(assigned, request, lease, output)
+	if isBroken(err) && output.boot != "" {
+		request.BootID = output.boot
+		request.FromFrame = output.frames
+		request.Checksum = output.checksum
+		err = g.stream(assigned, request, lease, output)
+	}
+	return g.settle(err, lease, assigned, output)
+}
+
+// stream relays one connection's chunks to the answer.
+func (g *generation) stream(assigned Assignment, r target.GenerateRequest, lease Lease, output *attemptOutput) error {
+	stream, err := g.server.targets.Generate(g.ctx, assigned.Addr, r)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	g.ran = true
+	output.boot = stream.BootID()
+	for {
+		chunk, err := stream.Next()
+		if err == io.EOF {
+			g.answer.finish(output.inputTokens, output.outputTokens)
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if err := output.add(g.ctx, chunk); err != nil {
+			return err
+		}
+		lease.Charge(chunk.InputTokens, chunk.OutputTokens)
+	}
+}
+
+// settle ends the lease and turns the target's error into an outcome.
+func (g *generation) settle(err error, lease Lease, assigned Assignment, output *attemptOutput) *OutcomeError {
+	if err == nil {
+		lease.End(EndFinished)
+		return nil
+	}
+	if g.ctx.Err() != nil {
+		g.cancelAtTarget(assigned)
+		lease.End(EndCancelled)
+		return g.cancelOutcome()
+	}
+	if errors.Is(err, errDiverged) {
+		g.cancelAtTarget(assigned)
+		lease.End(EndCancelled)
+		return &OutcomeError{Kind: Failed, Reason: ReasonDiverged, Err: err}
+	}
+	outcome := outcomeOf(err)
+	if output.boot != "" && outcome.Kind == NotRun {
+		// The engine took the request and a resume was refused: it started again.
+		outcome.Kind = Unknown
+	}
+	g.ran = g.ran || outcome.Kind != NotRun
+	lease.End(endKind(outcome))
+	return outcome
+}
+
+func (g *generation) cancelOutcome() *OutcomeError {
+	reason := ReasonCancelled
+	if errors.Is(g.ctx.Err(), context.DeadlineExceeded) {
+		reason = ReasonDeadline
+	}
+	return &OutcomeError{Kind: Unknown, Reason: reason, Err: g.ctx.Err()}
+}
+
+// cancelAtTarget tells the engine to stop; closing the stream alone would leave it
+// running until its next write.
+func (g *generation) cancelAtTarget(assigned Assignment) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	_ = g.server.targets.Cancel(ctx, assigned.Addr, g.answer.id)
+}
+
+func (g *generation) maxTokens() int64 {
+	if g.request.MaxTokens == 0 {
+		return defaultMaxTokens
+	}
+	return g.request.MaxTokens
+}
--- /dev/null
+++ b/internal/instance/admission.go
@@ -0,0 +1,151 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/entry"
+	"medlarwind.dev/medlarwind/internal/fairness"
+	"medlarwind.dev/medlarwind/internal/limit"
+)
+
+// chargeStep is how many generated tokens pass between two charges of one stream.
+const chargeStep = 16
+
+// admission passes the entry's questions to the core. It is safe for concurrent
+// use; when the core's channel is full its callers wait.
+type admission struct {
+	events chan<- event
+	done   <-chan struct{}
+}
+
+var _ entry.Admission = (*admission)(nil)
+
+// admitted is the core's answer to one request.
+type admitted struct {
+	lease   *lease
+	outcome *entry.OutcomeError
+}
+
+// Admit implements entry.Admission.
+func (a *admission) Admit(ctx context.Context, w *entry.Work) (entry.Lease, *entry.OutcomeError) {
+	waiter := &waiter{work: *w, reply: make(chan admitted, 1)}
+	if !a.post(ctx, admitEvent{waiter}) {
+		return nil, stopped(ctx)
+	}
+	select {
+	case answer := <-waiter.reply:
+		return answer.unpack()
+	case <-ctx.Done():
+		return a.withdraw(ctx, waiter)
+	case <-a.done:
+		return nil, stopped(ctx)
+	}
+}
+
+// withdraw takes a waiting request back. A lease that was on its way is returned.
+func (a *admission) withdraw(ctx context.Context, w *waiter) (entry.Lease, *entry.OutcomeError) {
+	reply := make(chan struct{})
+	if a.post(context.Background(), withdrawEvent{waiter: w, done: reply}) {
+		select {
+		case <-reply:
+		case <-a.done:
+		}
+	}
+	select {
+	case answer := <-w.reply:
+		if answer.lease != nil {
+			answer.lease.End(entry.EndUnused)
+		}
+	default:
+	}
+	return nil, stopped(ctx)
+}
+
+func (answer admitted) unpack() (entry.Lease, *entry.OutcomeError) {
+	if answer.outcome != nil {
+		return nil, answer.outcome
+	}
+	return answer.lease, nil
+}
+
+// stopped is the outcome of a request whose wait ended without an answer.
+func stopped(ctx context.Context) *entry.OutcomeError {
+	reason := entry.ReasonDraining
+	switch ctx.Err() {
+	case context.Canceled:
+		reason = entry.ReasonCancelled
+	case context.DeadlineExceeded:
+		reason = entry.ReasonDeadline
+	}
+	return &entry.OutcomeError{Kind: entry.NotRun, Reason: reason, Err: ctx.Err()}
+}
+
+// post gives an event to the core; false if ctx or the core ended.
+func (a *admission) post(ctx context.Context, e event) bool {
+	select {
+	case a.events <- e:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-a.done:
+		return false
+	}
+}
+
+// lease is the permission for one start. Its exported methods are called by the
+// one goroutine that runs the request.
+type lease struct {
+	admission *admission
+	permit    limit.Permit
+	addr      string
+	waiter    *waiter
+	// charged is the token counts at the last charge.
+	chargedInput, chargedOutput int64
+	// input and output are the latest counts.
+	input, output int64
+
+	// The rest belongs to the core.
+	begun    bool
+	started  time.Time
+	charging fairness.Work
+}
+
+var _ entry.Lease = (*lease)(nil)
+
+// Assignment implements entry.Lease.
+func (l *lease) Assignment() entry.Assignment {
+	return entry.Assignment{Target: l.permit.Target, Addr: l.addr, BootID: l.permit.BootID}
+}
+
+// Begin implements entry.Lease. The permit's end is checked by the core and once
+// more here, since this process may have been paused in between.
+func (l *lease) Begin() bool {
+	reply := make(chan bool, 1)
+	if !l.admission.post(context.Background(), beginEvent{lease: l, reply: reply}) {
+		return false
+	}
+	select {
+	case usable := <-reply:
+		return usable && time.Now().Before(l.permit.Expires)
+	case <-l.admission.done:
+		return false
+	}
+}
+
+// Charge implements entry.Lease.
+func (l *lease) Charge(inputTokens, outputTokens int64) {
+	l.input = inputTokens
+	l.output = outputTokens
+	if l.input == l.chargedInput && l.output-l.chargedOutput < chargeStep {
+		return
+	}
+	l.chargedInput = l.input
+	l.chargedOutput = l.output
+	l.admission.post(context.Background(), chargeEvent{lease: l, input: l.input, output: l.output})
+}
+
+// End implements entry.Lease.
+func (l *lease) End(kind entry.EndKind) {
+	l.admission.post(context.Background(), endEvent{lease: l, kind: kind, input: l.input, output: l.output})
+}
--- /dev/null
+++ b/internal/instance/core.go
@@ -0,0 +1,220 @@
+package instance
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"medlarwind.dev/medlarwind/internal/config"
+	"medlarwind.dev/medlarwind/internal/dispatch"
+	"medlarwind.dev/medlarwind/internal/fairness"
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/limit"
+	"medlarwind.dev/medlarwind/internal/quarantine"
+	"medlarwind.dev/medlarwind/internal/wire"
+)
+
+// Constants of the core's loop.
+const (
+	// eventBacklog bounds the events waiting for the core.
+	eventBacklog = 4096
+	// eventBatch is how many events are taken before the core decides.
+	eventBatch = 64
+	// tickInterval is the time between two looks at clocks.
+	tickInterval = 50 * time.Millisecond
+	// grantBatch bounds the grants of one round.
+	grantBatch = 256
+	// slowTickInterval is the time between two runs of the costly upkeep.
+	slowTickInterval = time.Second
+)
+
+// transport is what the core needs of package peer.
+type transport interface {
+	SendHeartbeat(to fleet.InstanceID, hb *wire.Heartbeat) bool
+	SendGrant(to fleet.InstanceID, g *wire.Grant) bool
+	SetPeers(peers []fleet.ListedInstance)
+}
+
+// loadPoller asks a target for its load; it never blocks.
+type loadPoller interface{ ask(poll) }
+
+// configObserver learns which configuration a peer has and which list is in force.
+type configObserver interface {
+	Observe(config.Observation)
+	SetList(fleet.List)
+}
+
+// coreOptions are the constants of one core.
+type coreOptions struct {
+	self        fleet.InstanceID
+	incarnation fleet.Incarnation
+	centre      fleet.DataCentreID
+	heartbeat   time.Duration
+	limits      limit.Params
+	queue       dispatch.QueueParams
+	fairness    fairness.Params
+	policy      dispatch.Policy
+	alone       bool
+	rng         *rand.Rand
+}
+
+// core holds all decisions of one instance. Its goroutine, run, is the only one
+// that touches its fields; everything else reaches it through events.
+type core struct {
+	options   coreOptions
+	events    chan event
+	done      chan struct{}
+	log       zerolog.Logger
+	transport transport
+	directory *directory
+	poller    loadPoller
+	watcher   configObserver
+	admission *admission
+
+	ledger     *limit.Ledger
+	accounts   *fairness.Accounts
+	queue      *dispatch.Queue
+	spreader   *dispatch.Spreader
+	owner      *dispatch.Owner
+	quarantine *quarantine.Tracker
+
+	snapshot *config.Snapshot
+	list     fleet.List
+	targets  map[fleet.TargetID]targetInfo
+	views    []ownedBy
+	polled   map[fleet.TargetID]time.Time
+	peers    map[fleet.InstanceID]*peerState
+	waiting  map[uint64]*waiter
+	parked   []*waiter
+	leases   map[*lease]struct{}
+	refused  map[fleet.CustomerID]int64
+
+	lastID        uint64
+	selfGrant     uint64
+	demandChanged bool
+	ownedChanged  bool
+	settled       bool
+	draining      bool
+	closed        bool
+	slowTick      time.Time
+	spreadRound   uint64
+	wake          *time.Timer
+}
+
+// targetInfo joins the rules and the list for one target.
+type targetInfo struct {
+	addr      string
+	workloads []fleet.Workload
+	out       bool
+}
+
+func newCore(o coreOptions, log zerolog.Logger, d *directory, now time.Time) *core {
+	accounts := fairness.New(o.incarnation, o.fairness)
+	c := &core{
+		options:    o,
+		events:     make(chan event, eventBacklog),
+		done:       make(chan struct{}),
+		log:        log,
+		directory:  d,
+		ledger:     limit.New(o.self, o.incarnation, o.limits, now),
+		accounts:   accounts,
+		queue:      dispatch.NewQueue(o.queue, nil),
+		spreader:   dispatch.NewSpreader(o.self, dispatch.SpreadParams{}),
+		owner:      dispatch.NewOwner(accounts, o.policy, nil, o.rng),
+		quarantine: quarantine.New(o.self, quarantine.Params{}),
+		targets:    make(map[fleet.TargetID]targetInfo),
+		polled:     make(map[fleet.TargetID]time.Time),
+		peers:      make(map[fleet.InstanceID]*peerState),
+		waiting:    make(map[uint64]*waiter),
+		leases:     make(map[*lease]struct{}),
+		refused:    make(map[fleet.CustomerID]int64),
+	}
+	c.admission = &admission{events: c.events, done: c.done}
+	return c
+}
+
+// run handles events until ctx ends.
+func (c *core) run(ctx context.Context) {
+	defer close(c.done)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	c.wake = time.NewTimer(time.Hour)
+	defer c.wake.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-c.events:
+			c.handle(e)
+		case <-ticker.C:
+			c.tick(time.Now())
+		case <-c.wake.C:
+		}
+		c.decide(time.Now())
+	}
+}
+
+// handle applies an event and those that wait behind it.
+func (c *core) handle(e event) {
+	e.apply(c, time.Now())
+	for range eventBatch {
+		select {
+		case e = <-c.events:
+			e.apply(c, time.Now())
+		default:
+			return
+		}
+	}
+}
+
+// decide grants what can start and sends what peers must know.
+func (c *core) decide(now time.Time) {
+	c.accounts.Tick(now)
+	if c.ownedChanged {
+		c.refreshOwned(now)
+	}
+	c.planDemand(now)
+	c.grant(now)
+	c.sendHeartbeats(now)
+}
+
+// tick looks at clocks: deadlines of waiting requests, parked suspects and upkeep.
+func (c *core) tick(now time.Time) {
+	c.expireWaiting(now)
+	c.recheckParked(now)
+	c.ownedChanged = true
+	c.demandChanged = c.demandChanged || c.queue.Len() > 0
+	if now.Sub(c.slowTick) < slowTickInterval {
+		return
+	}
+	c.slowTick = now
+	c.spreadRound++
+	c.owner.Tick()
+	c.quarantine.Expire(now)
+}
+
+// apply takes a planned stop: callers and peers are told to go elsewhere.
+func (drainEvent) apply(c *core, _ time.Time) {
+	c.draining = true
+	c.ledger.SetLeaving(true)
+	c.publishEntries()
+	c.markAllPeers()
+	c.log.Info().Str("event", "draining").Int("waiting", c.queue.Len()).Int("running", len(c.leases)).Msg("")
+}
+
+// apply ends the acceptance of new work and hands back what still waits.
+func (e closeEvent) apply(c *core, now time.Time) {
+	c.closed = true
+	for _, w := range c.waiting {
+		c.queue.Remove(w.id)
+		c.refuse(w, c.drainOutcome(w), now)
+	}
+	for _, w := range c.parked {
+		c.refuse(w, c.drainOutcome(w), now)
+	}
+	c.parked = nil
+	c.demandChanged = true
+	close(e.done)
+}
--- /dev/null
+++ b/internal/instance/instance.go
@@ -0,0 +1,409 @@
+// Package instance joins the parts of one instance: the callers' entry, the core
+// that decides, the connections to peers, and the adapters to platform and targets.
+//
+// Goroutines and ownership: the core's goroutine owns every decision and all soft
+// state (core); load polls, the list and the configuration are read by goroutines
+// of their own; connections to peers and callers have their own. All of them reach
+// the core through one bounded channel of events. When it is full, requests and
+// poll answers wait, and peers' messages are dropped, which the protocol bears.
+package instance
+
+import (
+	"context"
+	crand "crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"medlarwind.dev/medlarwind/internal/config"
+	"medlarwind.dev/medlarwind/internal/dispatch"
+	"medlarwind.dev/medlarwind/internal/entry"
+	"medlarwind.dev/medlarwind/internal/fairness"
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/limit"
+	"medlarwind.dev/medlarwind/internal/peer"
+	"medlarwind.dev/medlarwind/internal/platform"
+	"medlarwind.dev/medlarwind/internal/settings"
+	"medlarwind.dev/medlarwind/internal/target"
+	"medlarwind.dev/medlarwind/internal/wire"
+)
+
+// Constants of an instance.
+const (
+	// listInterval is the time between two reads of the platform's list. Reading it
+	// also confirms it, on which the use of escrow depends.
+	listInterval = time.Second
+	// headerTimeout bounds the time a caller takes to send a request's header.
+	headerTimeout = 10 * time.Second
+	// idleTimeout closes callers' connections without requests.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes = 16 << 10
+)
+
+// DialFunc opens a connection to an IP:port.
+type DialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// ListenFunc opens a listener on an IP:port.
+type ListenFunc = func(addr string) (net.Listener, error)
+
+// Options is what an instance needs from outside.
+type Options struct {
+	Settings settings.Settings
+	// PeerTLS proves who this instance is; nil only where peers are on loopback or
+	// in memory.
+	PeerTLS *tls.Config
+	Dial    DialFunc
+	Listen  ListenFunc
+	Log     zerolog.Logger
+	// Seed makes the random choices repeatable; 0 draws one.
+	Seed uint64
+	// Policy orders customers; nil takes dispatch.Fair.
+	Policy dispatch.Policy
+	// Alone stops the exchange of service counters, as a baseline to measure against.
+	Alone bool
+	// Limits overrides the lease times that all instances agree on; zero takes
+	// limit.DefaultParams.
+	Limits limit.Params
+}
+
+// Instance is one running instance.
+type Instance struct {
+	options   Options
+	core      *core
+	server    *entry.Server
+	transport *peer.Transport
+	platform  *platform.Client
+	targets   *target.Client
+	store     *config.Store
+	watcher   *config.Watcher
+	directory *directory
+	poller    *poller
+	dropped   atomic.Int64
+	listReads atomic.Int64
+
+	callers  *http.Server
+	operator *http.Server
+	ready    chan struct{}
+}
+
+// New builds an instance; nothing runs before Run.
+func New(o Options) (*Instance, error) {
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{Timeout: 2 * time.Second}).DialContext
+	}
+	if o.Listen == nil {
+		o.Listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+	}
+	if o.Limits == (limit.Params{}) {
+		o.Limits = limit.DefaultParams()
+	}
+	if o.PeerTLS != nil {
+		if err := peer.CheckIdentity(o.PeerTLS, o.Settings.Instance); err != nil {
+			return nil, errors.Wrap(err, "peer certificate")
+		}
+	}
+	rng := newRand(o.Seed, o.Settings.Instance)
+	incarnation := drawIncarnation(o.Seed, rng)
+	i := &Instance{options: o, store: config.NewStore(), ready: make(chan struct{})}
+	i.build(rng, incarnation)
+	return i, nil
+}
+
+// newRand returns the instance's source of random choices.
+func newRand(seed uint64, id fleet.InstanceID) *rand.Rand {
+	if seed == 0 {
+		seed = randomSeed()
+	}
+	var salt uint64
+	for _, b := range []byte(id) {
+		salt = salt*31 + uint64(b)
+	}
+	return rand.New(rand.NewPCG(seed, salt))
+}
+
+func randomSeed() uint64 {
+	var raw [8]byte
+	crand.Read(raw[:])
+	return binary.BigEndian.Uint64(raw[:])
+}
+
+// drawIncarnation draws the random number of this run; it is never zero.
+func drawIncarnation(seed uint64, rng *rand.Rand) fleet.Incarnation {
+	if seed == 0 {
+		return fleet.Incarnation(randomSeed() | 1)
+	}
+	return fleet.Incarnation(rng.Uint64() | 1)
+}
+
+func (i *Instance) build(rng *rand.Rand, incarnation fleet.Incarnation) {
+	s := i.options.Settings
+	i.directory = &directory{
+		self:     s.Instance,
+		address:  s.CallerAddr,
+		centre:   s.DataCentre,
+		lifetime: s.LocateLifetime,
+		store:    i.store,
+	}
+	i.core = newCore(coreOptions{
+		self:        s.Instance,
+		incarnation: incarnation,
+		centre:      s.DataCentre,
+		heartbeat:   s.HeartbeatInterval,
+		limits:      i.options.Limits,
+		queue:       dispatch.QueueParams{Total: s.MaxQueuedRequests},
+		fairness:    fairness.Params{},
+		policy:      i.options.Policy,
+		alone:       i.options.Alone,
+		rng:         rng,
+	}, i.options.Log, i.directory, time.Now())
+	i.targets = target.NewClient(i.options.Dial, target.Options{SilenceTimeout: s.StreamSilence})
+	i.platform = platform.NewClient(s.PlatformAddr, i.options.Dial)
+	i.poller = newPoller(i.targets, i.core.admission.post)
+	i.transport = i.newTransport(incarnation, rng.Uint64())
+	i.watcher = config.NewWatcher(i.watcherOptions(), i.store, i.platform, peerFetcher{i.transport}, rng, i.options.Log)
+	i.core.transport = i.transport
+	i.core.poller = i.poller
+	i.core.watcher = i.watcher
+	i.server = entry.NewServer(entry.Options{
+		Incarnation:    incarnation,
+		Instance:       s.Instance,
+		MaxAnswers:     s.MaxStreams,
+		AttachGrace:    s.AnswerRetention,
+		CallIDLifetime: s.CallIDLifetime,
+		MaxCallBytes:   int(s.MaxAnswerBytes),
+	}, i.core.admission, i.directory, i.targets)
+}
+
+func (i *Instance) newTransport(incarnation fleet.Incarnation, seed uint64) *peer.Transport {
+	s := i.options.Settings
+	return peer.New(peer.Options{
+		Self: wire.Hello{
+			Protocol:    wire.Protocol,
+			Instance:    s.Instance,
+			Incarnation: incarnation,
+			DataCentre:  s.DataCentre,
+		},
+		Dial: peer.DialFunc(i.options.Dial),
+		TLS:  i.options.PeerTLS,
+		Handler: &peerHandler{
+			events:  i.core.events,
+			store:   i.store,
+			settled: func() bool { return i.watcher.Settled() },
+			dropped: func() { i.dropped.Add(1) },
+		},
+		Log:    i.options.Log,
+		Seed:   seed,
+		Region: regionOf(s.DataCentres),
+	})
+}
+
+func regionOf(centres []settings.DataCentre) func(fleet.DataCentreID) fleet.RegionID {
+	regions := make(map[fleet.DataCentreID]fleet.RegionID, len(centres))
+	for _, centre := range centres {
+		regions[centre.ID] = centre.Region
+	}
+	return func(id fleet.DataCentreID) fleet.RegionID { return regions[id] }
+}
+
+func (i *Instance) watcherOptions() config.Options {
+	s := i.options.Settings
+	o := config.DefaultOptions()
+	o.Self = s.Instance
+	o.DataCentre = s.DataCentre
+	o.Gate.StartWait = s.ConfigStartWait
+	o.Gate.LoneWait = s.ConfigLoneWait
+	return o
+}
+
+// Run serves until ctx ends. It opens all listeners before it serves any, and
+// returns after every goroutine has ended.
+func (i *Instance) Run(ctx context.Context) error {
+	listeners, err := i.listen()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	i.callers = newHTTPServer(i.server.Handler())
+	i.operator = newHTTPServer(i.operatorHandler())
+	var group sync.WaitGroup
+	group.Go(func() { i.core.run(ctx) })
+	group.Go(func() { i.poller.run(ctx) })
+	group.Go(func() { i.watcher.Run(ctx) })
+	group.Go(func() { i.readList(ctx) })
+	group.Go(func() { i.followConfig(ctx) })
+	group.Go(func() { i.awaitSettled(ctx) })
+	group.Go(func() { _ = i.transport.Serve(listeners.peers) })
+	group.Go(func() { _ = i.callers.Serve(listeners.callers) })
+	group.Go(func() { _ = i.operator.Serve(listeners.operator) })
+	close(i.ready)
+	<-ctx.Done()
+	i.shutdown()
+	group.Wait()
+	return nil
+}
+
+// Ready is closed once the listeners are open.
+func (i *Instance) Ready() <-chan struct{} { return i.ready }
+
+// listeners are the three ports of an instance.
+type listeners struct {
+	callers, peers, operator net.Listener
+}
+
+func (i *Instance) listen() (listeners, error) {
+	var l listeners
+	ports := []struct {
+		name     string
+		addr     string
+		listener *net.Listener
+	}{
+		{"caller_addr", i.options.Settings.CallerAddr, &l.callers},
+		{"peer_addr", i.options.Settings.PeerAddr, &l.peers},
+		{"operator_addr", i.options.Settings.OperatorAddr, &l.operator},
+	}
+	for _, port := range ports {
+		opened, err := i.options.Listen(port.addr)
+		if err != nil {
+			l.close()
+			return listeners{}, errors.Wrap(err, port.name)
+		}
+		*port.listener = opened
+	}
+	return l, nil
+}
+
+func (l *listeners) close() {
+	for _, opened := range []net.Listener{l.callers, l.peers, l.operator} {
+		if opened != nil {
+			opened.Close()
+		}
+	}
+}
+
+// newHTTPServer serves HTTP/1.1 and unencrypted HTTP/2, which gRPC needs.
+func newHTTPServer(handler http.Handler) *http.Server {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           handler,
+		Protocols:         &protocols,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// shutdownTimeout bounds the end of connections after the context has ended.
+const shutdownTimeout = time.Second
+
+func (i *Instance) shutdown() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	_ = i.callers.Close()
+	_ = i.operator.Close()
+	_ = i.transport.Close(ctx)
+	i.targets.Close()
+	i.platform.Close()
+}
+
+// readList reads the platform's list until ctx ends.
+func (i *Instance) readList(ctx context.Context) {
+	ticker := time.NewTicker(listInterval)
+	defer ticker.Stop()
+	for {
+		i.listReads.Add(1)
+		list, err := i.platform.List(ctx)
+		i.core.admission.post(ctx, listEvent{list: list, err: err})
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// followConfig tells the core about each configuration that comes into force.
+func (i *Instance) followConfig(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-i.store.Changed():
+			i.core.admission.post(ctx, configEvent{snapshot: i.store.Current()})
+		}
+	}
+}
+
+// awaitSettled tells the core when it may take new work.
+func (i *Instance) awaitSettled(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-i.watcher.Ready():
+		i.core.admission.post(ctx, askedEvent{})
+	}
+}
+
+// Status returns the instance's view.
+func (i *Instance) Status(ctx context.Context) (Status, error) {
+	reply := make(chan Status, 1)
+	if !i.core.admission.post(ctx, statusEvent{reply: reply}) {
+		return Status{}, errors.New("the instance has stopped")
+	}
+	select {
+	case s := <-reply:
+		return s, nil
+	case <-ctx.Done():
+		return Status{}, ctx.Err()
+	case <-i.core.done:
+		return Status{}, errors.New("the instance has stopped")
+	}
+}
+
+// Drain is the planned stop: callers and peers are sent elsewhere at once, new
+// requests are served for one lifetime of Locate's answers, then what still waits
+// is handed back as not run, and started requests finish. It returns when nothing
+// runs any more, or with ctx's error.
+func (i *Instance) Drain(ctx context.Context) error {
+	i.core.admission.post(ctx, drainEvent{})
+	timer := time.NewTimer(i.options.Settings.LocateLifetime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	closed := make(chan struct{})
+	if i.core.admission.post(ctx, closeEvent{done: closed}) {
+		select {
+		case <-closed:
+		case <-i.core.done:
+		}
+	}
+	if err := i.server.Wait(ctx); err != nil {
+		return err
+	}
+	return i.callers.Shutdown(ctx)
+}
+
+// Counters returns the traffic with peers.
+func (i *Instance) Counters() peer.Counters { return i.transport.Counters() }
+
+// ControlBytes returns the bytes sent to peers so far.
+func (i *Instance) ControlBytes() int64 {
+	var sent int64
+	for _, t := range i.transport.Counters().Scopes {
+		sent += t.BytesSent
+	}
+	return sent
+}
--- /dev/null
+++ b/internal/instance/operator.go
@@ -0,0 +1,41 @@
+package instance
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// Paths of the operators' port.
+const (
+	PathStatus  = "/status"
+	PathMetrics = "/debug/vars"
+	PathHealth  = "/healthz"
+)
+
+// operatorHandler serves status and metrics to operators.
+func (i *Instance) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathStatus, i.serveStatus)
+	mux.HandleFunc("GET "+PathHealth, i.serveHealth)
+	return mux
+}
+
+func (i *Instance) serveStatus(w http.ResponseWriter, r *http.Request) {
+	status, err := i.Status(r.Context())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(status)
+}
+
+// serveHealth answers 200 while the instance takes new work, else 503.
+func (i *Instance) serveHealth(w http.ResponseWriter, r *http.Request) {
+	status, err := i.Status(r.Context())
+	if err != nil || !status.Ready || status.Draining {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/instance/owner.go
@@ -0,0 +1,230 @@
+package instance
+
+import (
+	"slices"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/dispatch"
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/wire"
+)
+
+// pollInterval is the time between two load polls of one owned target.
+const pollInterval = 500 * time.Millisecond
+
+// ownedBy is an owner with the workloads of its targets.
+type ownedBy struct {
+	Owner     fleet.InstanceID
+	Workloads []fleet.Workload
+}
+
+// refreshOwned tells the decision core which targets this instance owns now, and
+// asks for their load where that is due.
+func (c *core) refreshOwned(now time.Time) {
+	c.ownedChanged = false
+	owned := c.ledger.Owned(now)
+	targets := make([]dispatch.Target, 0, len(owned))
+	for _, id := range owned {
+		info, known := c.targets[id]
+		if !known || info.out {
+			continue
+		}
+		targets = append(targets, c.dispatchTarget(id, info))
+		c.pollDue(id, info, now)
+	}
+	c.owner.SetTargets(targets)
+	c.views = c.ownersByTarget(now)
+}
+
+func (c *core) dispatchTarget(id fleet.TargetID, info targetInfo) dispatch.Target {
+	state := c.ledger.State(id)
+	load := 0.0
+	if state.Limit > 0 {
+		load = float64(state.Accounted+state.Unresolved) / float64(state.Limit)
+	}
+	return dispatch.Target{
+		ID:        id,
+		Workloads: info.workloads,
+		Limit:     state.Limit,
+		Load:      load,
+		Ready:     state.State == fleet.TargetReady,
+	}
+}
+
+func (c *core) pollDue(id fleet.TargetID, info targetInfo, now time.Time) {
+	if now.Sub(c.polled[id]) < pollInterval {
+		return
+	}
+	c.polled[id] = now
+	c.poller.ask(poll{target: id, addr: info.addr})
+}
+
+func (e reportEvent) apply(c *core, now time.Time) {
+	if e.err != nil {
+		c.log.Debug().Str("event", "poll_failed").Str("target", string(e.target)).Err(e.err).Msg("")
+		return
+	}
+	before := c.ledger.State(e.target)
+	c.ledger.Report(e.target, e.report, e.asked, e.received)
+	after := c.ledger.State(e.target)
+	c.ownedChanged = true
+	if before.BootID == after.BootID && before.State == after.State {
+		return
+	}
+	c.log.Info().Str("event", "target_state").Str("target", string(e.target)).
+		Str("boot", after.BootID).Str("state", string(after.State)).Int("limit", after.Limit).Msg("")
+	if before.BootID != "" && before.BootID != after.BootID {
+		c.quarantine.Crashed(e.target, now)
+		c.spreadSuspects()
+	}
+}
+
+// ownersByTarget groups the targets' workloads by their owners.
+func (c *core) ownersByTarget(now time.Time) []ownedBy {
+	index := make(map[fleet.InstanceID]int)
+	var views []ownedBy
+	for id, info := range c.targets {
+		owner, ok := c.ledger.Owner(id, now)
+		if !ok || info.out {
+			continue
+		}
+		i, seen := index[owner]
+		if !seen {
+			i = len(views)
+			index[owner] = i
+			views = append(views, ownedBy{Owner: owner})
+		}
+		for _, w := range info.workloads {
+			if !slices.Contains(views[i].Workloads, w) {
+				views[i].Workloads = append(views[i].Workloads, w)
+			}
+		}
+	}
+	slices.SortFunc(views, func(a, b ownedBy) int {
+		if a.Owner < b.Owner {
+			return -1
+		}
+		return 1
+	})
+	return views
+}
+
+// ownerViews joins the owners with the spare starts that they last told.
+func (c *core) ownerViews(now time.Time) []dispatch.OwnerView {
+	views := make([]dispatch.OwnerView, 0, len(c.views))
+	for _, v := range c.views {
+		spare := c.spareOf(v.Owner, now)
+		view := dispatch.OwnerView{ID: v.Owner}
+		view.Place, view.Distance = c.placeOf(v.Owner)
+		for _, w := range v.Workloads {
+			view.Workloads = append(view.Workloads, wire.Spare{Workload: w, Count: spareCount(spare, w)})
+		}
+		views = append(views, view)
+	}
+	return views
+}
+
+func (c *core) spareOf(owner fleet.InstanceID, now time.Time) []wire.Spare {
+	if owner == c.options.self {
+		return c.owner.Spare(c.ledger, now)
+	}
+	if p := c.peers[owner]; p != nil {
+		return p.spare
+	}
+	return nil
+}
+
+func spareCount(spare []wire.Spare, w fleet.Workload) int {
+	for _, s := range spare {
+		if s.Workload == w {
+			return s.Count
+		}
+	}
+	return 0
+}
+
+func (c *core) placeOf(owner fleet.InstanceID) (dispatch.Place, time.Duration) {
+	centre := c.options.centre
+	if p := c.peers[owner]; p != nil {
+		centre = p.listed.DataCentre
+	}
+	switch c.directory.distance(centre) {
+	case 0:
+		return dispatch.PlaceDataCentre, 0
+	case 1:
+		return dispatch.PlaceRegion, time.Millisecond
+	default:
+		return dispatch.PlaceElsewhere, 30 * time.Millisecond
+	}
+}
+
+// grant starts what can start on the targets that this instance owns.
+func (c *core) grant(now time.Time) {
+	if !c.settled {
+		return
+	}
+	for range grantBatch {
+		d, ok := c.owner.NextAlone(c.ledger, occupancy{c}, now)
+		if !ok {
+			d, ok = c.owner.Next(c.ledger, now)
+		}
+		if !ok || !c.grantOne(d, now) {
+			return
+		}
+	}
+}
+
+// grantOne counts a decision out and sends it; false if no more should be tried.
+func (c *core) grantOne(d dispatch.Decision, now time.Time) bool {
+	g, ok := c.ledger.Grant(d.Target, d.Entry, d.Customer, d.Workload, now)
+	if !ok {
+		// The entry was not heard lately; its next heartbeat registers it again.
+		c.owner.RemoveEntry(d.Entry)
+		return d.Entry != c.options.self
+	}
+	g.Alone = d.Alone
+	c.owner.Granted(d, g.Seq)
+	c.logGrant(d, &g)
+	if d.Entry != c.options.self {
+		c.transport.SendGrant(d.Entry, &g)
+		return true
+	}
+	c.selfGrant = g.Seq
+	c.demandChanged = true
+	permit, err := c.ledger.GrantSelf(&g, now)
+	if err != nil {
+		return false
+	}
+	c.usePermit(permit, now)
+	return true
+}
+
+func (c *core) logGrant(d dispatch.Decision, g *wire.Grant) {
+	e := c.log.Info().Str("event", "granted").Str("customer", string(d.Customer)).
+		Str("workload", d.Workload.String()).Str("entry", string(d.Entry)).
+		Str("target", string(d.Target)).Uint64("grant", g.Seq).
+		Int64("virtual_time", d.VirtualTime).Int("free", d.Free).Bool("alone", d.Alone)
+	for _, f := range d.Alternatives.Customers[:d.Alternatives.NumCustomers] {
+		e = e.Int64("alternative_"+string(f.Customer), f.Key)
+	}
+	e.Msg("")
+}
+
+func (e grantEvent) apply(c *core, now time.Time) {
+	permit, err := c.ledger.ReceiveGrant(e.from.Instance, e.grant, now)
+	c.markPeer(e.from.Instance)
+	if err != nil {
+		c.log.Info().Str("event", "grant_refused").Str("owner", string(e.from.Instance)).Err(err).Msg("")
+		return
+	}
+	c.usePermit(permit, now)
+}
+
+// occupancy tells how much work a target has, for requests that run alone.
+type occupancy struct{ core *core }
+
+// Running implements dispatch.Occupancy.
+func (o occupancy) Running(t fleet.TargetID, _ time.Time) int {
+	state := o.core.ledger.State(t)
+	return state.Accounted + state.Unresolved + state.Foreign
+}
--- /dev/null
+++ b/internal/instance/requests.go
@@ -0,0 +1,290 @@
+package instance
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwind.dev/medlarwind/internal/dispatch"
+	"medlarwind.dev/medlarwind/internal/entry"
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/limit"
+	"medlarwind.dev/medlarwind/internal/quarantine"
+)
+
+// startingRetry is when a caller may try again at an instance that has not yet
+// asked its peers for the configuration.
+const startingRetry = 500 * time.Millisecond
+
+func (e admitEvent) apply(c *core, now time.Time) {
+	w := e.waiter
+	w.since = now
+	if outcome := c.refusal(w); outcome != nil {
+		c.refuse(w, outcome, now)
+		return
+	}
+	c.place(w, now)
+}
+
+// refusal is why no new work is taken at all, nil if it is.
+func (c *core) refusal(w *waiter) *entry.OutcomeError {
+	switch {
+	case c.closed:
+		return c.drainOutcome(w)
+	case !c.settled || c.snapshot == nil:
+		return &entry.OutcomeError{Kind: entry.NotRun, Reason: entry.ReasonStarting, RetryAfter: startingRetry, Address: c.otherAddress(w)}
+	case !c.served(w.work.Workload):
+		return &entry.OutcomeError{Kind: entry.NotRun, Reason: entry.ReasonNoTarget, RetryAfter: time.Second}
+	}
+	return nil
+}
+
+// served reports whether any target in service can run the workload.
+func (c *core) served(workload fleet.Workload) bool {
+	for _, t := range c.targets {
+		if !t.out && serves(t, workload) {
+			return true
+		}
+	}
+	return false
+}
+
+func serves(t targetInfo, workload fleet.Workload) bool {
+	for _, w := range t.workloads {
+		if w == workload {
+			return true
+		}
+	}
+	return false
+}
+
+// place queues a request as the quarantine's verdict says.
+func (c *core) place(w *waiter, now time.Time) {
+	switch verdict := c.quarantine.Check(w.work.Fingerprint, now); verdict {
+	case quarantine.Refuse:
+		c.refuse(w, &entry.OutcomeError{Kind: entry.Failed, Reason: entry.ReasonCrashesTargets}, now)
+	case quarantine.Redirect:
+		holder := c.quarantine.Holder(w.work.Fingerprint)
+		c.refuse(w, &entry.OutcomeError{Kind: entry.NotRun, Reason: entry.ReasonCrashesTargets, RetryAfter: time.Second, Address: c.addressOf(holder)}, now)
+	case quarantine.Wait:
+		c.parked = append(c.parked, w)
+	default:
+		c.enqueue(w, verdict == quarantine.RunAlone, now)
+	}
+}
+
+func (c *core) enqueue(w *waiter, alone bool, now time.Time) {
+	c.lastID++
+	w.id = c.lastID
+	err := c.queue.Add(dispatch.Request{
+		ID:           w.id,
+		Customer:     w.work.Customer,
+		Workload:     w.work.Workload,
+		Estimate:     c.estimate(&w.work),
+		PrefixHashes: w.work.Prefixes,
+		Fingerprint:  w.work.Fingerprint,
+		Alone:        alone,
+		Deadline:     w.work.Deadline,
+		Enqueued:     w.since,
+	}, now)
+	if err != nil {
+		c.refuse(w, fullOutcome(err), now)
+		return
+	}
+	c.waiting[w.id] = w
+	c.demandChanged = true
+}
+
+func fullOutcome(err error) *entry.OutcomeError {
+	outcome := &entry.OutcomeError{Kind: entry.NotRun, Reason: entry.ReasonQueueFull, RetryAfter: time.Second, Err: err}
+	var full *dispatch.FullError
+	if errors.As(err, &full) {
+		outcome.RetryAfter = full.RetryAfter
+	}
+	return outcome
+}
+
+// known is the part of a request's cost that is certain before it runs.
+func (c *core) known(w *entry.Work) fleet.Cost {
+	if w.Workload.Service != "" {
+		return w.Cost
+	}
+	return c.tokenCost(w.Workload.Model, w.PromptTokens, 0)
+}
+
+func (c *core) tokenCost(model fleet.ModelID, input, output int64) fleet.Cost {
+	if c.snapshot == nil {
+		return fleet.Cost(input + output)
+	}
+	weights := c.snapshot.Rules.Models[model]
+	return fleet.Cost(input)*weights.InputWeight + fleet.Cost(output)*weights.OutputWeight
+}
+
+func (c *core) estimate(w *entry.Work) fleet.Cost {
+	if w.Workload.Service != "" {
+		return w.Cost
+	}
+	return c.accounts.Estimate(w.Customer, c.known(w))
+}
+
+// refuse answers a waiting request with an outcome.
+func (c *core) refuse(w *waiter, outcome *entry.OutcomeError, now time.Time) {
+	delete(c.waiting, w.id)
+	if w.done {
+		return
+	}
+	w.done = true
+	c.refused[w.work.Customer]++
+	c.log.Info().Str("event", "refused").Str("request", w.work.RequestID).
+		Str("customer", string(w.work.Customer)).Str("workload", w.work.Workload.String()).
+		Str("outcome", outcome.Kind.String()).Str("reason", outcome.Reason).
+		Dur("waited", now.Sub(w.since)).Dur("retry_after", outcome.RetryAfter).Msg("")
+	w.reply <- admitted{outcome: outcome}
+}
+
+func (c *core) expireWaiting(now time.Time) {
+	for _, r := range c.queue.Expired(now) {
+		if w := c.waiting[r.ID]; w != nil {
+			c.refuse(w, &entry.OutcomeError{Kind: entry.NotRun, Reason: entry.ReasonDeadline, RetryAfter: time.Second}, now)
+		}
+		c.demandChanged = true
+	}
+}
+
+// recheckParked asks the quarantine again about suspects that had to wait.
+func (c *core) recheckParked(now time.Time) {
+	parked := c.parked
+	c.parked = nil
+	for _, w := range parked {
+		switch {
+		case w.done:
+		case now.After(w.work.Deadline):
+			c.refuse(w, &entry.OutcomeError{Kind: entry.NotRun, Reason: entry.ReasonDeadline, RetryAfter: time.Second}, now)
+		default:
+			c.place(w, now)
+		}
+	}
+}
+
+func (e withdrawEvent) apply(c *core, _ time.Time) {
+	e.waiter.done = true
+	if c.queue.Remove(e.waiter.id) {
+		delete(c.waiting, e.waiter.id)
+		c.demandChanged = true
+	}
+	close(e.done)
+}
+
+// usePermit gives a permit to the request that the queue picks, or returns it.
+func (c *core) usePermit(permit limit.Permit, now time.Time) {
+	w := c.takeWaiting(&permit, now)
+	if w == nil {
+		c.returnPermit(&permit, now)
+		return
+	}
+	w.done = true
+	l := &lease{
+		admission: c.admission,
+		permit:    permit,
+		addr:      c.targets[permit.Target].addr,
+		waiter:    w,
+	}
+	c.leases[l] = struct{}{}
+	c.log.Info().Str("event", "assigned").Str("request", w.work.RequestID).
+		Str("customer", string(w.work.Customer)).Str("workload", w.work.Workload.String()).
+		Str("target", string(permit.Target)).Str("owner", string(permit.Owner)).
+		Int("attempt", w.work.Attempt).Dur("waited", now.Sub(w.since)).Msg("")
+	w.reply <- admitted{lease: l}
+}
+
+func (c *core) takeWaiting(p *limit.Permit, now time.Time) *waiter {
+	var request dispatch.Request
+	var found bool
+	if p.Alone {
+		request, found = c.queue.TakeAlone(p.Customer, p.Workload, now)
+	} else {
+		request, found = c.queue.Take(p.Customer, p.Workload, p.Target, now)
+	}
+	if !found {
+		return nil
+	}
+	c.demandChanged = true
+	w := c.waiting[request.ID]
+	delete(c.waiting, request.ID)
+	return w
+}
+
+func (c *core) returnPermit(p *limit.Permit, now time.Time) {
+	c.ledger.Done(p, now)
+	c.markPeer(p.Owner)
+}
+
+func (e beginEvent) apply(c *core, now time.Time) {
+	l := e.lease
+	usable := !c.targets[l.permit.Target].out && c.ledger.Usable(&l.permit, now)
+	if usable {
+		l.begun = true
+		l.started = now
+		c.quarantine.Running(l.waiter.work.Fingerprint, l.permit.Target)
+		c.startCharging(l)
+	}
+	c.log.Info().Str("event", "started").Str("request", l.waiter.work.RequestID).
+		Str("target", string(l.permit.Target)).Bool("usable", usable).Msg("")
+	e.reply <- usable
+}
+
+func (c *core) startCharging(l *lease) {
+	work := &l.waiter.work
+	if work.Workload.Service != "" {
+		c.accounts.Charge(work.Customer, work.Cost)
+		return
+	}
+	l.charging = c.accounts.Start(work.Customer, c.known(work))
+}
+
+func (e chargeEvent) apply(c *core, _ time.Time) {
+	if !e.lease.begun || e.lease.waiter.work.Workload.Service != "" {
+		return
+	}
+	used := c.tokenCost(e.lease.waiter.work.Workload.Model, e.input, e.output)
+	c.accounts.Stream(&e.lease.charging, used)
+}
+
+func (e endEvent) apply(c *core, now time.Time) {
+	l := e.lease
+	if _, open := c.leases[l]; !open {
+		return
+	}
+	delete(c.leases, l)
+	c.returnPermit(&l.permit, now)
+	if !l.begun {
+		return
+	}
+	c.finishCharging(l, e.input, e.output)
+	c.settleQuarantine(l, e.kind, now)
+	c.log.Info().Str("event", "ended").Str("request", l.waiter.work.RequestID).
+		Str("customer", string(l.waiter.work.Customer)).Str("target", string(l.permit.Target)).
+		Str("end", e.kind.String()).Int64("input_tokens", e.input).Int64("output_tokens", e.output).
+		Dur("ran", now.Sub(l.started)).Msg("")
+}
+
+func (c *core) finishCharging(l *lease, input, output int64) {
+	work := &l.waiter.work
+	if work.Workload.Service != "" {
+		return
+	}
+	c.accounts.Finish(&l.charging, c.tokenCost(work.Workload.Model, input, output))
+}
+
+// settleQuarantine tells the quarantine how the run ended. A connection that broke
+// with work running counts as a crash until the target proves otherwise.
+func (c *core) settleQuarantine(l *lease, kind entry.EndKind, now time.Time) {
+	fingerprint := l.waiter.work.Fingerprint
+	if kind != entry.EndBroken {
+		c.quarantine.Ended(fingerprint, l.permit.Target, kind == entry.EndFinished, now)
+		return
+	}
+	c.ledger.Broken(l.permit.Target, now)
+	c.quarantine.Crashed(l.permit.Target, now)
+	c.spreadSuspects()
+}
--- /dev/null
+++ b/internal/instance/status.go
@@ -0,0 +1,146 @@
+package instance
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/entry"
+	"medlarwind.dev/medlarwind/internal/fairness"
+	"medlarwind.dev/medlarwind/internal/fleet"
+)
+
+// Status is one instance's view of itself and of the fleet.
+type Status struct {
+	Instance      fleet.InstanceID   `json:"instance"`
+	Incarnation   string             `json:"incarnation"`
+	DataCentre    fleet.DataCentreID `json:"data_centre"`
+	ConfigVersion uint64             `json:"config_version"`
+	ConfigDigest  string             `json:"config_digest"`
+	ListVersion   uint64             `json:"list_version"`
+	// Ready says that the instance takes new work.
+	Ready    bool `json:"ready"`
+	Draining bool `json:"draining"`
+	Waiting  int  `json:"waiting"`
+	Running  int  `json:"running"`
+	// Customers are in the order in which they became known.
+	Customers    []fairness.CustomerStatus `json:"customers"`
+	Targets      []TargetStatus            `json:"targets"`
+	Peers        []PeerStatus              `json:"peers"`
+	OutOfService []fleet.DataCentreID      `json:"out_of_service"`
+}
+
+// TargetStatus is one target as this instance knows it. Counts are requests; those
+// of targets that another instance owns are partial.
+type TargetStatus struct {
+	Target    fleet.TargetID    `json:"target"`
+	Owner     fleet.InstanceID  `json:"owner"`
+	State     fleet.TargetState `json:"state"`
+	BootID    string            `json:"boot_id"`
+	Limit     int               `json:"limit"`
+	Usable    int               `json:"usable"`
+	Accounted int               `json:"accounted"`
+	Foreign   int               `json:"foreign"`
+	Out       bool              `json:"out"`
+}
+
+// PeerStatus is one peer as this instance knows it.
+type PeerStatus struct {
+	Instance   fleet.InstanceID   `json:"instance"`
+	DataCentre fleet.DataCentreID `json:"data_centre"`
+	Connected  bool               `json:"connected"`
+	Leaving    bool               `json:"leaving"`
+}
+
+func (e statusEvent) apply(c *core, now time.Time) {
+	s := Status{
+		Instance:    c.options.self,
+		Incarnation: c.options.incarnation.String(),
+		DataCentre:  c.options.centre,
+		ListVersion: c.list.Version,
+		Ready:       c.settled && !c.closed && c.snapshot != nil,
+		Draining:    c.draining,
+		Waiting:     c.queue.Len(),
+		Running:     len(c.leases),
+		Customers:   c.accounts.Status(nil),
+		Targets:     c.targetStatus(now),
+		Peers:       c.peerStatus(),
+	}
+	if c.snapshot != nil {
+		s.ConfigVersion = c.snapshot.Version
+		s.ConfigDigest = c.snapshot.Digest
+		s.OutOfService = c.outOfService()
+	}
+	e.reply <- s
+}
+
+func (c *core) targetStatus(now time.Time) []TargetStatus {
+	rows := make([]TargetStatus, 0, len(c.targets))
+	for id, info := range c.targets {
+		state := c.ledger.State(id)
+		owner, _ := c.ledger.Owner(id, now)
+		rows = append(rows, TargetStatus{
+			Target:    id,
+			Owner:     owner,
+			State:     state.State,
+			BootID:    state.BootID,
+			Limit:     state.Limit,
+			Usable:    state.Usable,
+			Accounted: state.Accounted,
+			Foreign:   state.Foreign,
+			Out:       info.out,
+		})
+	}
+	slices.SortFunc(rows, func(a, b TargetStatus) int {
+		return strings.Compare(string(a.Target), string(b.Target))
+	})
+	return rows
+}
+
+func (c *core) peerStatus() []PeerStatus {
+	rows := make([]PeerStatus, 0, len(c.peers))
+	for id, p := range c.peers {
+		rows = append(rows, PeerStatus{
+			Instance:   id,
+			DataCentre: p.listed.DataCentre,
+			Connected:  p.connected,
+			Leaving:    p.leaving,
+		})
+	}
+	slices.SortFunc(rows, func(a, b PeerStatus) int {
+		return strings.Compare(string(a.Instance), string(b.Instance))
+	})
+	return rows
+}
+
+func (c *core) outOfService() []fleet.DataCentreID {
+	var out []fleet.DataCentreID
+	for id, centre := range c.snapshot.Rules.DataCentres {
+		if centre.Out {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// drainOutcome refuses a request at a stopping instance and names another one.
+func (c *core) drainOutcome(w *waiter) *entry.OutcomeError {
+	return &entry.OutcomeError{
+		Kind:       entry.NotRun,
+		Reason:     entry.ReasonDraining,
+		RetryAfter: time.Millisecond,
+		Address:    c.otherAddress(w),
+	}
+}
+
+// otherAddress is the best callers' address that is not this instance's.
+func (c *core) otherAddress(w *waiter) string {
+	addresses, _ := c.directory.Locate(w.work.Customer)
+	for _, address := range addresses {
+		if address != c.directory.address {
+			return address
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/instance/view.go
@@ -0,0 +1,189 @@
+package instance
+
+import (
+	"slices"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/fairness"
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/limit"
+	"medlarwind.dev/medlarwind/internal/membership"
+	"medlarwind.dev/medlarwind/internal/rules"
+)
+
+func (e listEvent) apply(c *core, now time.Time) {
+	if e.err != nil {
+		c.log.Debug().Str("event", "list_failed").Err(e.err).Msg("")
+		return
+	}
+	if e.list.Version < c.list.Version {
+		return
+	}
+	changed := e.list.Version != c.list.Version
+	c.list = e.list
+	c.ledger.SetMembers(c.list.Instances, c.ownerOrder(), now)
+	if changed {
+		c.listChanged(now)
+	}
+}
+
+func (c *core) listChanged(now time.Time) {
+	var others []fleet.ListedInstance
+	for _, listed := range c.list.Instances {
+		if listed.ID == c.options.self {
+			continue
+		}
+		others = append(others, listed)
+		p := c.peers[listed.ID]
+		if p == nil {
+			p = &peerState{}
+			c.peers[listed.ID] = p
+		}
+		p.listed = listed
+	}
+	c.transport.SetPeers(others)
+	c.watcher.SetList(c.list)
+	c.publishEntries()
+	c.updateTargets(now)
+	c.log.Info().Str("event", "list").Uint64("version", c.list.Version).
+		Int("instances", len(c.list.Instances)).Int("targets", len(c.list.Targets)).Msg("")
+}
+
+func (e configEvent) apply(c *core, now time.Time) {
+	c.snapshot = e.snapshot
+	customers := make([]fairness.Customer, 0, len(c.snapshot.Rules.Customers))
+	for _, customer := range c.snapshot.Rules.Customers {
+		customers = append(customers, fairness.Customer{ID: customer.ID, Share: customer.Share})
+	}
+	slices.SortFunc(customers, func(a, b fairness.Customer) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	c.accounts.SetCustomers(customers)
+	c.directory.publishConfig(c.snapshot)
+	c.ledger.SetMembers(c.list.Instances, c.ownerOrder(), now)
+	c.updateTargets(now)
+	c.publishEntries()
+	c.markAllPeers()
+	c.log.Info().Str("event", "config").Uint64("version", c.snapshot.Version).
+		Str("digest", c.snapshot.Digest).Str("source", c.snapshot.Source).Msg("")
+}
+
+func (askedEvent) apply(c *core, _ time.Time) {
+	c.settled = true
+	c.log.Info().Str("event", "settled").Msg("")
+}
+
+// updateTargets joins the rules with the list: a target gets work if both name it,
+// it is not leaving, and its data centre is in service.
+func (c *core) updateTargets(now time.Time) {
+	if c.snapshot == nil {
+		return
+	}
+	clear(c.targets)
+	var limits []limit.Target
+	for _, listed := range c.list.Targets {
+		rule, known := c.snapshot.Rules.Targets[listed.ID]
+		if !known {
+			continue
+		}
+		info := targetInfo{addr: listed.Addr, workloads: workloadsOf(rule)}
+		info.out = listed.State == fleet.StateLeaving || c.snapshot.Rules.DataCentres[rule.DataCentre].Out
+		c.targets[listed.ID] = info
+		limits = append(limits, ledgerTarget(rule, info.out))
+	}
+	c.ledger.SetTargets(limits, now)
+	c.ownedChanged = true
+	c.demandChanged = true
+}
+
+func ledgerTarget(rule rules.Target, out bool) limit.Target {
+	t := limit.Target{
+		ID:         rule.ID,
+		DataCentre: rule.DataCentre,
+		Limit:      rule.Limit,
+		ColdLimit:  rule.ColdLimit,
+	}
+	if out {
+		t.Limit = 0
+		t.ColdLimit = 0
+	}
+	return t
+}
+
+func workloadsOf(rule rules.Target) []fleet.Workload {
+	if rule.Service != "" {
+		return []fleet.Workload{{Service: rule.Service}}
+	}
+	workloads := make([]fleet.Workload, 0, len(rule.Models))
+	for _, model := range rule.Models {
+		workloads = append(workloads, fleet.Workload{Model: model})
+	}
+	return workloads
+}
+
+// ownerOrder names, for each data centre, those whose instances own its targets
+// when it has no live instance: its region's first, each group in rendezvous order.
+func (c *core) ownerOrder() limit.OwnerOrder {
+	order := make(limit.OwnerOrder)
+	if c.snapshot == nil {
+		return order
+	}
+	centres := c.snapshot.Rules.DataCentres
+	for id, centre := range centres {
+		var near, far []fleet.InstanceID
+		for other := range centres {
+			switch {
+			case other == id:
+			case centres[other].Region == centre.Region:
+				near = append(near, fleet.InstanceID(other))
+			default:
+				far = append(far, fleet.InstanceID(other))
+			}
+		}
+		for _, group := range [][]fleet.InstanceID{near, far} {
+			for _, other := range membership.Rank(string(id), group) {
+				order[id] = append(order[id], fleet.DataCentreID(other))
+			}
+		}
+	}
+	return order
+}
+
+// publishEntries tells the directory which instances callers may be sent to: live
+// ones that are not stopping, in data centres that are in service.
+func (c *core) publishEntries() {
+	var entries []fleet.ListedInstance
+	for _, listed := range c.list.Instances {
+		if c.takesCallers(listed) {
+			entries = append(entries, listed)
+		}
+	}
+	c.directory.publishEntries(entries)
+}
+
+func (c *core) takesCallers(listed fleet.ListedInstance) bool {
+	if listed.State == fleet.StateLeaving {
+		return false
+	}
+	if c.snapshot != nil && c.snapshot.Rules.DataCentres[listed.DataCentre].Out {
+		return false
+	}
+	if listed.ID == c.options.self {
+		return !c.draining
+	}
+	p := c.peers[listed.ID]
+	return p == nil || !p.leaving
+}
+
+// addressOf is the callers' address of an instance, empty if it is not listed.
+func (c *core) addressOf(id fleet.InstanceID) string {
+	for _, listed := range c.list.Instances {
+		if listed.ID == id {
+			return listed.CallerAddr
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/localfleet/fleet_test.go
@@ -0,0 +1,68 @@
+package localfleet
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	medlarwindv1 "medlarwind.dev/medlarwind/gen/medlarwind/v1"
+	"medlarwind.dev/medlarwind/internal/memnet"
+	"medlarwind.dev/medlarwind/internal/standin"
+)
+
+// twoRegions is a small fleet: two regions, four instances, four engines.
+func twoRegions() Spec {
+	return Spec{
+		DataCentres: []DataCentre{
+			{ID: "north", Region: "r1", Instances: 2, Engines: 2, Services: 1},
+			{ID: "south", Region: "r2", Instances: 2, Engines: 2},
+		},
+		Customers: []Customer{{ID: "mill-a", Share: 2, Queue: 64}, {ID: "mill-b", Share: 1, Queue: 64}},
+		Engine:    standin.EngineOptions{TokenTime: time.Millisecond, WarmAfter: 2},
+		Seed:      1,
+		Log:       zerolog.Nop(),
+	}
+}
+
+func TestFleetServesWholeAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, err := Start(twoRegions(), Memory(memnet.New()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		if err := f.AwaitReady(ctx); err != nil {
+			t.Fatal(err)
+		}
+		var group sync.WaitGroup
+		for i := range 40 {
+			customer := f.Spec.Customers[i%2]
+			c := f.Client(fmt.Sprintf("caller-%d", i), customer, f.Members[i%4])
+			group.Go(func() {
+				prompt := fmt.Sprintf("lot %d", i)
+				answer, err := c.Generate(ctx, &medlarwindv1.GenerateRequest{Model: "appraise", Prompt: prompt, MaxTokens: 20}, nil)
+				if err != nil {
+					t.Errorf("request %d: %v", i, err)
+					return
+				}
+				if want := standin.Answer(prompt, 20); !bytes.Equal(answer.Data, want) {
+					t.Errorf("request %d: got %d bytes, want %d", i, len(answer.Data), len(want))
+				}
+			})
+		}
+		group.Wait()
+		for _, e := range f.Engines {
+			if peak := e.Peak(); peak.ColdOverloads > 0 || peak.Running > f.Spec.Limit {
+				t.Errorf("%s: %+v, limit %d", e.ID, peak, f.Spec.Limit)
+			}
+		}
+	})
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -89,6 +89,8 @@
 	Estimate fleet.Cost `json:"e,omitempty"`
 	// WaitMillis is how long the oldest request has waited, in milliseconds.
 	WaitMillis int64 `json:"a,omitempty"`
+	// Alone says that these requests must each be the only one on a target.
+	Alone bool `json:"x,omitempty"`
 }
 
 // Spare is the number of further requests an owner could start for a workload.
