--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -44,6 +44,9 @@
 	Target fleet.TargetID
 	Addr   string
 	BootID string
+	// Alone says that the request is suspected of crashing targets: it is sent only
+	// if the target is up on this very boot.
+	Alone bool
 }
 
 // EndKind says how work under a lease ended.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"hash"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -13,6 +14,40 @@
 	"medlarwind.dev/medlarwind/internal/target"
 )
 
+// Bounds of the pause after an attempt that sent nothing; it doubles each time.
+const (
+	unsentPause    = 20 * time.Millisecond
+	maxUnsentPause = time.Second
+)
+
+// waitUnsent waits before another attempt after one that sent nothing, which does
+// not count as an attempt; false if the time to start is over.
+func waitUnsent(ctx context.Context, pause *time.Duration, deadline time.Time) bool {
+	if time.Now().Add(*pause).After(deadline) {
+		return false
+	}
+	timer := time.NewTimer(*pause)
+	defer timer.Stop()
+	*pause = min(2**pause, maxUnsentPause)
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// safeToSend checks, for a request suspected of crashing targets, that the target is
+// up on the boot that the owner knows. Otherwise a target that went down before the
+// request came would count against the request.
+func (s *Server) safeToSend(ctx context.Context, assigned Assignment) bool {
+	if !assigned.Alone {
+		return true
+	}
+	report, err := s.targets.Load(ctx, assigned.Addr)
+	return err == nil && report.BootID == assigned.BootID
+}
+
 // errDiverged means that a fresh attempt's output does not start with what the
 // caller already has.
 var errDiverged = errors.New("a fresh attempt's output differs from what was sent")
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -138,7 +138,7 @@
 
 // runOnce runs the call apart from its caller's connection and records the end.
 func (s *Server) runOnce(run *onceRun, c *plainCall) {
-	ctx, cancel := context.WithDeadline(context.Background(), c.end)
+	ctx, cancel := context.WithDeadline(s.ctx, c.end)
 	defer cancel()
 	body, outcome := c.run(ctx)
 	s.onceMu.Lock()
@@ -172,6 +172,7 @@
 // that did not run may start again; one that may have run only if it is repeatable.
 func (c *plainCall) run(ctx context.Context) ([]byte, *OutcomeError) {
 	ran := false
+	pause := unsentPause
 	for attempt := 1; ; attempt++ {
 		c.work.Attempt = attempt
 		lease, outcome := c.server.admission.Admit(ctx, &c.work)
@@ -183,6 +184,10 @@
 			return body, nil
 		}
 		ran = ran || outcome.Kind != NotRun
+		if outcome.Kind == NotRun && waitUnsent(ctx, &pause, c.work.Deadline) {
+			attempt--
+			continue
+		}
 		if ctx.Err() != nil || attempt >= maxAttempts || !c.retryable(outcome) {
 			return nil, c.final(outcome, ran)
 		}
@@ -215,6 +220,10 @@
 		lease.End(EndUnused)
 		return nil, refuse(ReasonNoTarget, 0)
 	}
+	if !c.server.safeToSend(ctx, lease.Assignment()) {
+		lease.End(EndUnreachable)
+		return nil, refuse(ReasonNoTarget, 0)
+	}
 	body, err := c.server.targets.Call(ctx, lease.Assignment().Addr, c.request)
 	if err == nil {
 		lease.End(EndFinished)
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -56,7 +56,7 @@
 	}
 	now := time.Now()
 	end := now.Add(s.options.RequestTimeout)
-	ctx, stop := context.WithDeadline(context.Background(), end)
+	ctx, stop := context.WithDeadline(s.ctx, end)
 	workload := fleet.Workload{Model: fleet.ModelID(m.Model)}
 	g := &generation{
 		server:  s,
@@ -87,6 +87,7 @@
 // run tries the request until it has a whole answer or a final outcome.
 func (g *generation) run() {
 	defer g.stop()
+	pause := unsentPause
 	for attempt := 1; ; attempt++ {
 		g.work.Attempt = attempt
 		lease, outcome := g.server.admission.Admit(g.ctx, &g.work)
@@ -98,6 +99,10 @@
 		if outcome == nil {
 			return
 		}
+		if outcome.Kind == NotRun && waitUnsent(g.ctx, &pause, g.work.Deadline) {
+			attempt--
+			continue
+		}
 		if !g.retryable(outcome, attempt) {
 			g.answer.fail(g.final(outcome))
 			return
@@ -132,6 +137,10 @@
 		return refuse(ReasonNoTarget, 0)
 	}
 	assigned := lease.Assignment()
+	if !g.server.safeToSend(g.ctx, assigned) {
+		lease.End(EndUnreachable)
+		return refuse(ReasonNoTarget, 0)
+	}
 	request := target.GenerateRequest{
 		RequestID: g.answer.id,
 		Attempt:   g.work.Attempt,
@@ -214,7 +223,7 @@
 // cancelAtTarget tells the engine to stop; closing the stream alone would leave it
 // running until its next write.
 func (g *generation) cancelAtTarget(assigned Assignment) {
-	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	ctx, cancel := context.WithTimeout(g.server.ctx, cancelTimeout)
 	defer cancel()
 	_ = g.server.targets.Cancel(ctx, assigned.Addr, g.answer.id)
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -99,6 +99,9 @@
 	once   *onceRegister
 
 	running sync.WaitGroup
+	// ctx bounds every request; stop ends it.
+	ctx  context.Context
+	stop context.CancelFunc
 }
 
 var _ medlarwindv1connect.RouterServiceHandler = (*Server)(nil)
@@ -106,7 +109,10 @@
 // NewServer returns a server that starts work only as admission allows.
 func NewServer(o Options, admission Admission, directory Directory, targets *target.Client) *Server {
 	o = o.withDefaults()
+	ctx, stop := context.WithCancel(context.Background())
 	return &Server{
+		ctx:       ctx,
+		stop:      stop,
 		options:   o,
 		admission: admission,
 		directory: directory,
@@ -140,6 +146,13 @@
 	}
 }
 
+// Close cancels every request and returns after their goroutines have ended.
+func (s *Server) Close() {
+	s.stop()
+	s.answers.close()
+	s.running.Wait()
+}
+
 // Locate implements RouterService.
 func (s *Server) Locate(_ context.Context, req *connect.Request[medlarwindv1.LocateRequest]) (*connect.Response[medlarwindv1.LocateResponse], error) {
 	customer, outcome := s.authenticate(req.Header())
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -83,3 +83,12 @@
 	defer t.mu.Unlock()
 	delete(t.held, id)
 }
+
+// close ends all grace periods.
+func (t *answerTable) close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, h := range t.held {
+		h.attached()
+	}
+}
--- a/internal/instance/admission.go
+++ b/internal/instance/admission.go
@@ -115,7 +115,12 @@
 
 // Assignment implements entry.Lease.
 func (l *lease) Assignment() entry.Assignment {
-	return entry.Assignment{Target: l.permit.Target, Addr: l.addr, BootID: l.permit.BootID}
+	return entry.Assignment{
+		Target: l.permit.Target,
+		Addr:   l.addr,
+		BootID: l.permit.BootID,
+		Alone:  l.permit.Alone,
+	}
 }
 
 // Begin implements entry.Lease. The permit's end is checked by the core and once
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -85,11 +85,18 @@
 	targets  map[fleet.TargetID]targetInfo
 	views    []ownedBy
 	polled   map[fleet.TargetID]time.Time
-	peers    map[fleet.InstanceID]*peerState
-	waiting  map[uint64]*waiter
-	parked   []*waiter
-	leases   map[*lease]struct{}
-	refused  map[fleet.CustomerID]int64
+	// suspended holds owned targets that get no work until a load report asked for
+	// after the given time.
+	suspended map[fleet.TargetID]time.Time
+	// broken holds targets of other owners that broke a connection, and heardBroken
+	// owned ones that an entry told of, each with the time.
+	broken      map[fleet.TargetID]time.Time
+	heardBroken map[fleet.TargetID]time.Time
+	peers       map[fleet.InstanceID]*peerState
+	waiting     map[uint64]*waiter
+	parked      []*waiter
+	leases      map[*lease]struct{}
+	refused     map[fleet.CustomerID]int64
 
 	lastID        uint64
 	selfGrant     uint64
@@ -113,23 +120,26 @@
 func newCore(o coreOptions, log zerolog.Logger, d *directory, now time.Time) *core {
 	accounts := fairness.New(o.incarnation, o.fairness)
 	c := &core{
-		options:    o,
-		events:     make(chan event, eventBacklog),
-		done:       make(chan struct{}),
-		log:        log,
-		directory:  d,
-		ledger:     limit.New(o.self, o.incarnation, o.limits, now),
-		accounts:   accounts,
-		queue:      dispatch.NewQueue(o.queue, nil),
-		spreader:   dispatch.NewSpreader(o.self, dispatch.SpreadParams{}),
-		owner:      dispatch.NewOwner(accounts, o.policy, nil, o.rng),
-		quarantine: quarantine.New(o.self, quarantine.Params{}),
-		targets:    make(map[fleet.TargetID]targetInfo),
-		polled:     make(map[fleet.TargetID]time.Time),
-		peers:      make(map[fleet.InstanceID]*peerState),
-		waiting:    make(map[uint64]*waiter),
-		leases:     make(map[*lease]struct{}),
-		refused:    make(map[fleet.CustomerID]int64),
+		options:     o,
+		events:      make(chan event, eventBacklog),
+		done:        make(chan struct{}),
+		log:         log,
+		directory:   d,
+		ledger:      limit.New(o.self, o.incarnation, o.limits, now),
+		accounts:    accounts,
+		queue:       dispatch.NewQueue(o.queue, nil),
+		spreader:    dispatch.NewSpreader(o.self, dispatch.SpreadParams{}),
+		owner:       dispatch.NewOwner(accounts, o.policy, nil, o.rng),
+		quarantine:  quarantine.New(o.self, quarantine.Params{}),
+		targets:     make(map[fleet.TargetID]targetInfo),
+		polled:      make(map[fleet.TargetID]time.Time),
+		suspended:   make(map[fleet.TargetID]time.Time),
+		broken:      make(map[fleet.TargetID]time.Time),
+		heardBroken: make(map[fleet.TargetID]time.Time),
+		peers:       make(map[fleet.InstanceID]*peerState),
+		waiting:     make(map[uint64]*waiter),
+		leases:      make(map[*lease]struct{}),
+		refused:     make(map[fleet.CustomerID]int64),
 	}
 	c.admission = &admission{events: c.events, done: c.done}
 	return c
--- a/internal/instance/heartbeat.go
+++ b/internal/instance/heartbeat.go
@@ -103,7 +103,7 @@
 }
 
 func (c *core) sendHeartbeat(id fleet.InstanceID, p *peerState, now time.Time) {
-	hb := &wire.Heartbeat{Leaving: c.draining, Demand: p.demand}
+	hb := &wire.Heartbeat{Leaving: c.draining, Demand: p.demand, Broken: c.brokenFor(id, now)}
 	c.ledger.FillHeartbeat(id, hb, now)
 	if !c.options.alone {
 		c.accounts.FillHeartbeat(id, hb, maxServiceEntries)
@@ -112,7 +112,7 @@
 		hb.ConfigVersion = c.snapshot.Version
 		hb.ConfigDigest = c.snapshot.Digest
 	}
-	hb.Spare = c.owner.Spare(c.ledger, now)
+	hb.Spare = c.owner.Spare(starts{c}, now)
 	if len(p.suspects) > 0 {
 		hb.Suspects = p.suspects
 		p.suspectsSeq = hb.Seq
@@ -136,6 +136,7 @@
 	c.accounts.Merge(hb.Service, hb.Offsets)
 	c.acknowledge(id, p, hb)
 	c.setDemand(id, hb, now)
+	c.takeBroken(hb.Broken, now)
 	c.quarantine.Merge(hb.Suspects, now)
 	c.watcher.Observe(config.Observation{Peer: id, Version: hb.ConfigVersion, Digest: hb.ConfigDigest})
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -314,6 +314,7 @@
 	_ = i.operator.Close()
 	_ = i.transport.Close(ctx)
 	i.targets.Close()
+	i.server.Close()
 	i.platform.Close()
 }
 
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -59,11 +59,15 @@
 	c.poller.ask(poll{target: id, addr: info.addr})
 }
 
-func (e reportEvent) apply(c *core, now time.Time) {
+func (e reportEvent) apply(c *core, _ time.Time) {
 	if e.err != nil {
+		c.suspend(e.target, e.asked)
 		c.log.Debug().Str("event", "poll_failed").Str("target", string(e.target)).Err(e.err).Msg("")
 		return
 	}
+	if !e.asked.Before(c.suspended[e.target]) {
+		delete(c.suspended, e.target)
+	}
 	before := c.ledger.State(e.target)
 	c.ledger.Report(e.target, e.report, e.asked, e.received)
 	after := c.ledger.State(e.target)
@@ -73,10 +77,6 @@
 	}
 	c.log.Info().Str("event", "target_state").Str("target", string(e.target)).
 		Str("boot", after.BootID).Str("state", string(after.State)).Int("limit", after.Limit).Msg("")
-	if before.BootID != "" && before.BootID != after.BootID {
-		c.quarantine.Crashed(e.target, now)
-		c.spreadSuspects()
-	}
 }
 
 // ownersByTarget groups the targets' workloads by their owners.
@@ -126,7 +126,7 @@
 
 func (c *core) spareOf(owner fleet.InstanceID, now time.Time) []wire.Spare {
 	if owner == c.options.self {
-		return c.owner.Spare(c.ledger, now)
+		return c.owner.Spare(starts{c}, now)
 	}
 	if p := c.peers[owner]; p != nil {
 		return p.spare
@@ -164,9 +164,9 @@
 		return
 	}
 	for range grantBatch {
-		d, ok := c.owner.NextAlone(c.ledger, occupancy{c}, now)
+		d, ok := c.owner.NextAlone(starts{c}, occupancy{c}, now)
 		if !ok {
-			d, ok = c.owner.Next(c.ledger, now)
+			d, ok = c.owner.Next(starts{c}, now)
 		}
 		if !ok || !c.grantOne(d, now) {
 			return
@@ -228,3 +228,63 @@
 	state := o.core.ledger.State(t)
 	return state.Accounted + state.Unresolved + state.Foreign
 }
+
+// starts tells how many requests may start on an owned target: none while it is
+// suspended.
+type starts struct{ core *core }
+
+// Available implements dispatch.Limiter.
+func (s starts) Available(t fleet.TargetID, now time.Time) int {
+	if _, suspended := s.core.suspended[t]; suspended {
+		return 0
+	}
+	return s.core.ledger.Available(t, now)
+}
+
+// suspend gives a target no work until a load report that was asked for later.
+func (c *core) suspend(t fleet.TargetID, since time.Time) {
+	if c.suspended[t].Before(since) {
+		c.suspended[t] = since
+	}
+}
+
+// noteBroken takes note of a connection to a target that broke, or could not be
+// made: as its owner by asking for its load at once, else by telling the owner.
+func (c *core) noteBroken(t fleet.TargetID, now time.Time) {
+	c.ledger.Broken(t, now)
+	owner, ok := c.ledger.Owner(t, now)
+	if !ok || owner != c.options.self {
+		c.broken[t] = now
+		c.markPeer(owner)
+		return
+	}
+	c.suspend(t, now)
+	c.polled[t] = now
+	c.poller.ask(poll{target: t, addr: c.targets[t].addr})
+}
+
+// brokenFor lists the targets of an owner that broke lately.
+func (c *core) brokenFor(owner fleet.InstanceID, now time.Time) []fleet.TargetID {
+	var broken []fleet.TargetID
+	for t, since := range c.broken {
+		if now.Sub(since) > wire.BrokenMemory {
+			delete(c.broken, t)
+			continue
+		}
+		if current, ok := c.ledger.Owner(t, now); ok && current == owner {
+			broken = append(broken, t)
+		}
+	}
+	return broken
+}
+
+// takeBroken acts on what an entry tells of owned targets, once for each.
+func (c *core) takeBroken(targets []fleet.TargetID, now time.Time) {
+	for _, t := range targets {
+		if now.Sub(c.heardBroken[t]) <= wire.BrokenMemory {
+			continue
+		}
+		c.heardBroken[t] = now
+		c.noteBroken(t, now)
+	}
+}
--- a/internal/instance/requests.go
+++ b/internal/instance/requests.go
@@ -225,7 +225,7 @@
 	if usable {
 		l.begun = true
 		l.started = now
-		c.quarantine.Running(l.waiter.work.Fingerprint, l.permit.Target)
+		c.quarantine.Running(l.waiter.work.Fingerprint, l.runKey())
 		c.startCharging(l)
 	}
 	c.log.Info().Str("event", "started").Str("request", l.waiter.work.RequestID).
@@ -276,15 +276,24 @@
 	c.accounts.Finish(&l.charging, c.tokenCost(work.Workload.Model, input, output))
 }
 
+// runKey names one run to the quarantine. Each run sees its own connection break, at
+// its own time: a late break must not accuse requests that started on the target
+// after it came back.
+func (l *lease) runKey() fleet.TargetID {
+	return l.permit.Target + fleet.TargetID("#"+l.waiter.work.RequestID)
+}
+
 // settleQuarantine tells the quarantine how the run ended. A connection that broke
 // with work running counts as a crash until the target proves otherwise.
 func (c *core) settleQuarantine(l *lease, kind entry.EndKind, now time.Time) {
 	fingerprint := l.waiter.work.Fingerprint
+	if kind == entry.EndBroken || kind == entry.EndUnreachable {
+		c.noteBroken(l.permit.Target, now)
+	}
 	if kind != entry.EndBroken {
-		c.quarantine.Ended(fingerprint, l.permit.Target, kind == entry.EndFinished, now)
+		c.quarantine.Ended(fingerprint, l.runKey(), kind == entry.EndFinished, now)
 		return
 	}
-	c.ledger.Broken(l.permit.Target, now)
-	c.quarantine.Crashed(l.permit.Target, now)
+	c.quarantine.Crashed(l.runKey(), now)
 	c.spreadSuspects()
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -97,6 +97,7 @@
 // Arrival is one whole request for an answer that reached the engine.
 type Arrival struct {
 	RequestID string
+	Prompt    string
 	Attempt   int
 	Instance  fleet.InstanceID
 	BootID    string
--- a/internal/standin/enginehttp.go
+++ b/internal/standin/enginehttp.go
@@ -66,6 +66,7 @@
 	e.mu.Lock()
 	arrival := Arrival{
 		RequestID: req.RequestID,
+		Prompt:    req.Prompt,
 		Attempt:   req.Attempt,
 		Instance:  req.Instance,
 		BootID:    e.bootID(),
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -6,7 +6,11 @@
 // incarnation, and counters merge by maximum.
 package wire
 
-import "medlarwind.dev/medlarwind/internal/fleet"
+import (
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+)
 
 // Protocol is the version of the inner protocol.
 const Protocol = 1
@@ -25,6 +29,9 @@
 	MaxEntries      = 65536
 )
 
+// BrokenMemory is how long an entry tells owners of a connection that broke.
+const BrokenMemory = 2 * time.Second
+
 // Hello opens a connection in both directions: it is the request and the reply.
 type Hello struct {
 	Protocol    int                `json:"v"`
@@ -62,6 +69,9 @@
 	// reflected in Running. Grants are numbered from 1 without gaps for each
 	// receiver incarnation; a missing one stays missing until Forget covers it.
 	GrantSeq uint64 `json:"g,omitempty"`
+	// Broken names targets of the receiver that broke connections of the sender, or
+	// could not be dialled, within the last BrokenMemory.
+	Broken []fleet.TargetID `json:"b,omitempty"`
 	// Demand is the work waiting at the sender that the receiver may grant.
 	Demand []Demand `json:"dm,omitempty"`
 	// Spare is the number of starts that the sender, as an owner, could grant now.
