--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -9,7 +9,7 @@
 //
 // On connections to engines every read and write has a deadline, since an engine
 // sends blank lines while it has nothing to say. A missed deadline closes the
-// connection and the idle ones to the same address, so that the next request
+// connection. Idle connections close in half that time, so that the next request
 // dials. A Stream belongs to one goroutine.
 package target
 
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,11 +21,9 @@
 type trackedConn struct {
 	net.Conn
 	registry *registry
-	addr     string
 	// silence is the longest wait for a read or write, 0 for none.
 	silence time.Duration
-	// owner is the exchange that uses the connection, nil while it is idle.
-	owner  atomic.Pointer[exchange]
+	// silent says that a deadline passed.
 	silent atomic.Bool
 
 	mu     sync.Mutex
@@ -64,14 +64,11 @@
 	return n, err
 }
 
-// note remembers that a deadline passed while a request was under way, and drops
-// the other idle connections to the same target, which may be silent too.
+// note remembers that a deadline passed.
 func (c *trackedConn) note(err error) {
-	if !errors.Is(err, os.ErrDeadlineExceeded) || c.owner.Load() == nil {
-		return
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.silent.Store(true)
 	}
-	c.silent.Store(true)
-	c.registry.dropIdle(c.addr)
 }
 
 // count returns the number of writes so far.
@@ -98,64 +95,35 @@
 	return c.Conn.Close()
 }
 
-// registry knows the open connections of a client, by target address.
+// registry knows the open connections of a client.
 type registry struct {
 	mu    sync.Mutex
-	conns map[string]map[*trackedConn]struct{}
+	conns map[*trackedConn]struct{}
 }
 
 // newRegistry returns an empty registry.
 func newRegistry() *registry {
-	return &registry{conns: make(map[string]map[*trackedConn]struct{})}
+	return &registry{conns: make(map[*trackedConn]struct{})}
 }
 
 // add registers a new connection.
 func (r *registry) add(c *trackedConn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	set := r.conns[c.addr]
-	if set == nil {
-		set = make(map[*trackedConn]struct{})
-		r.conns[c.addr] = set
-	}
-	set[c] = struct{}{}
+	r.conns[c] = struct{}{}
 }
 
 // remove forgets a closed connection.
 func (r *registry) remove(c *trackedConn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	set := r.conns[c.addr]
-	delete(set, c)
-	if len(set) == 0 {
-		delete(r.conns, c.addr)
-	}
-}
-
-// dropIdle closes the connections to addr that carry no request.
-func (r *registry) dropIdle(addr string) {
-	r.mu.Lock()
-	var idle []*trackedConn
-	for c := range r.conns[addr] {
-		if c.owner.Load() == nil {
-			idle = append(idle, c)
-		}
-	}
-	r.mu.Unlock()
-	for _, c := range idle {
-		c.seal()
-	}
+	delete(r.conns, c)
 }
 
 // closeAll closes every connection.
 func (r *registry) closeAll() {
 	r.mu.Lock()
-	var all []*trackedConn
-	for _, set := range r.conns {
-		for c := range set {
-			all = append(all, c)
-		}
-	}
+	all := slices.Collect(maps.Keys(r.conns))
 	r.mu.Unlock()
 	for _, c := range all {
 		c.seal()
--- a/internal/target/enginewire/frame.go
+++ b/internal/target/enginewire/frame.go
@@ -76,9 +76,9 @@
 func ParseFrame(line []byte) (Frame, error) {
 	f, ok := parseFast(line)
 	if !ok {
-		f = Frame{}
-		if err := json.Unmarshal(line, &f); err != nil {
-			return Frame{}, errors.Wrap(ErrFrame, err.Error())
+		var err error
+		if f, err = parseSlow(line); err != nil {
+			return Frame{}, err
 		}
 	}
 	if f.Sequence < 0 || f.InputTokens < 0 || f.OutputTokens < 0 || f.Frames < 0 {
@@ -87,6 +87,15 @@
 	return f, nil
 }
 
+// parseSlow parses any JSON form of a frame.
+func parseSlow(line []byte) (Frame, error) {
+	var f Frame
+	if err := json.Unmarshal(line, &f); err != nil {
+		return Frame{}, errors.Wrap(ErrFrame, err.Error())
+	}
+	return f, nil
+}
+
 // parseFast parses an object of one-letter keys, plain integers, "true" and
 // strings without escapes. It returns false for anything else.
 func parseFast(line []byte) (Frame, bool) {
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -50,7 +50,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &trackedConn{Conn: raw, registry: r, addr: addr, silence: silence}
+		c := &trackedConn{Conn: raw, registry: r, silence: silence}
 		r.add(c)
 		return c, nil
 	}
@@ -60,8 +60,9 @@
 	}
 }
 
-// newTransport returns a transport for HTTP/1.1 without compression. Idle
-// connections close well before a silent one would be noticed.
+// newTransport returns a transport for HTTP/1.1 without compression. An idle
+// connection closes in half the time in which a silent one is noticed, so that the
+// pool holds none that was idle when the connections went silent.
 func newTransport(dial DialFunc, opts Options, single bool) *http.Transport {
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
@@ -98,10 +99,7 @@
 // try sends m once over one transport.
 func (p *pool) try(ctx context.Context, t *http.Transport, m message) (*http.Response, *exchange, error) {
 	x := &exchange{}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:     x.gotConn,
-		PutIdleConn: x.putIdleConn,
-	})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: x.gotConn})
 	url := "http://" + m.addr + m.path
 	req, err := http.NewRequestWithContext(ctx, m.method, url, bytes.NewReader(m.body))
 	if err != nil {
@@ -137,21 +135,10 @@
 		x.sent = x.sent || x.conn.seal() > x.before
 	}
 	x.conn, _ = info.Conn.(*trackedConn)
-	x.conn.owner.Store(x)
 	x.before = x.conn.count()
 	x.reused = info.Reused
 }
 
-// putIdleConn notes that the connection is free again, unless another exchange
-// has taken it already.
-func (x *exchange) putIdleConn(err error) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if err == nil && x.conn != nil {
-		x.conn.owner.CompareAndSwap(x, nil)
-	}
-}
-
 // seal closes the connection and reports whether a byte of the message may have
 // reached the target.
 func (x *exchange) seal() bool {
