Test what the platform adapter believes, waits for and counts

Cause: the service may be down, stale for some, limited, silent or wrong. Change: tests of watches, staleness by reader, a silent connection, rate limits, Retry-After of the weight store, and a table of malformed lists. A failed body read also drops the pooled connections.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -194,7 +194,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, statusError(resp)
 	}
-	return readBody(resp, MaxWeightBytes)
+	return c.readBody(resp, MaxWeightBytes)
 }
 
 // wait waits for d or the end of ctx, and reports whether d passed.
@@ -237,14 +237,14 @@
 	if err != nil || version <= after {
 		return 0, nil, malformed("version %q after %d", resp.Header.Get(HeaderVersion), after)
 	}
-	body, err := readBody(resp, limit)
+	body, err := c.readBody(resp, limit)
 	if err != nil {
 		return 0, nil, err
 	}
 	return version, body, nil
 }
 
-// get sends one GET request. A failure drops the pooled connections, since they
+// get sends one GET request. A failure, also of reading the body, drops the pooled connections, since they
 // may be silent too.
 func (c *Client) get(ctx context.Context, path string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.addr+path, nil)
@@ -283,9 +283,10 @@
 }
 
 // readBody reads a body of at most limit bytes.
-func readBody(resp *http.Response, limit int64) ([]byte, error) {
+func (c *Client) readBody(resp *http.Response, limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
+		c.transport.CloseIdleConnections()
 		return nil, &Error{Kind: Unavailable, err: err}
 	}
 	if int64(len(body)) > limit {
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,191 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/memnet"
+	"medlarwind.dev/medlarwind/internal/platform"
+	"medlarwind.dev/medlarwind/internal/standin"
+)
+
+const (
+	reader = "10.0.0.1"
+	cutOff = "10.0.0.2"
+	host   = "10.0.0.9"
+	addr   = host + ":80"
+)
+
+// world is a platform with two readers.
+type world struct {
+	*testing.T
+	net            *memnet.Network
+	reader, cutOff *platform.Client
+}
+
+// inWorld runs f in virtual time.
+func inWorld(t *testing.T, h http.Handler, f func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New()
+		l, err := n.Listen(addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer standin.Serve(l, h)()
+		w := &world{T: t, net: n}
+		w.reader = platform.NewClient(addr, n.Host(reader).Dial)
+		w.cutOff = platform.NewClient(addr, n.Host(cutOff).Dial)
+		defer w.reader.Close()
+		defer w.cutOff.Close()
+		f(w)
+	})
+}
+
+// wantKind checks the kind of an error, 0 for none.
+func wantKind(t testing.TB, err error, kind platform.Kind) {
+	t.Helper()
+	var e *platform.Error
+	if errors.As(err, &e); (e == nil) != (kind == 0) || (e != nil && e.Kind != kind) {
+		t.Errorf("error %v, want %v", err, kind)
+	}
+}
+
+// A watch ends at once with a newer version, or after the watch time without one;
+// it counts as one read.
+func TestWatch(t *testing.T) {
+	p := newPlatform()
+	inWorld(t, p, func(w *world) {
+		ctx := context.Background()
+		p.SetConfig(3, []byte("three"))
+		version, text, err := w.reader.Config(ctx, 0)
+		if version != 3 || string(text) != "three" || err != nil {
+			t.Errorf("%d, %q, %v", version, text, err)
+		}
+		start := time.Now()
+		version, text, err = w.reader.Config(ctx, 3)
+		if version != 3 || text != nil || err != nil || time.Since(start) != platform.DefaultWatchTime {
+			t.Errorf("no change: %d, %q, %v after %v", version, text, err, time.Since(start))
+		}
+		list := fleet.List{Version: 2, Targets: []fleet.ListedTarget{{ID: "t", DataCentre: "d", Addr: addr, State: fleet.StateLive}}}
+		p.SetList(fleet.List{Version: 1}, 0)
+		p.SetList(list, time.Second)
+		start = time.Now()
+		got, changed, err := w.reader.WatchList(ctx, 1)
+		if got.Version != 2 || len(got.Targets) != 1 || !changed || err != nil || time.Since(start) != time.Second {
+			t.Errorf("%+v, %t, %v after %v", got, changed, err, time.Since(start))
+		}
+		if p.Reads(platform.PathConfig) != 2 || p.Reads(platform.PathList) != 1 {
+			t.Errorf("%d and %d reads", p.Reads(platform.PathConfig), p.Reads(platform.PathList))
+		}
+	})
+}
+
+// newPlatform returns a platform with small limits.
+func newPlatform() *standin.Platform {
+	return standin.NewPlatform(standin.PlatformOptions{ReadsPerSecond: 10, WeightsPerMinute: 1})
+}
+
+// A service that is down, stale for some, or silent does what it says to each
+// reader, and the next read after it works.
+func TestFaults(t *testing.T) {
+	p := newPlatform()
+	inWorld(t, p, func(w *world) {
+		ctx := context.Background()
+		p.SetConfig(1, []byte("one"))
+		p.SetStale(cutOff)
+		p.SetConfig(2, []byte("two"))
+		for client, want := range map[*platform.Client]uint64{w.reader: 2, w.cutOff: 1} {
+			if version, _, err := client.Config(ctx, 0); version != want || err != nil {
+				t.Errorf("version %d, %v, want %d", version, err, want)
+			}
+		}
+		time.AfterFunc(time.Second, p.SetFresh)
+		if version, _, err := w.cutOff.Config(ctx, 1); version != 2 || err != nil {
+			t.Errorf("version %d, %v", version, err)
+		}
+		time.AfterFunc(time.Second, func() { p.SetDown(true) })
+		_, _, err := w.reader.Config(ctx, 2)
+		wantKind(t, err, platform.Unavailable)
+		p.SetDown(false)
+		time.AfterFunc(time.Second, func() { w.net.Silence([]string{reader}, []string{host}) })
+		start := time.Now()
+		_, _, err = w.reader.Config(ctx, 2)
+		wantKind(t, err, platform.Unavailable)
+		if took := time.Since(start); took > 2*platform.DefaultWatchTime {
+			t.Errorf("noticed a silent connection after %v", took)
+		}
+		_, _, err = w.reader.Config(ctx, 0)
+		wantKind(t, err, 0)
+	})
+}
+
+// Rate limits are typed, and the weight store's time to wait is kept to.
+func TestRateLimits(t *testing.T) {
+	p := newPlatform()
+	inWorld(t, p, func(w *world) {
+		ctx := context.Background()
+		p.SetConfig(1, nil)
+		var err error
+		for range 11 {
+			_, _, err = w.reader.Config(ctx, 0)
+		}
+		wantKind(t, err, platform.Limited)
+		if p.Refused() != 1 {
+			t.Errorf("%d refused", p.Refused())
+		}
+		p.SetWeights("m", []byte("weights"))
+		start := time.Now()
+		for range 2 {
+			data, err := w.reader.Weights(ctx, "m")
+			if string(data) != "weights" || err != nil {
+				t.Errorf("%q, %v", data, err)
+			}
+		}
+		if took := time.Since(start); took != time.Minute || p.Reads(platform.PathWeights) != 3 {
+			t.Errorf("%d fetches in %v", p.Reads(platform.PathWeights), took)
+		}
+		time.Sleep(time.Minute)
+		_, err = w.reader.Weights(ctx, "other")
+		wantKind(t, err, platform.Missing)
+	})
+}
+
+// Answers that break the interface or its bounds are refused whole.
+func TestMalformed(t *testing.T) {
+	target := `{"id":"t","data_centre":"d","addr":"10.0.0.2:80","state":"live"}`
+	tests := []struct {
+		name, version, body string
+		kind                platform.Kind
+	}{
+		{"good", "1", `{"version":1,"targets":[` + target + `]}`, 0},
+		{"no version", "", `{}`, platform.Malformed},
+		{"version 0", "0", `{}`, platform.Malformed},
+		{"versions differ", "1", `{"version":2}`, platform.Malformed},
+		{"not JSON", "1", `list`, platform.Malformed},
+		{"listed twice", "1", `{"version":1,"targets":[` + target + `,` + target + `]}`, platform.Malformed},
+		{"unknown state", "1", fmt.Sprintf(`{"version":1,"targets":[%s]}`, strings.Replace(target, "live", "gone", 1)), platform.Malformed},
+		{"no data centre", "1", fmt.Sprintf(`{"version":1,"targets":[%s]}`, strings.Replace(target, `"d"`, `""`, 1)), platform.Malformed},
+		{"bad address", "1", fmt.Sprintf(`{"version":1,"targets":[%s]}`, strings.Replace(target, ":80", "", 1)), platform.Malformed},
+		{"too large", "1", strings.Repeat(" ", platform.MaxListBytes+1), platform.Malformed},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(platform.HeaderVersion, test.version)
+				_, _ = w.Write([]byte(test.body))
+			})
+			inWorld(t, h, func(w *world) {
+				_, err := w.reader.List(context.Background())
+				wantKind(t, err, test.kind)
+			})
+		})
+	}
+}
