--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -1,8 +1,8 @@
 package standin_test
 
 import (
-	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -10,66 +10,144 @@
 
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/memnet"
-	"medlarwind.dev/medlarwind/internal/platform"
 	"medlarwind.dev/medlarwind/internal/standin"
 	"medlarwind.dev/medlarwind/internal/target"
 )
 
-func TestEngineAnswersWithinBatch(t *testing.T) {
+const addr = "10.0.0.9:80"
+
+// withEngine runs f with an engine and a client in virtual time.
+func withEngine(t *testing.T, opts standin.EngineOptions, f func(t *testing.T, e *standin.Engine, c *target.Client)) {
 	synctest.Test(t, func(t *testing.T) {
 		n := memnet.New()
-		l, _ := n.Listen("10.0.0.9:80")
-		e := standin.NewEngine(standin.EngineOptions{})
-		defer standin.Serve(l, e)()
-		defer e.Close()
-		c := target.NewClient(n.Host("10.0.0.1").Dial, target.Options{})
-		defer c.Close()
-		s, err := c.Generate(context.Background(), "10.0.0.9:80", target.GenerateRequest{RequestID: "r", Prompt: "p", MaxTokens: 10})
+		l, err := n.Listen(addr)
 		if err != nil {
 			t.Fatal(err)
 		}
-		var got []byte
-		for {
-			chunk, err := s.Next()
-			if err == io.EOF {
-				break
+		e := standin.NewEngine(opts)
+		stop := standin.Serve(l, e)
+		c := target.NewClient(n.Host("10.0.0.1").Dial, target.Options{})
+		f(t, e, c)
+		c.Close()
+		e.Close()
+		stop()
+	})
+}
+
+// run sends requests with the prompts at once and returns their errors.
+func run(c *target.Client, prompts ...string) []error {
+	results := make([]error, len(prompts))
+	done := make(chan struct{})
+	for i, prompt := range prompts {
+		go func() {
+			r := target.GenerateRequest{RequestID: fmt.Sprintf("%s-%d", prompt, i), Prompt: prompt, MaxTokens: 40}
+			s, err := c.Generate(context.Background(), addr, r)
+			for err == nil {
+				_, err = s.Next()
 			}
-			if err != nil {
-				t.Fatal(err)
+			if err != io.EOF {
+				results[i] = err
 			}
-			got = append(got, chunk.Data...)
+			done <- struct{}{}
+		}()
+	}
+	for range prompts {
+		<-done
+	}
+	return results
+}
+
+// failures counts errors.
+func failures(errs []error) int {
+	n := 0
+	for _, err := range errs {
+		if err != nil {
+			n++
 		}
-		if !bytes.Equal(got, standin.Answer("p", 10)) {
-			t.Errorf("answer %x", got)
+	}
+	return n
+}
+
+// A cold engine bears its cold limit, is ready after enough work, then fills its
+// batch and queues the rest.
+func TestEngineWarmsAndBatches(t *testing.T) {
+	withEngine(t, standin.EngineOptions{BatchLimit: 4, ColdLimit: 2, WarmAfter: 2}, func(t *testing.T, e *standin.Engine, c *target.Client) {
+		if failed := failures(run(c, "a", "b")); failed > 0 || e.Now().State != fleet.TargetReady {
+			t.Fatalf("%d failed, %+v", failed, e.Now())
 		}
-		r, err := c.Load(context.Background(), "10.0.0.9:80")
-		if err != nil || r.Completed != 1 || n.Dials("10.0.0.1", "10.0.0.9") != 1 {
-			t.Errorf("load %+v, %v", r, err)
+		if failed := failures(run(c, "a", "b", "c", "d", "e", "f")); failed > 0 {
+			t.Errorf("%d failed", failed)
+		}
+		want := standin.Peak{Running: 4, ColdRunning: 2, BatchLimit: 4, ColdLimit: 2}
+		if got := e.Peak(); got != want {
+			t.Errorf("peak %+v, want %+v", got, want)
+		}
+		e.TurnCold()
+		e.Leave()
+		if got := e.Now(); got.State != fleet.TargetLeaving || got.Completed != 8 || got.BootID != "engine-1" {
+			t.Errorf("load %+v", got)
 		}
 	})
 }
 
-func TestPlatform(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		n := memnet.New()
-		l, _ := n.Listen("10.0.0.9:80")
-		p := standin.NewPlatform(standin.PlatformOptions{})
-		defer standin.Serve(l, p)()
-		c := platform.NewClient("10.0.0.9:80", n.Host("10.0.0.1").Dial)
-		defer c.Close()
-		p.SetConfig(3, []byte("x"))
-		p.SetList(fleet.List{Version: 1}, time.Second)
-		version, text, err := c.Config(context.Background(), 0)
-		if version != 3 || string(text) != "x" || err != nil {
-			t.Errorf("Config = %d, %q, %v", version, text, err)
-		}
-		version, text, err = c.Config(context.Background(), 3)
-		if version != 3 || text != nil || err != nil {
-			t.Errorf("Config without change = %d, %q, %v", version, text, err)
+// Overload when cold and a poison prompt crash the engine: it cuts everything, has
+// another boot id and is cold.
+func TestEngineCrashes(t *testing.T) {
+	tests := []struct {
+		name    string
+		prompts []string
+		failed  int
+		want    standin.Peak
+	}{
+		{"cold overload", []string{"a", "b", "c"}, 3, standin.Peak{Crashes: 1, ColdOverloads: 1}},
+		{"poison", []string{"a", "poison"}, 2, standin.Peak{Crashes: 1}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			opts := standin.EngineOptions{RestartTime: time.Second}
+			withEngine(t, opts, func(t *testing.T, e *standin.Engine, c *target.Client) {
+				e.CrashOn("poison")
+				failed := failures(run(c, test.prompts...))
+				got := e.Peak()
+				if got.Crashes != test.want.Crashes || got.ColdOverloads != test.want.ColdOverloads || e.Now().Running != 0 {
+					t.Errorf("%+v, %+v", got, e.Now())
+				}
+				if failed != test.failed || len(e.Arrivals()) > len(test.prompts) {
+					t.Errorf("%d failed, %d arrived", failed, len(e.Arrivals()))
+				}
+				if _, err := c.Load(context.Background(), addr); err == nil {
+					t.Error("answered while restarting")
+				}
+				time.Sleep(opts.RestartTime)
+				report, err := c.Load(context.Background(), addr)
+				if err != nil || report.BootID != "engine-2" || report.State != fleet.TargetCold {
+					t.Errorf("%+v, %v", report, err)
+				}
+			})
+		})
+	}
+}
+
+// A report shows the load as it was before the lag; a run that nobody reads is
+// canceled after the orphan time.
+func TestEngineLagAndOrphans(t *testing.T) {
+	opts := standin.EngineOptions{ReportLag: 3 * time.Second, OrphanTime: time.Minute, TokenTime: time.Second}
+	withEngine(t, opts, func(t *testing.T, e *standin.Engine, c *target.Client) {
+		time.Sleep(time.Hour)
+		s, err := c.Generate(context.Background(), addr, target.GenerateRequest{RequestID: "r", MaxTokens: 1000})
+		if err != nil {
+			t.Fatal(err)
 		}
-		list, err := c.List(context.Background())
-		if list.Version != 1 || err != nil {
-			t.Errorf("List = %+v, %v", list, err)
+		s.Close()
+		for _, step := range []struct {
+			wait            time.Duration
+			running, lagged int
+		}{{2 * time.Second, 1, 0}, {2 * time.Second, 1, 1}, {time.Minute, 0, 0}} {
+			time.Sleep(step.wait)
+			report, err := c.Load(context.Background(), addr)
+			if err != nil || report.Running != step.lagged || report.Age() != opts.ReportLag || e.Now().Running != step.running {
+				t.Errorf("after %v: %+v, %v; now %+v", step.wait, report, err, e.Now())
+			}
 		}
 	})
 }
