Wait for healing in the in-memory network's test

Cause: a heal that did not wake a waiting reader went unseen. Change: the reader waits before the cut heals. Dials that nobody accepts no longer stay registered with their link. Broken variant that fails now: healing without waking readers. Measured: go test -race -count=1 ./internal/memnet, ok in 1.5 s.

--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -96,12 +96,12 @@
 		out.conns.Add(1)
 		return near, nil
 	case <-l.closed:
-		near.breakBoth()
-		return nil, opError("dial", addr, syscall.ECONNREFUSED)
+		err = syscall.ECONNREFUSED
 	case <-ctx.Done():
-		near.breakBoth()
-		return nil, opError("dial", addr, ctx.Err())
+		err = ctx.Err()
 	}
+	_, _ = near.Close(), far.Close()
+	return nil, opError("dial", addr, err)
 }
 
 // handshake waits for one round trip over the two links.
@@ -210,6 +210,7 @@
 		select {
 		case c := <-l.queue:
 			c.breakBoth()
+			_ = c.Close()
 		default:
 			return
 		}
--- a/internal/memnet/memnet_test.go
+++ b/internal/memnet/memnet_test.go
@@ -95,8 +95,14 @@
 					t.Errorf("client read %q, %v", gotClient, clientErr)
 				}
 				checkDial(t, n, test.dial)
+				healed := make(chan string)
+				go func() {
+					got, _ := readFor(server, patient)
+					healed <- got
+				}()
+				synctest.Wait()
 				n.Heal(a, b)
-				if got, _ := readFor(server, patient); (got == "ping") != test.healed {
+				if got := <-healed; (got == "ping") != test.healed {
 					t.Errorf("server read %q after healing", got)
 				}
 				checkDial(t, n, nil)
