Keep connections of a paused process, and name unsent messages rightly

Ruled out: a longer deadline, which delays the notice of silent connections. Change: a read goes on for a grace time after its deadline, within the silence time-out. Dial failures carry their own type. Tests cancel a call at each quarter of a millisecond of its way.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -7,7 +7,6 @@
 import (
 	"fmt"
 	"hash/fnv"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -321,17 +320,3 @@
 	}
 	return answer
 }
-
-// Serve serves h on l until stop is called, which breaks its connections.
-func Serve(l net.Listener, h http.Handler) (stop func()) {
-	server := &http.Server{Handler: h}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = server.Serve(l)
-	}()
-	return func() {
-		_ = server.Close()
-		<-done
-	}
-}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -40,10 +40,11 @@
 	opts PlatformOptions
 	mux  *http.ServeMux
 
-	mu      sync.Mutex
-	down    bool
-	now     published
-	stale   map[string]published
+	mu    sync.Mutex
+	down  bool
+	now   published
+	stale map[string]published
+	// changed is closed at the next change; it is nil while no watch waits.
 	changed chan struct{}
 	weights map[string][]byte
 	reads   map[string]int
@@ -79,7 +80,6 @@
 		mux:     http.NewServeMux(),
 		now:     make(published),
 		stale:   make(map[string]published),
-		changed: make(chan struct{}),
 		weights: make(map[string][]byte),
 		reads:   make(map[string]int),
 	}
@@ -115,8 +115,10 @@
 
 // wake makes the watches look again; mu is held.
 func (p *Platform) wake() {
-	close(p.changed)
-	p.changed = make(chan struct{})
+	if p.changed != nil {
+		close(p.changed)
+		p.changed = nil
+	}
 }
 
 // SetDown makes every read fail, or work again; weights too.
@@ -240,6 +242,9 @@
 	if frozen, ok := p.stale[host]; ok {
 		view = frozen
 	}
+	if p.changed == nil {
+		p.changed = make(chan struct{})
+	}
 	return view[r.URL.Path], p.down, p.changed
 }
 
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -31,6 +31,7 @@
 	mux *http.ServeMux
 
 	mu        sync.Mutex
+	state     fleet.TargetState
 	delay     time.Duration
 	fault     CallFault
 	runs      map[string]int
@@ -41,7 +42,7 @@
 
 // NewService returns a service without faults.
 func NewService() *Service {
-	s := &Service{mux: http.NewServeMux(), runs: make(map[string]int)}
+	s := &Service{mux: http.NewServeMux(), state: fleet.TargetReady, runs: make(map[string]int)}
 	s.mux.HandleFunc("POST "+enginewire.PathCall+"{method}", s.serveCall)
 	s.mux.HandleFunc("GET "+enginewire.PathLoad, s.serveLoad)
 	return s
@@ -61,6 +62,13 @@
 	s.fault = f
 }
 
+// SetState changes the state that the service reports.
+func (s *Service) SetState(state fleet.TargetState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = state
+}
+
 // Runs returns how often the call with that id ran.
 func (s *Service) Runs(callID string) int {
 	s.mu.Lock()
@@ -124,7 +132,7 @@
 	s.mu.Lock()
 	report := fleet.LoadReport{
 		BootID:    "service",
-		State:     fleet.TargetReady,
+		State:     s.state,
 		Running:   s.running,
 		Completed: s.completed,
 	}
--- a/internal/target/bench_test.go
+++ b/internal/target/bench_test.go
@@ -3,8 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"io"
+	"net"
 	"testing"
+	"time"
 
+	"medlarwind.dev/medlarwind/internal/standin"
 	"medlarwind.dev/medlarwind/internal/target/enginewire"
 )
 
@@ -36,3 +40,29 @@
 		}
 	}
 }
+
+// BenchmarkGenerateLoopback is the cost of one request with its answer over TCP,
+// the engine's part included.
+func BenchmarkGenerateLoopback(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	e := standin.NewEngine(standin.EngineOptions{TokensPerFrame: 16, TokenTime: time.Nanosecond})
+	e.SetReady()
+	defer standin.Serve(l, e)()
+	defer e.Close()
+	c := NewClient((&net.Dialer{}).DialContext, Options{})
+	defer c.Close()
+	b.ReportAllocs()
+	for b.Loop() {
+		r := GenerateRequest{RequestID: "r", Prompt: "p", MaxTokens: 256}
+		s, err := c.Generate(context.Background(), l.Addr().String(), r)
+		for err == nil {
+			_, err = s.Next()
+		}
+		if err != io.EOF {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -24,7 +24,7 @@
 	// DialTimeout bounds one dial.
 	DialTimeout time.Duration
 	// SilenceTimeout is the longest time without a byte on a connection to an
-	// engine; it must exceed twice the engines' keep-alive interval.
+	// engine. It must exceed twice the engines' keep-alive interval, and one second.
 	SilenceTimeout time.Duration
 	// CallTimeout bounds a plain call that has no deadline.
 	CallTimeout time.Duration
@@ -55,7 +55,7 @@
 	DefaultMaxHeldFrames    = 32
 	DefaultMaxBodyBytes     = 4 << 20
 	DefaultMaxKVBytes       = 64 << 20
-	DefaultMaxIdlePerTarget = 8
+	DefaultMaxIdlePerTarget = 32
 )
 
 // withDefaults fills the zero fields.
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -16,6 +16,16 @@
 // DialFunc opens a connection, as net.Dialer.DialContext does.
 type DialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
 
+// pauseGrace is how long a read goes on after its deadline, so that a process that
+// was paused finds what arrived meanwhile.
+const pauseGrace = 100 * time.Millisecond
+
+// dialError tells a failed dial from other failures before the first byte.
+type dialError struct{ err error }
+
+func (e *dialError) Error() string { return "dial: " + e.err.Error() }
+func (e *dialError) Unwrap() error { return e.err }
+
 // trackedConn counts the writes that may have reached the peer and gives every
 // read and write a deadline, so that a connection that went silent is closed.
 type trackedConn struct {
@@ -33,14 +43,23 @@
 
 // Read reads with a deadline.
 func (c *trackedConn) Read(p []byte) (int, error) {
-	if c.silence > 0 {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(c.silence))
+	if c.silence == 0 {
+		return c.Conn.Read(p)
+	}
+	n, err := c.readWithin(p, c.silence-pauseGrace)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = c.readWithin(p, pauseGrace)
 	}
-	n, err := c.Conn.Read(p)
 	c.note(err)
 	return n, err
 }
 
+// readWithin reads for at most d.
+func (c *trackedConn) readWithin(p []byte, d time.Duration) (int, error) {
+	_ = c.Conn.SetReadDeadline(time.Now().Add(d))
+	return c.Conn.Read(p)
+}
+
 // Write writes with a deadline and moves the deadline of the pending read. A write
 // that passed on nothing is not counted.
 func (c *trackedConn) Write(p []byte) (int, error) {
@@ -52,7 +71,7 @@
 	c.writes++
 	c.mu.Unlock()
 	if c.silence > 0 {
-		_ = c.Conn.SetDeadline(time.Now().Add(c.silence))
+		_ = c.Conn.SetDeadline(time.Now().Add(c.silence - pauseGrace))
 	}
 	n, err := c.Conn.Write(p)
 	if n == 0 && err != nil {
--- a/internal/target/errors.go
+++ b/internal/target/errors.go
@@ -46,7 +46,6 @@
 	ReasonCut       = "answer_cut"
 	ReasonStatus    = "unexpected_status"
 	ReasonRequest   = "invalid_request"
-	ReasonClosed    = "closed"
 )
 
 // Error is the failure of every method of Client and Stream.
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -48,7 +48,7 @@
 		defer cancel()
 		raw, err := dial(ctx, network, addr)
 		if err != nil {
-			return nil, err
+			return nil, &dialError{err}
 		}
 		c := &trackedConn{Conn: raw, registry: r, silence: silence}
 		r.add(c)
@@ -172,16 +172,23 @@
 	if sent {
 		return &Error{Kind: Unknown, Reason: x.breakReason(ctx, err), err: err}
 	}
-	reason := ReasonUnsent
+	return &Error{Kind: NotRun, Reason: x.unsentReason(ctx, err), err: err}
+}
+
+// unsentReason names why no byte of a message was written.
+func (x *exchange) unsentReason(ctx context.Context, err error) string {
 	x.mu.Lock()
-	if x.conn == nil {
-		reason = ReasonDial
-	}
-	x.mu.Unlock()
-	if ctx.Err() != nil {
-		reason = contextReason(ctx.Err())
+	defer x.mu.Unlock()
+	var dial *dialError
+	switch {
+	case ctx.Err() != nil:
+		return contextReason(ctx.Err())
+	case errors.As(err, &dial):
+		return ReasonDial
+	case x.conn == nil:
+		return ReasonRequest
 	}
-	return &Error{Kind: NotRun, Reason: reason, err: err}
+	return ReasonUnsent
 }
 
 // breakReason names why an exchange broke after its first byte.
--- a/internal/target/once_test.go
+++ b/internal/target/once_test.go
@@ -154,12 +154,29 @@
 				if s.Runs("call") != test.runs {
 					t.Errorf("%d runs", s.Runs("call"))
 				}
-				time.Sleep(time.Hour)
 			})
 		})
 	}
 }
 
+// Whenever the caller cancels, "not run" is true.
+func TestCancelAtEachMoment(t *testing.T) {
+	const step = time.Millisecond / 4
+	for wait := time.Duration(0); wait < 32*step; wait += step {
+		s := standin.NewService()
+		inWorld(t, s, func(w *world) {
+			w.net.Delay([]string{instanceHost}, []string{targetHost}, time.Millisecond)
+			ctx, cancel := context.WithTimeout(context.Background(), wait)
+			defer cancel()
+			_, err := w.client.Call(ctx, targetAddr, testCall(true))
+			time.Sleep(time.Second)
+			if (kindOf(err) == target.NotRun && s.Arrivals() > 0) || (err == nil && s.Runs("call") != 1) {
+				t.Errorf("after %v: %v, %d arrivals", wait, err, s.Arrivals())
+			}
+		})
+	}
+}
+
 // A connection that takes no byte gives "not run"; one that takes the first byte
 // and then fails does not.
 func TestWriteCount(t *testing.T) {
@@ -169,6 +186,7 @@
 			return &shortConn{Conn: near, taken: taken}, nil
 		}
 		c := target.NewClient(dial, target.Options{})
+		defer c.Close()
 		_, err := c.Call(context.Background(), targetAddr, testCall(true))
 		wantError(t, err, kind, "")
 	}
