--- a/internal/standin/cache.go
+++ b/internal/standin/cache.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -37,33 +38,20 @@
 	at time.Time
 }
 
-// newPrefixCache returns an empty cache.
-func newPrefixCache(capacity int) *prefixCache { return &prefixCache{capacity: capacity} }
-
-// find returns the position of a prefix, or -1.
-func (c *prefixCache) find(p prefix) int {
-	for i, other := range c.order {
-		if other == p {
-			return i
-		}
-	}
-	return -1
-}
-
 // touch makes a prefix the most recently used and reports whether it was cached.
-func (c *prefixCache) touch(model fleet.ModelID, hash uint64) bool {
-	p := prefix{model, hash}
-	if i := c.find(p); i >= 0 {
-		c.order = append(append(c.order[:i:i], c.order[i+1:]...), p)
-		return true
+func (c *prefixCache) touch(p prefix) bool {
+	i := slices.Index(c.order, p)
+	if i >= 0 {
+		c.order = slices.Delete(c.order, i, i+1)
+	} else {
+		c.publish(enginewire.CacheStored, p)
 	}
 	c.order = append(c.order, p)
-	c.publish(enginewire.CacheStored, p)
 	if len(c.order) > c.capacity {
 		c.publish(enginewire.CacheEvicted, c.order[0])
 		c.order = c.order[1:]
 	}
-	return false
+	return i >= 0
 }
 
 // publish appends an event.
@@ -114,7 +102,7 @@
 func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
 	p := queryPrefix(r)
 	e.mu.Lock()
-	cached := e.cache.find(p) >= 0
+	cached := slices.Contains(e.cache.order, p)
 	e.mu.Unlock()
 	if !cached {
 		refuse(w, http.StatusNotFound, "not_cached")
@@ -133,7 +121,7 @@
 		return
 	}
 	e.mu.Lock()
-	e.cache.touch(p.model, p.hash)
+	e.cache.touch(p)
 	e.mu.Unlock()
 }
 
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -6,7 +6,6 @@
 
 import (
 	"fmt"
-	"hash/fnv"
 	"net/http"
 	"slices"
 	"sync"
@@ -155,7 +154,7 @@
 	e.queue = nil
 	e.active = make(map[*run]struct{})
 	e.runs = make(map[string]*run)
-	e.cache = newPrefixCache(e.opts.CacheBlocks)
+	e.cache = &prefixCache{capacity: e.opts.CacheBlocks}
 	e.load = loadHistory{}
 	e.peak.Running, e.peak.ColdRunning = 0, 0
 	e.sample(0)
@@ -164,34 +163,40 @@
 // bootID names the current boot.
 func (e *Engine) bootID() string { return fmt.Sprintf("%s-%d", e.opts.Name, e.boot) }
 
-// Crash restarts the engine: it cuts every stream, forgets every run, is cold and
-// has another boot id.
-func (e *Engine) Crash() {
+// locked runs f with mu held.
+func (e *Engine) locked(f func()) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.crash()
+	f()
 }
 
+// Crash restarts the engine: it cuts every stream, forgets every run, is cold and
+// has another boot id.
+func (e *Engine) Crash() { e.locked(e.crash) }
+
 // crash is Crash with mu held.
 func (e *Engine) crash() {
 	e.peak.Crashes++
-	for _, r := range e.runs {
-		r.end(runCut)
-	}
+	e.cut()
 	e.downUntil = time.Now().Add(e.opts.RestartTime)
 	e.start()
 }
 
-// Close ends every run, so that no goroutine is left.
-func (e *Engine) Close() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.closed = true
+// cut ends every run; mu is held.
+func (e *Engine) cut() {
 	for _, r := range e.runs {
 		r.end(runCut)
 	}
 }
 
+// Close ends every run, so that no goroutine is left.
+func (e *Engine) Close() {
+	e.locked(func() {
+		e.closed = true
+		e.cut()
+	})
+}
+
 // TurnCold makes the engine cold on the same boot.
 func (e *Engine) TurnCold() { e.setState(fleet.TargetCold) }
 
@@ -200,123 +205,44 @@
 
 // setState changes the state.
 func (e *Engine) setState(s fleet.TargetState) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.state = s
-	e.warmed = 0
-	e.sample(0)
+	e.locked(func() {
+		e.state, e.warmed = s, 0
+		e.sample(0)
+	})
 }
 
 // Leave makes the engine report that it is leaving; it still serves.
 func (e *Engine) Leave() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.leaving = true
-	e.sample(0)
+	e.locked(func() {
+		e.leaving = true
+		e.sample(0)
+	})
 }
 
 // CrashOn makes the prompt crash the engine whenever it starts to run.
-func (e *Engine) CrashOn(prompt string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.poison[prompt] = true
-}
+func (e *Engine) CrashOn(prompt string) { e.locked(func() { e.poison[prompt] = true }) }
 
 // Arrivals returns the requests for answers received so far, in order.
-func (e *Engine) Arrivals() []Arrival {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return slices.Clone(e.arrivals)
+func (e *Engine) Arrivals() (arrivals []Arrival) {
+	e.locked(func() { arrivals = slices.Clone(e.arrivals) })
+	return arrivals
 }
 
 // Orders returns the orders carried out, in order.
-func (e *Engine) Orders() []enginewire.Order {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return slices.Clone(e.orders)
+func (e *Engine) Orders() (orders []enginewire.Order) {
+	e.locked(func() { orders = slices.Clone(e.orders) })
+	return orders
 }
 
 // Peak returns the most requests that ran at once since boot.
-func (e *Engine) Peak() Peak {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	p := e.peak
+func (e *Engine) Peak() (p Peak) {
+	e.locked(func() { p = e.peak })
 	p.BatchLimit, p.ColdLimit = e.opts.BatchLimit, e.opts.ColdLimit
 	return p
 }
 
 // Now returns the load as it is, without lag.
-func (e *Engine) Now() fleet.LoadReport {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.load.last()
-}
-
-// sample records the load after completed further requests; mu is held.
-func (e *Engine) sample(completed int64) {
-	report := fleet.LoadReport{
-		BootID:    e.bootID(),
-		State:     e.state,
-		Running:   len(e.active),
-		Waiting:   len(e.queue),
-		Completed: e.load.last().Completed + completed,
-	}
-	if e.leaving {
-		report.State = fleet.TargetLeaving
-	}
-	e.load.add(report, e.opts.ReportLag)
-}
-
-// loadHistory remembers the load for the time of the report lag.
-type loadHistory struct{ samples []loadSample }
-
-// loadSample is the load from a point in time on.
-type loadSample struct {
-	since  time.Time
-	report fleet.LoadReport
-}
-
-// last returns the newest report.
-func (h *loadHistory) last() fleet.LoadReport {
-	if len(h.samples) == 0 {
-		return fleet.LoadReport{}
-	}
-	return h.samples[len(h.samples)-1].report
-}
-
-// add appends a report and forgets those that no lagging reader needs.
-func (h *loadHistory) add(r fleet.LoadReport, lag time.Duration) {
-	now := time.Now()
-	h.samples = append(h.samples, loadSample{now, r})
-	for len(h.samples) > 1 && !h.samples[1].since.After(now.Add(-lag)) {
-		h.samples = h.samples[1:]
-	}
-}
-
-// at returns the load as it was lag ago, or at boot if that is later.
-func (h *loadHistory) at(lag time.Duration) fleet.LoadReport {
-	then := time.Now().Add(-lag)
-	i := len(h.samples) - 1
-	for i > 0 && h.samples[i].since.After(then) {
-		i--
-	}
-	r := h.samples[i].report
-	r.AgeMillis = min(lag, time.Since(h.samples[0].since)).Milliseconds()
+func (e *Engine) Now() (r fleet.LoadReport) {
+	e.locked(func() { r = e.load.last() })
 	return r
 }
-
-// Answer is the answer that every engine gives to a prompt. A longer one begins
-// with the shorter one.
-func Answer(prompt string, tokens int64) []byte {
-	h := fnv.New64a()
-	h.Write([]byte(prompt))
-	x := h.Sum64() | 1
-	answer := make([]byte, tokens*bytesPerToken)
-	for i := range answer {
-		x ^= x << 13
-		x ^= x >> 7
-		x ^= x << 17
-		answer[i] = byte(x >> 32)
-	}
-	return answer
-}
--- a/internal/standin/enginehttp.go
+++ b/internal/standin/enginehttp.go
@@ -132,12 +132,11 @@
 
 // detach ends a reader of a run.
 func (e *Engine) detach(r *run) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	r.readers--
-	if r.readers == 0 {
-		e.forgetLater(r)
-	}
+	e.locked(func() {
+		if r.readers--; r.readers == 0 {
+			e.forgetLater(r)
+		}
+	})
 }
 
 // stream writes the frames of a run as they are made.
@@ -196,11 +195,11 @@
 	if !decode(w, r, &req) {
 		return
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if run := e.runs[req.RequestID]; run != nil {
-		e.leave(run, runCanceled)
-	}
+	e.locked(func() {
+		if run := e.runs[req.RequestID]; run != nil {
+			e.leave(run, runCanceled)
+		}
+	})
 }
 
 // serveLoad reports the load as it was before the lag.
--- /dev/null
+++ b/internal/standin/load.go
@@ -0,0 +1,77 @@
+package standin
+
+import (
+	"hash/fnv"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+)
+
+// sample records the load after completed further requests; mu is held.
+func (e *Engine) sample(completed int64) {
+	report := fleet.LoadReport{
+		BootID:    e.bootID(),
+		State:     e.state,
+		Running:   len(e.active),
+		Waiting:   len(e.queue),
+		Completed: e.load.last().Completed + completed,
+	}
+	if e.leaving {
+		report.State = fleet.TargetLeaving
+	}
+	e.load.add(report, e.opts.ReportLag)
+}
+
+// loadHistory remembers the load for the time of the report lag.
+type loadHistory struct{ samples []loadSample }
+
+// loadSample is the load from a point in time on.
+type loadSample struct {
+	since  time.Time
+	report fleet.LoadReport
+}
+
+// last returns the newest report.
+func (h *loadHistory) last() fleet.LoadReport {
+	if len(h.samples) == 0 {
+		return fleet.LoadReport{}
+	}
+	return h.samples[len(h.samples)-1].report
+}
+
+// add appends a report and forgets those that no lagging reader needs.
+func (h *loadHistory) add(r fleet.LoadReport, lag time.Duration) {
+	now := time.Now()
+	h.samples = append(h.samples, loadSample{now, r})
+	for len(h.samples) > 1 && !h.samples[1].since.After(now.Add(-lag)) {
+		h.samples = h.samples[1:]
+	}
+}
+
+// at returns the load as it was lag ago, or at boot if that is later.
+func (h *loadHistory) at(lag time.Duration) fleet.LoadReport {
+	then := time.Now().Add(-lag)
+	i := len(h.samples) - 1
+	for i > 0 && h.samples[i].since.After(then) {
+		i--
+	}
+	r := h.samples[i].report
+	r.AgeMillis = min(lag, time.Since(h.samples[0].since)).Milliseconds()
+	return r
+}
+
+// Answer is the answer that every engine gives to a prompt. A longer one begins
+// with the shorter one.
+func Answer(prompt string, tokens int64) []byte {
+	h := fnv.New64a()
+	h.Write([]byte(prompt))
+	x := h.Sum64() | 1
+	answer := make([]byte, tokens*bytesPerToken)
+	for i := range answer {
+		x ^= x << 13
+		x ^= x >> 7
+		x ^= x << 17
+		answer[i] = byte(x >> 32)
+	}
+	return answer
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -97,20 +98,27 @@
 // SetList publishes a list after the lag.
 func (p *Platform) SetList(list fleet.List, lag time.Duration) {
 	body, _ := json.Marshal(list)
-	v := value{list.Version, body}
+	publish := func() { p.publish(platform.PathList, value{list.Version, body}) }
 	if lag == 0 {
-		p.publish(platform.PathList, v)
+		publish()
 		return
 	}
-	time.AfterFunc(lag, func() { p.publish(platform.PathList, v) })
+	time.AfterFunc(lag, publish)
 }
 
-// publish replaces a value and wakes the watches.
-func (p *Platform) publish(path string, v value) {
+// locked runs f with mu held.
+func (p *Platform) locked(f func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.now[path] = v
-	p.wake()
+	f()
+}
+
+// publish replaces a value and wakes the watches.
+func (p *Platform) publish(path string, v value) {
+	p.locked(func() {
+		p.now[path] = v
+		p.wake()
+	})
 }
 
 // wake makes the watches look again; mu is held.
@@ -137,10 +145,7 @@
 func (p *Platform) SetStale(hosts ...string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	frozen := make(published)
-	for path, v := range p.now {
-		frozen[path] = v
-	}
+	frozen := maps.Clone(p.now)
 	if len(hosts) == 0 {
 		hosts = []string{everyone}
 	}
@@ -158,24 +163,18 @@
 }
 
 // SetWeights stores a value of the weight store.
-func (p *Platform) SetWeights(name string, data []byte) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.weights[name] = data
-}
+func (p *Platform) SetWeights(name string, data []byte) { p.locked(func() { p.weights[name] = data }) }
 
 // Reads returns how many reads of a path arrived; a waiting watch is one.
-func (p *Platform) Reads(path string) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.reads[path]
+func (p *Platform) Reads(path string) (n int) {
+	p.locked(func() { n = p.reads[path] })
+	return n
 }
 
 // Refused returns how many reads the rate limit refused.
-func (p *Platform) Refused() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.refused
+func (p *Platform) Refused() (n int) {
+	p.locked(func() { n = p.refused })
+	return n
 }
 
 // ServeHTTP serves the platform's interface.
@@ -236,11 +235,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	view := p.now
-	if frozen, ok := p.stale[everyone]; ok {
-		view = frozen
-	}
-	if frozen, ok := p.stale[host]; ok {
-		view = frozen
+	for _, key := range []string{everyone, host} {
+		if frozen, ok := p.stale[key]; ok {
+			view = frozen
+		}
 	}
 	if p.changed == nil {
 		p.changed = make(chan struct{})
--- a/internal/standin/run.go
+++ b/internal/standin/run.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"slices"
 	"time"
 
 	"medlarwind.dev/medlarwind/internal/fleet"
@@ -31,9 +32,6 @@
 	readers int
 }
 
-// inputTokens is the length of the prompt in tokens.
-func (r *run) inputTokens() int64 { return int64(len(r.request.Prompt)/bytesPerToken) + 1 }
-
 // notify wakes the readers.
 func (r *run) notify() {
 	close(r.changed)
@@ -87,15 +85,15 @@
 		e.active[r] = struct{}{}
 		r.state = runActive
 		e.peak.Running = max(e.peak.Running, len(e.active))
-		if e.state == fleet.TargetCold {
+		cold := e.state == fleet.TargetCold
+		if cold {
 			e.peak.ColdRunning = max(e.peak.ColdRunning, len(e.active))
 		}
-		if e.state == fleet.TargetCold && len(e.active) > e.opts.ColdLimit {
+		overloaded := cold && len(e.active) > e.opts.ColdLimit
+		if overloaded {
 			e.peak.ColdOverloads++
-			e.crash()
-			return
 		}
-		if e.poison[r.request.Prompt] {
+		if overloaded || e.poison[r.request.Prompt] {
 			e.crash()
 			return
 		}
@@ -108,7 +106,7 @@
 	hashes := enginewire.PrefixHashes(r.request.Model, r.request.Prompt, e.opts.CacheBlocks)
 	missing := 0
 	for _, hash := range hashes {
-		if !e.cache.touch(r.request.Model, hash) {
+		if !e.cache.touch(prefix{r.request.Model, hash}) {
 			missing++
 		}
 	}
@@ -116,63 +114,40 @@
 }
 
 // generate makes the frames of a run, one after the other.
-func (e *Engine) generate(r *run, prefill time.Duration) {
-	timer := time.NewTimer(prefill)
-	defer timer.Stop()
-	var made int64
-	var sum uint32
-	for first := true; made < r.tokens || first; first = false {
+func (e *Engine) generate(r *run, wait time.Duration) {
+	var f enginewire.Frame
+	for f.OutputTokens < r.tokens {
+		made := f.OutputTokens
 		n := min(e.opts.TokensPerFrame, r.tokens-made)
-		if first && prefill > 0 {
-			if !pause(timer, r.stop) {
-				return
-			}
-		}
-		timer.Reset(time.Duration(n) * e.opts.TokenTime)
-		if !pause(timer, r.stop) {
+		select {
+		case <-time.After(wait + time.Duration(n)*e.opts.TokenTime):
+		case <-r.stop:
 			return
 		}
-		data := r.answer[made*bytesPerToken : (made+n)*bytesPerToken]
-		made += n
-		sum = enginewire.Checksum(sum, data)
-		e.progress(r, enginewire.Frame{OutputTokens: made, Checksum: sum, Data: data})
+		wait = 0
+		f.Data = r.answer[made*bytesPerToken : (made+n)*bytesPerToken]
+		f.Checksum = enginewire.Checksum(f.Checksum, f.Data)
+		f.OutputTokens += n
+		e.locked(func() { e.progress(r, f) })
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if r.state != runActive {
-		return
-	}
-	last := enginewire.Frame{OutputTokens: made, Checksum: sum, Last: true, RequestID: r.request.RequestID}
-	last.Frames = int64(len(r.frames))
-	e.appendFrame(r, last)
-	e.leave(r, runDone)
 }
 
-// pause waits for the timer, and returns false if stop was closed first.
-func pause(timer *time.Timer, stop chan struct{}) bool {
-	select {
-	case <-timer.C:
-		return true
-	case <-stop:
-		return false
-	}
-}
-
-// progress appends one frame to a run that is still active.
+// progress appends one frame, and the last one after the whole answer; mu is held.
 func (e *Engine) progress(r *run, f enginewire.Frame) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if r.state == runActive {
-		e.appendFrame(r, f)
-		r.notify()
+	if r.state != runActive {
+		return
 	}
-}
-
-// appendFrame numbers and appends a frame; mu is held.
-func (e *Engine) appendFrame(r *run, f enginewire.Frame) {
 	f.Sequence = int64(len(r.frames))
-	f.InputTokens = r.inputTokens()
+	f.InputTokens = int64(len(r.request.Prompt)/bytesPerToken) + 1
 	r.frames = append(r.frames, f)
+	if f.OutputTokens < r.tokens {
+		r.notify()
+		return
+	}
+	f.Sequence++
+	f.Data, f.Last, f.Frames, f.RequestID = nil, true, f.Sequence, r.request.RequestID
+	r.frames = append(r.frames, f)
+	e.leave(r, runDone)
 }
 
 // leave takes a run out of the batch or the queue, with its final state; mu is
@@ -182,14 +157,17 @@
 		return
 	}
 	if r.state == runQueued {
-		e.queue = without(e.queue, r)
+		e.queue = slices.DeleteFunc(e.queue, func(other *run) bool { return other == r })
 	}
 	delete(e.active, r)
 	r.end(s)
 	var completed int64
 	if s == runDone {
 		completed = 1
-		e.warm()
+		e.warmed++
+	}
+	if e.state == fleet.TargetCold && e.warmed >= e.opts.WarmAfter {
+		e.state = fleet.TargetReady
 	}
 	if r.readers == 0 {
 		e.forgetLater(r)
@@ -199,35 +177,15 @@
 	e.sample(0)
 }
 
-// without returns queue without r.
-func without(queue []*run, r *run) []*run {
-	var rest []*run
-	for _, other := range queue {
-		if other != r {
-			rest = append(rest, other)
-		}
-	}
-	return rest
-}
-
-// warm counts a completed request; mu is held.
-func (e *Engine) warm() {
-	e.warmed++
-	if e.state == fleet.TargetCold && e.warmed >= e.opts.WarmAfter {
-		e.state = fleet.TargetReady
-	}
-}
-
 // forgetLater cancels and forgets a run that nobody reads for the orphan time; mu
 // is held.
 func (e *Engine) forgetLater(r *run) {
 	time.AfterFunc(e.opts.OrphanTime, func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		if r.readers > 0 || e.runs[r.request.RequestID] != r {
-			return
-		}
-		e.leave(r, runCanceled)
-		delete(e.runs, r.request.RequestID)
+		e.locked(func() {
+			if r.readers == 0 && e.runs[r.request.RequestID] == r {
+				delete(e.runs, r.request.RequestID)
+				e.leave(r, runCanceled)
+			}
+		})
 	})
 }
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -48,39 +48,32 @@
 	return s
 }
 
-// SetDelay makes every later call take that long.
-func (s *Service) SetDelay(d time.Duration) {
+// locked runs f with mu held.
+func (s *Service) locked(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.delay = d
+	f()
 }
 
+// SetDelay makes every later call take that long.
+func (s *Service) SetDelay(d time.Duration) { s.locked(func() { s.delay = d }) }
+
 // SetFault chooses what happens to later calls.
-func (s *Service) SetFault(f CallFault) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fault = f
-}
+func (s *Service) SetFault(f CallFault) { s.locked(func() { s.fault = f }) }
 
 // SetState changes the state that the service reports.
-func (s *Service) SetState(state fleet.TargetState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.state = state
-}
+func (s *Service) SetState(state fleet.TargetState) { s.locked(func() { s.state = state }) }
 
 // Runs returns how often the call with that id ran.
-func (s *Service) Runs(callID string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.runs[callID]
+func (s *Service) Runs(callID string) (n int) {
+	s.locked(func() { n = s.runs[callID] })
+	return n
 }
 
 // Arrivals returns how many requests for calls began to arrive, whole or not.
-func (s *Service) Arrivals() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.arrivals
+func (s *Service) Arrivals() (n int) {
+	s.locked(func() { n = s.arrivals })
+	return n
 }
 
 // ServeHTTP serves the interface of targets.
@@ -116,15 +109,15 @@
 
 // run counts a call and takes its time.
 func (s *Service) run(callID string, delay time.Duration) {
-	s.mu.Lock()
-	s.runs[callID]++
-	s.running++
-	s.mu.Unlock()
+	s.locked(func() {
+		s.runs[callID]++
+		s.running++
+	})
 	time.Sleep(delay)
-	s.mu.Lock()
-	s.running--
-	s.completed++
-	s.mu.Unlock()
+	s.locked(func() {
+		s.running--
+		s.completed++
+	})
 }
 
 // serveLoad reports the load.
