Prove at-most-once calls under many faults at once

Cause: single breaks at byte boundaries leave out calls that share a pool, large bodies and cancellation between taking a connection and writing to it. Change: a property over 40 calls at random times with resets, silences, cuts and heals; bodies of 1 MiB broken at buffer boundaries; a test that a sealed connection takes nothing more than was counted. Reading the count and sealing in two steps is not caught: the window is too short.

--- a/internal/target/conn_test.go
+++ b/internal/target/conn_test.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"os"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -32,3 +34,33 @@
 		t.Errorf("Read = %d, %v", n, err)
 	}
 }
+
+// countingConn counts the writes that it takes.
+type countingConn struct {
+	net.Conn
+	writes atomic.Int64
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	c.writes.Add(1)
+	return len(p), nil
+}
+
+func (c *countingConn) Close() error { return nil }
+
+// If seal says that nothing was written, nothing is written later either.
+func TestSealIsFinal(t *testing.T) {
+	const rounds = 2000
+	for range rounds {
+		raw := &countingConn{}
+		c := &trackedConn{Conn: raw, registry: newRegistry()}
+		var group sync.WaitGroup
+		group.Go(func() { _, _ = c.Write([]byte("request")) })
+		sealed := c.seal()
+		group.Wait()
+		_, err := c.Write([]byte("late"))
+		if written := raw.writes.Load(); err == nil || written != int64(sealed) {
+			t.Fatalf("%d writes, %d counted, %v", written, sealed, err)
+		}
+	}
+}
--- a/internal/target/once_test.go
+++ b/internal/target/once_test.go
@@ -7,10 +7,13 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"medlarwind.dev/medlarwind/internal/memnet"
 	"medlarwind.dev/medlarwind/internal/standin"
 	"medlarwind.dev/medlarwind/internal/target"
@@ -93,6 +96,75 @@
 	})
 }
 
+// A body that is written in many parts breaks anywhere: the call does not run.
+func TestLargeCallBreaks(t *testing.T) {
+	for _, at := range []int64{0, 200, 4095, 4096, 32 << 10, 33 << 10, 256 << 10, 257 << 10, 1<<20 - 1} {
+		for _, once := range []bool{true, false} {
+			s := standin.NewService()
+			inWorld(t, s, func(w *world) {
+				w.net.BreakAfter(instanceHost, targetHost, at)
+				r := testCall(once)
+				r.Body = bytes.Repeat([]byte("x"), 1<<20)
+				_, err := w.call(r)
+				synctest.Wait()
+				if s.Runs("call") > 0 || kindOf(err) != target.Unknown {
+					t.Errorf("once=%t after %d bytes: %d runs, %v", once, at, s.Runs("call"), err)
+				}
+			})
+		}
+	}
+}
+
+// Many calls at once, while connections break, go silent and heal at any moment:
+// each runs at most once, and what is said of it is true.
+func TestManyCallsUnderFaults(t *testing.T) {
+	const calls, steps = 40, 20
+	a, b := []string{instanceHost}, []string{targetHost}
+	faults := []func(n *memnet.Network){
+		func(n *memnet.Network) { n.Reset(a, b) },
+		func(n *memnet.Network) { n.Silence(a, b) },
+		func(n *memnet.Network) { n.Cut(a, b, memnet.Break) },
+		func(n *memnet.Network) { n.Cut(a, b, memnet.Silent) },
+		func(n *memnet.Network) { n.CutOneWay(b, a) },
+		func(n *memnet.Network) { n.Heal(a, b) },
+		func(n *memnet.Network) { n.Heal(a, b) },
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		times := rapid.SliceOfN(rapid.IntRange(0, 1000), calls, calls).Draw(rt, "call times, ms")
+		order := rapid.SliceOfN(rapid.IntRange(0, len(faults)-1), steps, steps).Draw(rt, "faults")
+		pause := time.Duration(rapid.IntRange(1, 100).Draw(rt, "pause, ms")) * time.Millisecond
+		s := standin.NewService()
+		s.SetDelay(20 * time.Millisecond)
+		inWorld(t, s, func(w *world) {
+			w.net.Delay(a, b, 5*time.Millisecond)
+			errs := make([]error, calls)
+			var group sync.WaitGroup
+			for i, ms := range times {
+				group.Go(func() {
+					time.Sleep(time.Duration(ms) * time.Millisecond)
+					r := testCall(i%2 == 0)
+					r.CallID = fmt.Sprint(i)
+					r.Deadline = time.Now().Add(10 * time.Second)
+					_, errs[i] = w.call(r)
+				})
+			}
+			for _, f := range order {
+				time.Sleep(pause)
+				faults[f](w.net)
+			}
+			group.Wait()
+			w.net.Heal(a, b)
+			time.Sleep(time.Minute)
+			for i, err := range errs {
+				runs := s.Runs(fmt.Sprint(i))
+				if runs > 1 || (kindOf(err) == target.NotRun && runs > 0) || (err == nil && runs != 1) {
+					t.Errorf("call %d: %d runs, %v", i, runs, err)
+				}
+			}
+		})
+	})
+}
+
 // The server closes a pooled connection just before, while or just after the next
 // call is written. Nothing is sent twice; a call that found it closed is served.
 func TestServerClosesPooledConnection(t *testing.T) {
