Let dials wait out a silent cut in the in-memory network

Cause: a dial made during a silent cut stayed lost after the cut healed, unlike a TCP handshake, which is sent again. Change: the handshake looks again each second until it passes or its context ends.

--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -22,8 +22,10 @@
 	acceptQueue = 1024
 	// firstPort is the first port given to dialling ends.
 	firstPort = 49152
-	// handshakeTimeout bounds a dial over a link that loses every byte.
+	// handshakeTimeout bounds a dial over a link that holds bytes back, which is
+	// tried again after each handshakeRetry.
 	handshakeTimeout = 60 * time.Second
+	handshakeRetry   = time.Second
 )
 
 // Network is a set of hosts, listeners and links.
@@ -104,29 +106,36 @@
 	return nil, opError("dial", addr, err)
 }
 
-// handshake waits for one round trip over the two links.
+// handshake waits for one round trip over the two links, trying again while bytes
+// are held back.
 func handshake(ctx context.Context, out, in *link) error {
-	if out.refusing.Load() || in.refusing.Load() {
-		return syscall.EHOSTUNREACH
-	}
-	wait := out.latency() + in.latency()
-	blocked := out.blocked.Load() || in.blocked.Load()
-	if blocked {
-		wait = handshakeTimeout
-	}
-	if wait > 0 {
-		timer := time.NewTimer(wait)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			return ctx.Err()
+	for waited := time.Duration(0); waited < handshakeTimeout; waited += handshakeRetry {
+		if out.refusing.Load() || in.refusing.Load() {
+			return syscall.EHOSTUNREACH
+		}
+		if !out.blocked.Load() && !in.blocked.Load() {
+			return sleep(ctx, out.latency()+in.latency())
+		}
+		if err := sleep(ctx, handshakeRetry); err != nil {
+			return err
 		}
 	}
-	if blocked {
-		return os.ErrDeadlineExceeded
+	return os.ErrDeadlineExceeded
+}
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) error {
+	if d == 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err()
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	return ctx.Err()
 }
 
 // route returns the listener at addr and a new local address for the dialler.
--- a/internal/memnet/memnet_test.go
+++ b/internal/memnet/memnet_test.go
@@ -130,6 +130,25 @@
 	}
 }
 
+// A dial that waits in a silent cut is made once the cut heals.
+func TestDialWaitsForHealing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New()
+		l, err := n.Listen(farAddr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		n.CutOneWay([]string{far}, []string{near})
+		time.AfterFunc(5*time.Second, func() { n.Heal([]string{near}, []string{far}) })
+		c, err := n.Host(near).Dial(context.Background(), "tcp", farAddr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Close()
+	})
+}
+
 // Bytes arrive whole, in order and not before the delay, whatever the sizes of
 // writes and reads, also when they exceed the window.
 func TestDeliveryProperty(t *testing.T) {
