Check that each of many calls gets its own answer

Cause: on pooled connections an answer that comes late must not reach the next caller; all calls of the test had the same body. Change: each call has its own body and a deadline of random length.

--- a/internal/target/once_test.go
+++ b/internal/target/once_test.go
@@ -116,7 +116,7 @@
 }
 
 // Many calls at once, while connections break, go silent and heal at any moment:
-// each runs at most once, and what is said of it is true.
+// each runs at most once, gets its own answer, and what is said of it is true.
 func TestManyCallsUnderFaults(t *testing.T) {
 	const calls, steps = 40, 20
 	a, b := []string{instanceHost}, []string{targetHost}
@@ -144,8 +144,13 @@
 					time.Sleep(time.Duration(ms) * time.Millisecond)
 					r := testCall(i%2 == 0)
 					r.CallID = fmt.Sprint(i)
-					r.Deadline = time.Now().Add(10 * time.Second)
-					_, errs[i] = w.call(r)
+					r.Body = []byte(r.CallID)
+					r.Deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
+					var answer []byte
+					answer, errs[i] = w.call(r)
+					if errs[i] == nil && string(answer) != r.CallID {
+						t.Errorf("call %d got the answer %q", i, answer)
+					}
 				})
 			}
 			for _, f := range order {
