Check the time that a refusing target asks to be left alone

Cause: RetryAfter of an error was not tested. Change: the stand-in service sends Retry-After, and the outcomes' test reads it. Measured: go test -race -count=1 ./internal/target ./internal/standin ok.

--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -18,7 +18,8 @@
 const (
 	// CallWorks: the call runs and is answered.
 	CallWorks CallFault = iota
-	// CallRefused: the call does not run, and the service says so.
+	// CallRefused: the call does not run, and the service says so and asks to be
+	// left alone for two seconds.
 	CallRefused
 	// CallFails: the call runs and fails, and the service says so.
 	CallFails
@@ -90,6 +91,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if fault == CallRefused {
+		w.Header().Set("Retry-After", "2")
 		refuse(w, http.StatusServiceUnavailable, enginewire.ReasonOverloaded)
 		return
 	}
--- a/internal/target/once_test.go
+++ b/internal/target/once_test.go
@@ -228,6 +228,10 @@
 				test.setup(w, s)
 				_, err := w.call(testCall(true))
 				wantError(t, err, test.kind, test.reason)
+				var e *target.Error
+				if errors.As(err, &e) && (e.RetryAfter == 2*time.Second) != (test.name == "refused") {
+					t.Errorf("retry after %v", e.RetryAfter)
+				}
 				if s.Runs("call") != test.runs {
 					t.Errorf("%d runs", s.Runs("call"))
 				}
