--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -18,7 +18,8 @@
 const (
 	// CallWorks: the call runs and is answered.
 	CallWorks CallFault = iota
-	// CallRefused: the call does not run, and the service says so.
+	// CallRefused: the call does not run, and the service says so and asks to be
+	// left alone for two seconds.
 	CallRefused
 	// CallFails: the call runs and fails, and the service says so.
 	CallFails
@@ -31,6 +32,7 @@
 	mux *http.ServeMux
 
 	mu        sync.Mutex
+	state     fleet.TargetState
 	delay     time.Duration
 	fault     CallFault
 	runs      map[string]int
@@ -41,38 +43,38 @@
 
 // NewService returns a service without faults.
 func NewService() *Service {
-	s := &Service{mux: http.NewServeMux(), runs: make(map[string]int)}
+	s := &Service{mux: http.NewServeMux(), state: fleet.TargetReady, runs: make(map[string]int)}
 	s.mux.HandleFunc("POST "+enginewire.PathCall+"{method}", s.serveCall)
 	s.mux.HandleFunc("GET "+enginewire.PathLoad, s.serveLoad)
 	return s
 }
 
-// SetDelay makes every later call take that long.
-func (s *Service) SetDelay(d time.Duration) {
+// locked runs f with mu held.
+func (s *Service) locked(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.delay = d
+	f()
 }
 
+// SetDelay makes every later call take that long.
+func (s *Service) SetDelay(d time.Duration) { s.locked(func() { s.delay = d }) }
+
 // SetFault chooses what happens to later calls.
-func (s *Service) SetFault(f CallFault) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fault = f
-}
+func (s *Service) SetFault(f CallFault) { s.locked(func() { s.fault = f }) }
+
+// SetState changes the state that the service reports.
+func (s *Service) SetState(state fleet.TargetState) { s.locked(func() { s.state = state }) }
 
 // Runs returns how often the call with that id ran.
-func (s *Service) Runs(callID string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.runs[callID]
+func (s *Service) Runs(callID string) (n int) {
+	s.locked(func() { n = s.runs[callID] })
+	return n
 }
 
 // Arrivals returns how many requests for calls began to arrive, whole or not.
-func (s *Service) Arrivals() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.arrivals
+func (s *Service) Arrivals() (n int) {
+	s.locked(func() { n = s.arrivals })
+	return n
 }
 
 // ServeHTTP serves the interface of targets.
@@ -89,6 +91,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if fault == CallRefused {
+		w.Header().Set("Retry-After", "2")
 		refuse(w, http.StatusServiceUnavailable, enginewire.ReasonOverloaded)
 		return
 	}
@@ -108,15 +111,15 @@
 
 // run counts a call and takes its time.
 func (s *Service) run(callID string, delay time.Duration) {
-	s.mu.Lock()
-	s.runs[callID]++
-	s.running++
-	s.mu.Unlock()
+	s.locked(func() {
+		s.runs[callID]++
+		s.running++
+	})
 	time.Sleep(delay)
-	s.mu.Lock()
-	s.running--
-	s.completed++
-	s.mu.Unlock()
+	s.locked(func() {
+		s.running--
+		s.completed++
+	})
 }
 
 // serveLoad reports the load.
@@ -124,7 +127,7 @@
 	s.mu.Lock()
 	report := fleet.LoadReport{
 		BootID:    "service",
-		State:     fleet.TargetReady,
+		State:     s.state,
 		Running:   s.running,
 		Completed: s.completed,
 	}
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,16 +16,24 @@
 // DialFunc opens a connection, as net.Dialer.DialContext does.
 type DialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
 
+// pauseGrace is how long a read goes on after its deadline, so that a process that
+// was paused finds what arrived meanwhile.
+const pauseGrace = 100 * time.Millisecond
+
+// dialError tells a failed dial from other failures before the first byte.
+type dialError struct{ err error }
+
+func (e *dialError) Error() string { return "dial: " + e.err.Error() }
+func (e *dialError) Unwrap() error { return e.err }
+
 // trackedConn counts the writes that may have reached the peer and gives every
 // read and write a deadline, so that a connection that went silent is closed.
 type trackedConn struct {
 	net.Conn
 	registry *registry
-	addr     string
 	// silence is the longest wait for a read or write, 0 for none.
 	silence time.Duration
-	// owner is the exchange that uses the connection, nil while it is idle.
-	owner  atomic.Pointer[exchange]
+	// silent says that a deadline passed.
 	silent atomic.Bool
 
 	mu     sync.Mutex
@@ -33,14 +43,23 @@
 
 // Read reads with a deadline.
 func (c *trackedConn) Read(p []byte) (int, error) {
-	if c.silence > 0 {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(c.silence))
+	if c.silence == 0 {
+		return c.Conn.Read(p)
+	}
+	n, err := c.readWithin(p, c.silence-pauseGrace)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = c.readWithin(p, pauseGrace)
 	}
-	n, err := c.Conn.Read(p)
 	c.note(err)
 	return n, err
 }
 
+// readWithin reads for at most d.
+func (c *trackedConn) readWithin(p []byte, d time.Duration) (int, error) {
+	_ = c.Conn.SetReadDeadline(time.Now().Add(d))
+	return c.Conn.Read(p)
+}
+
 // Write writes with a deadline and moves the deadline of the pending read. A write
 // that passed on nothing is not counted.
 func (c *trackedConn) Write(p []byte) (int, error) {
@@ -52,7 +71,7 @@
 	c.writes++
 	c.mu.Unlock()
 	if c.silence > 0 {
-		_ = c.Conn.SetDeadline(time.Now().Add(c.silence))
+		_ = c.Conn.SetDeadline(time.Now().Add(c.silence - pauseGrace))
 	}
 	n, err := c.Conn.Write(p)
 	if n == 0 && err != nil {
@@ -64,14 +83,11 @@
 	return n, err
 }
 
-// note remembers that a deadline passed while a request was under way, and drops
-// the other idle connections to the same target, which may be silent too.
+// note remembers that a deadline passed.
 func (c *trackedConn) note(err error) {
-	if !errors.Is(err, os.ErrDeadlineExceeded) || c.owner.Load() == nil {
-		return
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.silent.Store(true)
 	}
-	c.silent.Store(true)
-	c.registry.dropIdle(c.addr)
 }
 
 // count returns the number of writes so far.
@@ -98,64 +114,35 @@
 	return c.Conn.Close()
 }
 
-// registry knows the open connections of a client, by target address.
+// registry knows the open connections of a client.
 type registry struct {
 	mu    sync.Mutex
-	conns map[string]map[*trackedConn]struct{}
+	conns map[*trackedConn]struct{}
 }
 
 // newRegistry returns an empty registry.
 func newRegistry() *registry {
-	return &registry{conns: make(map[string]map[*trackedConn]struct{})}
+	return &registry{conns: make(map[*trackedConn]struct{})}
 }
 
 // add registers a new connection.
 func (r *registry) add(c *trackedConn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	set := r.conns[c.addr]
-	if set == nil {
-		set = make(map[*trackedConn]struct{})
-		r.conns[c.addr] = set
-	}
-	set[c] = struct{}{}
+	r.conns[c] = struct{}{}
 }
 
 // remove forgets a closed connection.
 func (r *registry) remove(c *trackedConn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	set := r.conns[c.addr]
-	delete(set, c)
-	if len(set) == 0 {
-		delete(r.conns, c.addr)
-	}
-}
-
-// dropIdle closes the connections to addr that carry no request.
-func (r *registry) dropIdle(addr string) {
-	r.mu.Lock()
-	var idle []*trackedConn
-	for c := range r.conns[addr] {
-		if c.owner.Load() == nil {
-			idle = append(idle, c)
-		}
-	}
-	r.mu.Unlock()
-	for _, c := range idle {
-		c.seal()
-	}
+	delete(r.conns, c)
 }
 
 // closeAll closes every connection.
 func (r *registry) closeAll() {
 	r.mu.Lock()
-	var all []*trackedConn
-	for _, set := range r.conns {
-		for c := range set {
-			all = append(all, c)
-		}
-	}
+	all := slices.Collect(maps.Keys(r.conns))
 	r.mu.Unlock()
 	for _, c := range all {
 		c.seal()
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -48,9 +48,9 @@
 		defer cancel()
 		raw, err := dial(ctx, network, addr)
 		if err != nil {
-			return nil, err
+			return nil, &dialError{err}
 		}
-		c := &trackedConn{Conn: raw, registry: r, addr: addr, silence: silence}
+		c := &trackedConn{Conn: raw, registry: r, silence: silence}
 		r.add(c)
 		return c, nil
 	}
@@ -60,8 +60,9 @@
 	}
 }
 
-// newTransport returns a transport for HTTP/1.1 without compression. Idle
-// connections close well before a silent one would be noticed.
+// newTransport returns a transport for HTTP/1.1 without compression. An idle
+// connection closes in half the time in which a silent one is noticed, so that the
+// pool holds none that was idle when the connections went silent.
 func newTransport(dial DialFunc, opts Options, single bool) *http.Transport {
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
@@ -98,10 +99,7 @@
 // try sends m once over one transport.
 func (p *pool) try(ctx context.Context, t *http.Transport, m message) (*http.Response, *exchange, error) {
 	x := &exchange{}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:     x.gotConn,
-		PutIdleConn: x.putIdleConn,
-	})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: x.gotConn})
 	url := "http://" + m.addr + m.path
 	req, err := http.NewRequestWithContext(ctx, m.method, url, bytes.NewReader(m.body))
 	if err != nil {
@@ -137,21 +135,10 @@
 		x.sent = x.sent || x.conn.seal() > x.before
 	}
 	x.conn, _ = info.Conn.(*trackedConn)
-	x.conn.owner.Store(x)
 	x.before = x.conn.count()
 	x.reused = info.Reused
 }
 
-// putIdleConn notes that the connection is free again, unless another exchange
-// has taken it already.
-func (x *exchange) putIdleConn(err error) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if err == nil && x.conn != nil {
-		x.conn.owner.CompareAndSwap(x, nil)
-	}
-}
-
 // seal closes the connection and reports whether a byte of the message may have
 // reached the target.
 func (x *exchange) seal() bool {
@@ -185,16 +172,23 @@
 	if sent {
 		return &Error{Kind: Unknown, Reason: x.breakReason(ctx, err), err: err}
 	}
-	reason := ReasonUnsent
+	return &Error{Kind: NotRun, Reason: x.unsentReason(ctx, err), err: err}
+}
+
+// unsentReason names why no byte of a message was written.
+func (x *exchange) unsentReason(ctx context.Context, err error) string {
 	x.mu.Lock()
-	if x.conn == nil {
-		reason = ReasonDial
-	}
-	x.mu.Unlock()
-	if ctx.Err() != nil {
-		reason = contextReason(ctx.Err())
+	defer x.mu.Unlock()
+	var dial *dialError
+	switch {
+	case ctx.Err() != nil:
+		return contextReason(ctx.Err())
+	case errors.As(err, &dial):
+		return ReasonDial
+	case x.conn == nil:
+		return ReasonRequest
 	}
-	return &Error{Kind: NotRun, Reason: reason, err: err}
+	return ReasonUnsent
 }
 
 // breakReason names why an exchange broke after its first byte.
--- a/internal/target/once_test.go
+++ b/internal/target/once_test.go
@@ -7,10 +7,13 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"medlarwind.dev/medlarwind/internal/memnet"
 	"medlarwind.dev/medlarwind/internal/standin"
 	"medlarwind.dev/medlarwind/internal/target"
@@ -93,6 +96,80 @@
 	})
 }
 
+// A body that is written in many parts breaks anywhere: the call does not run.
+func TestLargeCallBreaks(t *testing.T) {
+	for _, at := range []int64{0, 200, 4095, 4096, 32 << 10, 33 << 10, 256 << 10, 257 << 10, 1<<20 - 1} {
+		for _, once := range []bool{true, false} {
+			s := standin.NewService()
+			inWorld(t, s, func(w *world) {
+				w.net.BreakAfter(instanceHost, targetHost, at)
+				r := testCall(once)
+				r.Body = bytes.Repeat([]byte("x"), 1<<20)
+				_, err := w.call(r)
+				synctest.Wait()
+				if s.Runs("call") > 0 || kindOf(err) != target.Unknown {
+					t.Errorf("once=%t after %d bytes: %d runs, %v", once, at, s.Runs("call"), err)
+				}
+			})
+		}
+	}
+}
+
+// Many calls at once, while connections break, go silent and heal at any moment:
+// each runs at most once, gets its own answer, and what is said of it is true.
+func TestManyCallsUnderFaults(t *testing.T) {
+	const calls, steps = 40, 20
+	a, b := []string{instanceHost}, []string{targetHost}
+	faults := []func(n *memnet.Network){
+		func(n *memnet.Network) { n.Reset(a, b) },
+		func(n *memnet.Network) { n.Silence(a, b) },
+		func(n *memnet.Network) { n.Cut(a, b, memnet.Break) },
+		func(n *memnet.Network) { n.Cut(a, b, memnet.Silent) },
+		func(n *memnet.Network) { n.CutOneWay(b, a) },
+		func(n *memnet.Network) { n.Heal(a, b) },
+		func(n *memnet.Network) { n.Heal(a, b) },
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		times := rapid.SliceOfN(rapid.IntRange(0, 1000), calls, calls).Draw(rt, "call times, ms")
+		order := rapid.SliceOfN(rapid.IntRange(0, len(faults)-1), steps, steps).Draw(rt, "faults")
+		pause := time.Duration(rapid.IntRange(1, 100).Draw(rt, "pause, ms")) * time.Millisecond
+		s := standin.NewService()
+		s.SetDelay(20 * time.Millisecond)
+		inWorld(t, s, func(w *world) {
+			w.net.Delay(a, b, 5*time.Millisecond)
+			errs := make([]error, calls)
+			var group sync.WaitGroup
+			for i, ms := range times {
+				group.Go(func() {
+					time.Sleep(time.Duration(ms) * time.Millisecond)
+					r := testCall(i%2 == 0)
+					r.CallID = fmt.Sprint(i)
+					r.Body = []byte(r.CallID)
+					r.Deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
+					var answer []byte
+					answer, errs[i] = w.call(r)
+					if errs[i] == nil && string(answer) != r.CallID {
+						t.Errorf("call %d got the answer %q", i, answer)
+					}
+				})
+			}
+			for _, f := range order {
+				time.Sleep(pause)
+				faults[f](w.net)
+			}
+			group.Wait()
+			w.net.Heal(a, b)
+			time.Sleep(time.Minute)
+			for i, err := range errs {
+				runs := s.Runs(fmt.Sprint(i))
+				if runs > 1 || (kindOf(err) == target.NotRun && runs > 0) || (err == nil && runs != 1) {
+					t.Errorf("call %d: %d runs, %v", i, runs, err)
+				}
+			}
+		})
+	})
+}
+
 // The server closes a pooled connection just before, while or just after the next
 // call is written. Nothing is sent twice; a call that found it closed is served.
 func TestServerClosesPooledConnection(t *testing.T) {
@@ -151,15 +228,36 @@
 				test.setup(w, s)
 				_, err := w.call(testCall(true))
 				wantError(t, err, test.kind, test.reason)
+				var e *target.Error
+				if errors.As(err, &e) && (e.RetryAfter == 2*time.Second) != (test.name == "refused") {
+					t.Errorf("retry after %v", e.RetryAfter)
+				}
 				if s.Runs("call") != test.runs {
 					t.Errorf("%d runs", s.Runs("call"))
 				}
-				time.Sleep(time.Hour)
 			})
 		})
 	}
 }
 
+// Whenever the caller cancels, "not run" is true.
+func TestCancelAtEachMoment(t *testing.T) {
+	const step = time.Millisecond / 4
+	for wait := time.Duration(0); wait < 32*step; wait += step {
+		s := standin.NewService()
+		inWorld(t, s, func(w *world) {
+			w.net.Delay([]string{instanceHost}, []string{targetHost}, time.Millisecond)
+			ctx, cancel := context.WithTimeout(context.Background(), wait)
+			defer cancel()
+			_, err := w.client.Call(ctx, targetAddr, testCall(true))
+			time.Sleep(time.Second)
+			if (kindOf(err) == target.NotRun && s.Arrivals() > 0) || (err == nil && s.Runs("call") != 1) {
+				t.Errorf("after %v: %v, %d arrivals", wait, err, s.Arrivals())
+			}
+		})
+	}
+}
+
 // A connection that takes no byte gives "not run"; one that takes the first byte
 // and then fails does not.
 func TestWriteCount(t *testing.T) {
@@ -169,6 +267,7 @@
 			return &shortConn{Conn: near, taken: taken}, nil
 		}
 		c := target.NewClient(dial, target.Options{})
+		defer c.Close()
 		_, err := c.Call(context.Background(), targetAddr, testCall(true))
 		wantError(t, err, kind, "")
 	}
