Add formatting and comparison of rules documents, faster parsing

Change: Format and Diff; maps with room from the start, one pass over the text for bad characters, and no second look for names that are defined already.

--- a/internal/rules/check.go
+++ b/internal/rules/check.go
@@ -23,52 +23,79 @@
 	kind   referenceKind
 }
 
+// refer notes that a rule refers to a name. Most names are defined before and need
+// no second look.
 func (p *parser) refer(kind referenceKind, name string, line, column int) {
-	p.references = append(p.references, reference{name: name, line: line, column: column, kind: kind})
+	if !p.defined(kind, name) {
+		p.references = append(p.references, reference{name: name, line: line, column: column, kind: kind})
+	}
+}
+
+// defined reports whether a name is defined by the lines read so far. Services are
+// looked up once all lines are read.
+func (p *parser) defined(kind referenceKind, name string) bool {
+	known := false
+	switch kind {
+	case referenceDataCentre:
+		_, known = p.document.DataCentres[fleet.DataCentreID(name)]
+	case referenceModel:
+		_, known = p.document.Models[fleet.ModelID(name)]
+	case referenceTarget:
+		_, known = p.document.Targets[fleet.TargetID(name)]
+	}
+	return known
 }
 
 // checkReferences reports each name that no rule defines.
 func (p *parser) checkReferences() {
-	served := make(map[fleet.ServiceID]bool)
+	if len(p.references) == 0 {
+		return
+	}
+	served := make(map[string]bool)
 	for _, target := range p.document.Targets {
-		served[target.Service] = true
+		served[string(target.Service)] = true
 	}
-	called := make(map[fleet.ServiceID]bool)
+	called := make(map[string]bool)
 	for key := range p.document.Calls {
-		called[key.Service] = true
+		called[string(key.Service)] = true
 	}
 	for _, r := range p.references {
-		p.checkReference(r, served, called)
+		known := p.defined(r.kind, r.name)
+		switch r.kind {
+		case referenceServed:
+			known = served[r.name]
+		case referenceCalled:
+			known = called[r.name]
+		}
+		if !known {
+			p.reportUnknown(r)
+		}
 	}
 }
 
-func (p *parser) checkReference(r reference, served, called map[fleet.ServiceID]bool) {
-	var known bool
+// reportUnknown reports a name that no rule defines, unless a faulty rule would
+// have done so.
+func (p *parser) reportUnknown(r reference) {
 	var source definition
 	var message string
 	switch r.kind {
 	case referenceDataCentre:
-		_, known = p.document.DataCentres[fleet.DataCentreID(r.name)]
-		source = definition{"datacentre", r.name}
+		source = definition{ruleDataCentre, r.name}
 		message = "unknown data centre %q"
 	case referenceModel:
-		_, known = p.document.Models[fleet.ModelID(r.name)]
-		source = definition{"model", r.name}
+		source = definition{ruleModel, r.name}
 		message = "unknown model %q"
 	case referenceTarget:
-		_, known = p.document.Targets[fleet.TargetID(r.name)]
-		source = definition{"target", r.name}
+		source = definition{ruleTarget, r.name}
 		message = "unknown target %q"
 	case referenceServed:
-		known = served[fleet.ServiceID(r.name)]
-		source = definition{keyword: "target"}
+		source = definition{keyword: ruleTarget}
 		message = "unknown service %q: no target has it"
 	case referenceCalled:
-		known = called[fleet.ServiceID(r.name)]
-		source = definition{keyword: "call"}
+		source = definition{keyword: ruleCall}
 		message = "unknown service %q: no call has it"
 	}
-	if !known && !p.broken[source] {
+	if !p.broken[source] {
 		p.errors.add(r.line, r.column, message, r.name)
 	}
 }
--- /dev/null
+++ b/internal/rules/diff.go
@@ -0,0 +1,184 @@
+package rules
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// ChangeKind says what happened to a rule between two documents.
+type ChangeKind string
+
+// The kinds of change.
+const (
+	Added   ChangeKind = "added"
+	Removed ChangeKind = "removed"
+	Changed ChangeKind = "changed"
+)
+
+// FieldChange is one value of a rule. Old is empty for an added rule and New for a
+// removed one.
+type FieldChange struct {
+	Name string
+	Old  string
+	New  string
+}
+
+// Change is what became of one rule.
+type Change struct {
+	Kind ChangeKind
+	// Rule is the rule's first word, and Name what it is about.
+	Rule string
+	Name string
+	// Fields are the values that differ. A changed rule without any has another
+	// comment only.
+	Fields []FieldChange
+	// Effect says how many targets a changed data centre or model touches. It is
+	// empty for other rules.
+	Effect string
+	// AskedBy is the comment of the new rule, or of the old one if it was removed.
+	AskedBy string
+	// OldAskedBy is the comment of the old rule, empty if it was added.
+	OldAskedBy string
+	// Line is that of the new rule, or of the old one if it was removed.
+	Line int
+}
+
+// String returns the change as one line for a reader who knows the rules.
+func (c Change) String() string {
+	var out strings.Builder
+	fmt.Fprintf(&out, "%s %s %s", c.Kind, c.Rule, c.Name)
+	separator := ": "
+	for _, field := range c.Fields {
+		out.WriteString(separator)
+		separator = ", "
+		switch c.Kind {
+		case Added:
+			fmt.Fprintf(&out, "%s %s", field.Name, field.New)
+		case Removed:
+			fmt.Fprintf(&out, "%s %s", field.Name, field.Old)
+		default:
+			fmt.Fprintf(&out, "%s %s -> %s", field.Name, field.Old, field.New)
+		}
+	}
+	if c.Effect != "" {
+		fmt.Fprintf(&out, "; %s", c.Effect)
+	}
+	fmt.Fprintf(&out, " (%s)", c.asked())
+	return out.String()
+}
+
+// asked says who asked, as far as the comments tell.
+func (c Change) asked() string {
+	switch {
+	case c.Kind == Removed:
+		return "the removed rule was asked for by " + c.AskedBy
+	case c.Kind == Changed && c.AskedBy == c.OldAskedBy:
+		return "comment unchanged: " + c.AskedBy
+	case c.Kind == Changed:
+		return "asked for by " + c.AskedBy + "; before: " + c.OldAskedBy
+	}
+	return "asked for by " + c.AskedBy
+}
+
+// Diff returns what changes from the old document to the new one: data centres,
+// customers, models, targets, calls and orders, each sorted by name. It takes time
+// in proportion to both documents and to sort the changes.
+func Diff(old, new *Document) []Change {
+	before, after := describeDocument(old), describeDocument(new)
+	var changes []Change
+	for key, rule := range after {
+		earlier, known := before[key]
+		if !known {
+			changes = append(changes, addedRule(key, rule))
+		} else if change, differs := changedRule(key, earlier, rule); differs {
+			changes = append(changes, change)
+		}
+	}
+	for key, rule := range before {
+		if _, known := after[key]; !known {
+			changes = append(changes, removedRule(key, rule))
+		}
+	}
+	for i := range changes {
+		changes[i].Effect = effect(changes[i], old, new)
+	}
+	slices.SortFunc(changes, compareChanges)
+	return changes
+}
+
+func addedRule(key ruleKey, rule ruleText) Change {
+	change := Change{Kind: Added, Rule: key.rule, Name: key.name, AskedBy: rule.askedBy, Line: rule.line}
+	for _, f := range rule.fields {
+		change.Fields = append(change.Fields, FieldChange{Name: f.name, New: f.value})
+	}
+	return change
+}
+
+func removedRule(key ruleKey, rule ruleText) Change {
+	change := Change{
+		Kind: Removed, Rule: key.rule, Name: key.name,
+		AskedBy: rule.askedBy, OldAskedBy: rule.askedBy, Line: rule.line,
+	}
+	for _, f := range rule.fields {
+		change.Fields = append(change.Fields, FieldChange{Name: f.name, Old: f.value})
+	}
+	return change
+}
+
+// changedRule compares two rules with the same key, whose fields have the same
+// names.
+func changedRule(key ruleKey, old, new ruleText) (change Change, differs bool) {
+	change = Change{
+		Kind: Changed, Rule: key.rule, Name: key.name,
+		AskedBy: new.askedBy, OldAskedBy: old.askedBy, Line: new.line,
+	}
+	for i, f := range new.fields {
+		if earlier := old.fields[i].value; earlier != f.value {
+			change.Fields = append(change.Fields, FieldChange{Name: f.name, Old: earlier, New: f.value})
+		}
+	}
+	return change, change.Fields != nil || old.askedBy != new.askedBy
+}
+
+// effect counts the targets that a changed data centre or model touches.
+func effect(c Change, old, new *Document) string {
+	if c.Fields == nil || c.Kind == Added {
+		return ""
+	}
+	document := new
+	if c.Kind == Removed {
+		document = old
+	}
+	count := 0
+	for _, target := range document.Targets {
+		if c.touches(target) {
+			count++
+		}
+	}
+	switch c.Rule {
+	case ruleDataCentre:
+		return fmt.Sprintf("%d targets there", count)
+	case ruleModel:
+		return fmt.Sprintf("%d targets serve it", count)
+	}
+	return ""
+}
+
+func (c Change) touches(target Target) bool {
+	switch c.Rule {
+	case ruleDataCentre:
+		return string(target.DataCentre) == c.Name
+	case ruleModel:
+		return target.Serves(modelWorkload(c.Name))
+	}
+	return false
+}
+
+func compareChanges(a, b Change) int {
+	return cmp.Or(
+		cmp.Compare(slices.Index(changeOrder, a.Rule), slices.Index(changeOrder, b.Rule)),
+		cmp.Compare(a.Name, b.Name),
+	)
+}
--- a/internal/rules/document.go
+++ b/internal/rules/document.go
@@ -144,12 +144,12 @@
 	Line    int
 }
 
-func newDocument() *Document {
+func newDocument(customers, targets int) *Document {
 	return &Document{
-		Customers:   make(map[fleet.CustomerID]Customer),
+		Customers:   make(map[fleet.CustomerID]Customer, customers),
 		DataCentres: make(map[fleet.DataCentreID]DataCentre),
 		Models:      make(map[fleet.ModelID]Model),
-		Targets:     make(map[fleet.TargetID]Target),
+		Targets:     make(map[fleet.TargetID]Target, targets),
 		Calls:       make(map[CallKey]Call),
 	}
 }
--- /dev/null
+++ b/internal/rules/format.go
@@ -0,0 +1,54 @@
+package rules
+
+import (
+	"bytes"
+	"strings"
+)
+
+// Format returns the document in canonical spacing: one space between words and
+// before the comment, no blank lines at the ends and at most one between rules,
+// keys in lower case, "\n" line ends. Comments and the order of lines are kept. A
+// faulty document gives the error of Parse.
+func Format(text []byte) ([]byte, error) {
+	if _, err := Parse(text); err != nil {
+		return nil, err
+	}
+	var out bytes.Buffer
+	blank := false
+	var tokens []token
+	for line := range strings.Lines(string(text)) {
+		s := scanLine(strings.TrimRight(line, "\r\n"), 0, tokens)
+		tokens = s.tokens
+		formatted := formatLine(line, s)
+		if formatted == "" {
+			blank = out.Len() > 0
+			continue
+		}
+		if blank {
+			out.WriteByte('\n')
+		}
+		blank = false
+		out.WriteString(formatted)
+		out.WriteByte('\n')
+	}
+	return out.Bytes(), nil
+}
+
+// formatLine returns one line without its line end, empty for a blank one.
+func formatLine(line string, s statement) string {
+	if len(s.tokens) == 0 {
+		return strings.TrimSpace(line)
+	}
+	var out strings.Builder
+	for _, t := range s.tokens {
+		word := t.text
+		if strings.HasPrefix(word, keyPrefix) {
+			word = strings.ToLower(word)
+		}
+		out.WriteString(word)
+		out.WriteByte(' ')
+	}
+	out.WriteString("# ")
+	out.WriteString(s.comment)
+	return out.String()
+}
--- a/internal/rules/parse.go
+++ b/internal/rules/parse.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"strconv"
@@ -20,7 +21,7 @@
 // is any fault it returns no document and an *Errors with all of them. It takes
 // time and memory in proportion to the text.
 func Parse(text []byte) (*Document, error) {
-	p := newParser()
+	p := newParser(text)
 	rest := string(text)
 	for number := 1; rest != ""; number++ {
 		line, after, _ := strings.Cut(rest, "\n")
@@ -38,6 +39,8 @@
 type parser struct {
 	document *Document
 	errors   Errors
+	// printable says that no line needs to be searched for bad characters.
+	printable bool
 	// tokens is the buffer of the statement being read.
 	tokens []token
 	// models holds each list of models that a target serves once.
@@ -46,7 +49,7 @@
 	keys   map[[32]byte]int
 	orders map[orderKey]int
 	roles  map[fleet.TargetID]int
-	// references are the names to be found once all lines are read.
+	// references are the names that were not defined yet where they stood.
 	references []reference
 	// broken holds what a faulty rule would have defined, so that one fault is
 	// not reported again at each rule that refers to it.
@@ -66,22 +69,28 @@
 	target fleet.TargetID
 }
 
-func newParser() *parser {
+// newParser returns a parser whose maps have room for the rules of a text.
+func newParser(text []byte) *parser {
+	customers := bytes.Count(text, []byte("\n"+ruleCustomer+" "))
+	targets := bytes.Count(text, []byte("\n"+ruleTarget+" "))
 	return &parser{
-		document: newDocument(),
-		models:   make(map[string][]fleet.ModelID),
-		keys:     make(map[[32]byte]int),
-		orders:   make(map[orderKey]int),
-		roles:    make(map[fleet.TargetID]int),
-		broken:   make(map[definition]bool),
+		document:  newDocument(customers, targets),
+		printable: printable(text),
+		models:    make(map[string][]fleet.ModelID),
+		keys:      make(map[[32]byte]int, customers),
+		orders:    make(map[orderKey]int),
+		roles:     make(map[fleet.TargetID]int),
+		broken:    make(map[definition]bool),
 	}
 }
 
 // parseLine reads one line without its line end.
 func (p *parser) parseLine(line string, number int) {
-	if at := findBadCharacter(line); at >= 0 {
-		p.errors.add(number, at+1, "byte 0x%02x is not printable UTF-8 text", line[at])
-		return
+	if !p.printable {
+		if at := findBadCharacter(line); at >= 0 {
+			p.errors.add(number, at+1, "byte 0x%02x is not printable UTF-8 text", line[at])
+			return
+		}
 	}
 	s := scanLine(line, number, p.tokens)
 	p.tokens = s.tokens
@@ -111,17 +120,17 @@
 func (p *parser) parseStatement(c *cursor) {
 	keyword := c.next()
 	switch keyword.text {
-	case "customer":
+	case ruleCustomer:
 		p.parseCustomer(c)
-	case "datacentre":
+	case ruleDataCentre:
 		p.parseDataCentre(c)
-	case "model":
+	case ruleModel:
 		p.parseModel(c)
-	case "target":
+	case ruleTarget:
 		p.parseTarget(c)
-	case "call":
+	case ruleCall:
 		p.parseCall(c)
-	case "order":
+	case ruleOrder:
 		p.parseOrder(c)
 	default:
 		c.fail(keyword, "unknown rule %q: want customer, datacentre, model, target, call or order", keyword.text)
--- a/internal/rules/scan.go
+++ b/internal/rules/scan.go
@@ -42,6 +42,26 @@
 
 func isSpace(c byte) bool { return c == ' ' || c == '\t' }
 
+// printable reports whether a whole text is UTF-8 without control characters but
+// tabs and line ends.
+func printable(text []byte) bool {
+	var found uint8
+	for _, c := range text {
+		found |= controlCharacter[c]
+	}
+	return found == 0 && utf8.Valid(text)
+}
+
+// controlCharacter has 1 for the bytes that no rule may hold, and the carriage return,
+// which may only end a line.
+var controlCharacter = func() (table [256]uint8) {
+	for c := range ' ' {
+		table[c] = 1
+	}
+	table['\t'], table['\n'], table[0x7f] = 0, 0, 1
+	return table
+}()
+
 // findBadCharacter returns the byte offset of the first byte that no rule may
 // hold: a control character except tab, or one that is not UTF-8. It returns -1
 // if there is none.
