Watch the configuration service with few readers and spread by peers

Cause: the service allows about 2,000 reads a second over all readers, and an instance that restarts with nothing while the service is stale must not work by an old version. Change: config.Watcher with a coordinator, one watch and workers that ask peers; readers by rendezvous rank, taken over when peers fall silent; rare reads by the others; hedged fetches from peers; Gate for new instances. Ruled out: one fetch at a time. Conclusion: a version is in force at every running instance within 6 s without fault, with a fifth of messages lost, with all readers killed, and with one data centre's readers cut off from the service.

--- /dev/null
+++ b/internal/config/election.go
@@ -0,0 +1,85 @@
+package config
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+)
+
+// readerOrder returns the live instances of a data centre in the order in which
+// they watch the configuration service, the same at every instance with this list
+// (rendezvous hashing). It takes time to sort the instances.
+func readerOrder(instances []fleet.ListedInstance, dataCentre fleet.DataCentreID) []fleet.InstanceID {
+	type ranked struct {
+		id     fleet.InstanceID
+		weight uint64
+	}
+	var all []ranked
+	for _, instance := range instances {
+		if instance.DataCentre == dataCentre && instance.State == fleet.StateLive {
+			all = append(all, ranked{instance.ID, readerWeight(dataCentre, instance.ID)})
+		}
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.id, b.id))
+	})
+	order := make([]fleet.InstanceID, len(all))
+	for i, instance := range all {
+		order[i] = instance.id
+	}
+	return order
+}
+
+// readerWeight returns an instance's weight in the election of readers.
+func readerWeight(dataCentre fleet.DataCentreID, id fleet.InstanceID) uint64 {
+	hash := fnv.New64a()
+	hash.Write([]byte("config reader\x00" + string(dataCentre) + "\x00" + string(id)))
+	// FNV spreads the last bytes poorly over the high bits: mix them.
+	weight := hash.Sum64()
+	weight ^= weight >> 33
+	weight *= 0xff51afd7ed558ccd
+	return weight ^ weight>>33
+}
+
+// readerRank returns how many instances stand before self in the order without
+// being silent. An instance that is not in the order ranks last.
+func readerRank(order []fleet.InstanceID, self fleet.InstanceID, silent func(fleet.InstanceID) bool) int {
+	rank := 0
+	for _, id := range order {
+		if id == self {
+			return rank
+		}
+		if !silent(id) {
+			rank++
+		}
+	}
+	return len(order)
+}
+
+// gatePeers returns the peers that a new instance asks: first all others in its own
+// data centre, then the first readers of each other one, which learn of a version
+// before the rest.
+func gatePeers(instances []fleet.ListedInstance, self fleet.InstanceID, own fleet.DataCentreID, readers int) []fleet.InstanceID {
+	peers := readerOrder(instances, own)
+	for _, dataCentre := range dataCentresOf(instances) {
+		if dataCentre != own {
+			order := readerOrder(instances, dataCentre)
+			peers = append(peers, order[:min(readers, len(order))]...)
+		}
+	}
+	return slices.DeleteFunc(peers, func(id fleet.InstanceID) bool { return id == self })
+}
+
+// dataCentresOf returns the data centres of the listed instances, sorted.
+func dataCentresOf(instances []fleet.ListedInstance) []fleet.DataCentreID {
+	var all []fleet.DataCentreID
+	for _, instance := range instances {
+		if !slices.Contains(all, instance.DataCentre) {
+			all = append(all, instance.DataCentre)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -172,7 +172,7 @@
 // OfferReply is Offer for a peer's answer to Request. It returns ErrPatchBase if
 // another version came into force since the request was made.
 func (s *Store) OfferReply(reply wire.ConfigReply, source string) (Outcome, error) {
-	if reply.Version == 0 || len(reply.Patches) == 0 && len(reply.Text) == 0 {
+	if reply.Version <= s.Version() || len(reply.Patches) == 0 && len(reply.Text) == 0 {
 		return Older, nil
 	}
 	if len(reply.Patches) == 0 {
--- /dev/null
+++ b/internal/config/watch.go
@@ -0,0 +1,120 @@
+package config
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// sourceService names the configuration service in logs and snapshots.
+const sourceService = "service"
+
+// jitter is the part by which waits differ at random, up and down.
+const jitter = 0.1
+
+// watch reads the configuration service until the context ends: in long waits
+// while this instance is a reader, and rarely and briefly otherwise.
+func (w *Watcher) watch(ctx context.Context) {
+	backoff := w.options.BackoffMin
+	for {
+		wait, running := w.awaitTurn(ctx)
+		if !running {
+			return
+		}
+		started := time.Now()
+		err := w.read(ctx, wait)
+		pause := spread(w.watchRand, w.options.ReadGap, jitter) - time.Since(started)
+		if err != nil {
+			pause = spread(w.watchRand, backoff, 0.5)
+			backoff = min(2*backoff, w.options.BackoffMax)
+		} else {
+			backoff = w.options.BackoffMin
+		}
+		if !sleep(ctx, pause) {
+			return
+		}
+	}
+}
+
+// awaitTurn returns when this instance may read, with how long the read may wait.
+func (w *Watcher) awaitTurn(ctx context.Context) (wait time.Duration, running bool) {
+	timer := time.NewTimer(spread(w.watchRand, w.options.Fallback, 0.5))
+	defer timer.Stop()
+	for !w.reader.Load() {
+		select {
+		case <-ctx.Done():
+			return 0, false
+		case <-timer.C:
+			return w.options.FallbackWait, true
+		case <-w.roleChanged:
+		}
+	}
+	return spread(w.watchRand, w.options.Watch, jitter), ctx.Err() == nil
+}
+
+// read calls the configuration service once. No new version within the wait is no
+// error.
+func (w *Watcher) read(ctx context.Context, wait time.Duration) error {
+	readCtx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	after := w.store.Seen()
+	w.counters.reads.Add(1)
+	version, value, err := w.source.Config(readCtx, after)
+	if err != nil {
+		if errors.Is(readCtx.Err(), context.DeadlineExceeded) {
+			return nil
+		}
+		w.counters.readErrors.Add(1)
+		w.log.Warn().Err(err).Msg("configuration service not read")
+		return err
+	}
+	if version <= after {
+		return nil
+	}
+	outcome, err := w.store.OfferValue(version, value, sourceService)
+	w.offered(version, sourceService, outcome, err)
+	w.wake()
+	return nil
+}
+
+// wake makes the coordinator take a step.
+func (w *Watcher) wake() {
+	select {
+	case w.poke <- struct{}{}:
+	default:
+	}
+}
+
+// setReader makes this instance a reader or not. A watch that waits already is
+// left to end by itself.
+func (w *Watcher) setReader(reader bool) {
+	if w.reader.Swap(reader) == reader || !reader {
+		return
+	}
+	select {
+	case w.roleChanged <- struct{}{}:
+	default:
+	}
+}
+
+// spread returns a duration within a part up and down of the given one.
+func spread(random *rand.Rand, d time.Duration, part float64) time.Duration {
+	return time.Duration(float64(d) * (1 - part + 2*part*random.Float64()))
+}
+
+// sleep waits and returns whether the context still runs.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/config/watcher_test.go
@@ -0,0 +1,151 @@
+package config
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+)
+
+// inForceWithin is the time within which a version must be in force everywhere.
+const inForceWithin = 6 * time.Second
+
+// TestInForceEverywhere publishes versions at any moment under one fault after the
+// other, and looks at every running instance after the stated time.
+func TestInForceEverywhere(t *testing.T) {
+	tests := []struct {
+		name string
+		// fault is made right before each version is published.
+		fault func(f *testFleet)
+	}{
+		{"no fault", func(f *testFleet) {}},
+		{"a fifth of the messages lost", func(f *testFleet) { f.lose(20) }},
+		{"all readers killed", func(f *testFleet) {
+			for _, id := range f.readers() {
+				f.kill(id)
+			}
+		}},
+		{"all readers of one data centre cut off from the service", func(f *testFleet) {
+			f.service.set(func(s *testService) {
+				for _, id := range f.readers()[:f.options.Readers] {
+					s.cut[id] = true
+				}
+			})
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newTestFleet(3, 6, seed)
+					phase := rand.New(rand.NewPCG(seed, 1)).Int64N(int64(30 * time.Second))
+					f.service.publish(1)
+					f.startAll()
+					time.Sleep(20*time.Second + time.Duration(phase))
+					test.fault(f)
+					for version := uint64(2); version < 5; version++ {
+						f.service.publish(version)
+						time.Sleep(inForceWithin)
+						if late := f.behind(version); late != nil {
+							t.Errorf("seed %d: version %d is not in force at %v", seed, version, late)
+						}
+					}
+					f.stopAll()
+				})
+			}
+		})
+	}
+}
+
+// TestServiceRecovers checks that a service that is down stops nobody, and that a
+// version is in force soon after its return.
+func TestServiceRecovers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(3, 4, 1)
+		f.service.publish(1)
+		f.startAll()
+		time.Sleep(20 * time.Second)
+		f.service.set(func(s *testService) { s.down = true })
+		f.service.publish(2)
+		time.Sleep(10 * time.Minute)
+		restarted := f.list.Instances[0]
+		f.kill(restarted.ID)
+		n := f.start(restarted)
+		time.Sleep(f.options.Gate.StartWait + time.Second)
+		if !n.watcher.Settled() || n.store.Version() != 1 {
+			t.Errorf("restarted while the service is down: settled %v, version %d", n.watcher.Settled(), n.store.Version())
+		}
+		f.service.set(func(s *testService) { s.down = false })
+		time.Sleep(3*f.options.BackoffMax/2 + inForceWithin)
+		if late := f.behind(2); late != nil {
+			t.Errorf("version 2 is not in force at %v", late)
+		}
+		f.stopAll()
+	})
+}
+
+// readsBound returns the most reads of a fleet in a time: each data centre's
+// readers after each wait or change, no faster than the gap, and the others at the
+// fallback's shortest time.
+func readsBound(o Options, dataCentres, instances int, changes int, d time.Duration) float64 {
+	readers := float64(min(o.Readers, instances))
+	others := float64(instances) - readers
+	waits := d.Seconds() / (o.Watch.Seconds() * (1 - jitter))
+	fallbacks := d.Seconds() / (o.Fallback.Seconds() / 2)
+	return float64(dataCentres) * (readers*(1+waits+float64(changes)) + others*(1+fallbacks))
+}
+
+// TestReads compares the reads of the service with the formula for fleets of
+// three sizes, and logs the slopes.
+func TestReads(t *testing.T) {
+	const span = 3 * time.Minute
+	for _, instances := range []int{2, 6, 18} {
+		for _, changes := range []int{0, 36} {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(2, instances, 1)
+				f.startAll()
+				time.Sleep(20 * time.Second)
+				f.service.set(func(s *testService) { s.reads = 0 })
+				for change := range changes {
+					f.service.publish(uint64(change + 1))
+					time.Sleep(span / time.Duration(changes))
+				}
+				if changes == 0 {
+					time.Sleep(span)
+				}
+				f.stopAll()
+				bound := readsBound(f.options, 2, instances, changes, span)
+				if reads := float64(f.service.reads); reads > bound {
+					t.Errorf("%d instances, %d changes: %.0f reads, bound %.0f", 2*instances, changes, reads, bound)
+				}
+				t.Logf("%d instances, %d changes: %d reads in %v, bound %.0f", 2*instances, changes, f.service.reads, span, bound)
+			})
+		}
+	}
+}
+
+func TestElection(t *testing.T) {
+	f := newTestFleet(21, 18, 1)
+	random := rand.New(rand.NewPCG(1, 1))
+	order := readerOrder(f.list.Instances, "dc-3")
+	random.Shuffle(len(f.list.Instances), func(i, j int) {
+		f.list.Instances[i], f.list.Instances[j] = f.list.Instances[j], f.list.Instances[i]
+	})
+	if again := readerOrder(f.list.Instances, "dc-3"); len(order) != 18 || !slices.Equal(order, again) {
+		t.Errorf("order depends on the list's: %v, %v", order, again)
+	}
+	silent := map[fleet.InstanceID]bool{order[0]: true, order[2]: true}
+	want := []int{0, 0, 1, 1, 2}
+	for i, rank := range want {
+		if got := readerRank(order, order[i], func(id fleet.InstanceID) bool { return silent[id] }); got != rank {
+			t.Errorf("rank of number %d = %d, want %d", i, got, rank)
+		}
+	}
+	peers := gatePeers(f.list.Instances, order[5], "dc-3", 2)
+	if len(peers) != 17+20*2 {
+		t.Errorf("%d peers to ask, want 57", len(peers))
+	}
+}
