--- a/internal/config/coordinator.go
+++ b/internal/config/coordinator.go
@@ -248,6 +248,9 @@
 // at once and from another one in the readers' order, so that the content crosses
 // into the data centre once. While an answer is late it asks another peer too.
 func (c *coordinator) planFetch(rank int, now time.Time) {
+	if c.news <= c.w.store.Version() {
+		return
+	}
 	if c.fetching >= maxFetches || c.fetching > 0 && now.Sub(c.fetchAt) < c.w.options.HedgeAfter {
 		return
 	}
