limit: prove the limits in a model with faults

Cause: the ledger's rules had no test under faults. Change: a model of 2 to 5 instances of one data centre and one outside, with lost, late, repeated and reordered messages, cuts, pauses, restarts, lists seen at different times and targets that turn cold or crash. Entries now state work only once it is used, so that a report can be compared with the known work at the time of its figures; before, uncertain work stayed counted under load.

--- a/internal/limit/entry.go
+++ b/internal/limit/entry.go
@@ -11,18 +11,24 @@
 
 // heldPermit is a permit that this instance holds as an entry.
 type heldPermit struct {
+	serial  uint64
 	target  fleet.TargetID
 	owner   fleet.InstanceID
+	seq     uint64
 	expires time.Time
 	// used is when the work started; zero before.
 	used time.Time
+	// stated says that the owner is told of it as running work. Until then the owner
+	// counts it as a pending grant.
+	stated bool
 }
 
 // work is this instance's work on one target as an entry.
 type work struct {
-	total int
-	// granted counts it by the instance that granted it.
+	permits map[uint64]*heldPermit
+	// granted counts the permits by owner, stated those among them that are stated.
 	granted map[fleet.InstanceID]int
+	stated  map[fleet.InstanceID]int
 	// owner is whom this instance takes for the target's owner.
 	owner fleet.InstanceID
 }
@@ -31,9 +37,9 @@
 type entry struct {
 	serial  uint64
 	permits map[uint64]*heldPermit
-	// unused are the serials of permits that may not have been used yet.
-	unused []uint64
-	work   map[fleet.TargetID]*work
+	// open are the permits of each owner that are not stated, by rising sequence.
+	open map[fleet.InstanceID][]*heldPermit
+	work map[fleet.TargetID]*work
 	// told names the targets whose work is told to each instance.
 	told map[fleet.InstanceID]map[fleet.TargetID]struct{}
 }
@@ -42,25 +48,30 @@
 func newEntry() entry {
 	return entry{
 		permits: make(map[uint64]*heldPermit),
+		open:    make(map[fleet.InstanceID][]*heldPermit),
 		work:    make(map[fleet.TargetID]*work),
 		told:    make(map[fleet.InstanceID]map[fleet.TargetID]struct{}),
 	}
 }
 
-// hold counts a new permit and returns its serial.
-func (e *entry) hold(target fleet.TargetID, owner fleet.InstanceID, expires time.Time) uint64 {
+// hold counts a new permit and gives it a serial.
+func (e *entry) hold(permit *heldPermit) {
 	e.serial++
-	e.permits[e.serial] = &heldPermit{target: target, owner: owner, expires: expires}
-	e.unused = append(e.unused, e.serial)
-	w, ok := e.work[target]
+	permit.serial = e.serial
+	e.permits[e.serial] = permit
+	e.open[permit.owner] = append(e.open[permit.owner], permit)
+	w, ok := e.work[permit.target]
 	if !ok {
-		w = &work{granted: make(map[fleet.InstanceID]int)}
-		e.work[target] = w
+		w = &work{
+			permits: make(map[uint64]*heldPermit),
+			granted: make(map[fleet.InstanceID]int),
+			stated:  make(map[fleet.InstanceID]int),
+		}
+		e.work[permit.target] = w
 	}
-	w.total++
-	w.granted[owner]++
-	e.tell(owner, target)
-	return e.serial
+	w.permits[e.serial] = permit
+	w.granted[permit.owner]++
+	e.tell(permit.owner, permit.target)
 }
 
 // use marks a held permit as used if it has not expired.
@@ -75,55 +86,69 @@
 	return true
 }
 
-// release forgets a permit and returns its target.
-func (e *entry) release(serial uint64) (fleet.TargetID, bool) {
+// release forgets a permit and returns it, or nil if it is not held.
+func (e *entry) release(serial uint64) *heldPermit {
 	permit, ok := e.permits[serial]
 	if !ok {
-		return "", false
+		return nil
 	}
 	delete(e.permits, serial)
 	w := e.work[permit.target]
-	w.total--
+	delete(w.permits, serial)
+	if permit.stated {
+		w.stated[permit.owner]--
+	}
 	w.granted[permit.owner]--
 	if w.granted[permit.owner] == 0 {
 		delete(w.granted, permit.owner)
+		delete(w.stated, permit.owner)
 		if w.owner != permit.owner {
 			delete(e.told[permit.owner], permit.target)
 		}
 	}
-	if w.total == 0 {
+	if len(w.permits) == 0 {
 		delete(e.told[w.owner], permit.target)
 		delete(e.work, permit.target)
 	}
-	return permit.target, true
+	return permit
 }
 
-// expired returns the permits that were not used in time.
-func (e *entry) expired(now time.Time) []uint64 {
-	var late []uint64
-	e.unused = slices.DeleteFunc(e.unused, func(serial uint64) bool {
-		permit, ok := e.permits[serial]
-		if !ok || !permit.used.IsZero() {
-			return true
-		}
-		if now.Before(permit.expires) {
-			return false
+// state moves the permits of an owner that were used or ended to the stated work, in
+// the order of their sequence, and returns the sequence up to which that is done.
+// Permits that expired unused are returned for release.
+func (e *entry) state(owner fleet.InstanceID, received uint64, now time.Time) (uint64, []*heldPermit) {
+	var expired []*heldPermit
+	open := e.open[owner]
+	for len(open) > 0 {
+		first := open[0]
+		_, held := e.permits[first.serial]
+		switch {
+		case !held:
+		case !first.used.IsZero():
+			first.stated = true
+			e.work[first.target].stated[owner]++
+		case now.Before(first.expires):
+			e.open[owner] = open
+			return first.seq - 1, expired
+		default:
+			expired = append(expired, first)
 		}
-		late = append(late, serial)
-		return true
-	})
-	return late
+		open = open[1:]
+	}
+	delete(e.open, owner)
+	return received, expired
 }
 
-// usedBefore counts the work on a target that started by a time and still runs.
-func (e *entry) usedBefore(target fleet.TargetID, by time.Time) int {
-	count := 0
-	for _, permit := range e.permits {
-		if permit.target == target && !permit.used.IsZero() && !permit.used.After(by) {
-			count++
+// stateAll states all permits of an owner that has restarted: it knows nothing of
+// them as pending grants.
+func (e *entry) stateAll(owner fleet.InstanceID) {
+	for _, permit := range e.open[owner] {
+		if _, held := e.permits[permit.serial]; held {
+			permit.stated = true
+			e.work[permit.target].stated[owner]++
 		}
 	}
-	return count
+	delete(e.open, owner)
 }
 
 // tell adds a target to what an instance is told.
@@ -160,32 +185,37 @@
 	l.entry.turnOwner(id, w, owner)
 }
 
-// runningFor returns the state for an instance: all work on the targets that it is
-// taken to own, and the work that it granted on others, sorted by target.
-func (l *Ledger) runningFor(to fleet.InstanceID, now time.Time) []wire.Running {
-	l.dropExpired(now)
-	told := l.entry.told[to]
-	if len(told) == 0 {
-		return nil
+// fillState sets the state for an instance: the stated work among what it granted
+// and, on targets that it is taken to own, all that others granted.
+func (l *Ledger) fillState(p *peer, hb *wire.Heartbeat, now time.Time) {
+	seq, expired := l.entry.state(p.id, p.grantsFrom, now)
+	for _, permit := range expired {
+		l.release(permit.serial, now)
 	}
-	running := make([]wire.Running, 0, len(told))
-	for id := range told {
+	hb.GrantSeq = seq
+	hb.Running = nil
+	for id := range l.entry.told[p.id] {
 		w := l.entry.work[id]
-		count := w.granted[to]
-		if w.owner == to {
-			count = w.total
+		count := w.stated[p.id]
+		if w.owner == p.id {
+			count += len(w.permits) - w.granted[p.id]
+		}
+		if count > 0 {
+			hb.Running = append(hb.Running, wire.Running{Target: id, Count: count})
 		}
-		running = append(running, wire.Running{Target: id, Count: count})
 	}
-	slices.SortFunc(running, func(a, b wire.Running) int {
+	slices.SortFunc(hb.Running, func(a, b wire.Running) int {
 		return strings.Compare(string(a.Target), string(b.Target))
 	})
-	return running
 }
 
 // dropExpired takes permits that were not used in time out of the accounts.
 func (l *Ledger) dropExpired(now time.Time) {
-	for _, serial := range l.entry.expired(now) {
-		l.release(serial, now)
+	for owner := range l.entry.open {
+		p := l.peer(owner, now)
+		_, expired := l.entry.state(owner, p.grantsFrom, now)
+		for _, permit := range expired {
+			l.release(permit.serial, now)
+		}
 	}
 }
--- a/internal/limit/grants.go
+++ b/internal/limit/grants.go
@@ -25,7 +25,6 @@
 	p.grantSeq++
 	p.pending = append(p.pending, pendingGrant{seq: p.grantSeq, target: t, at: now})
 	t.add(1, now)
-	t.logGrant(p, l.grantMemory(), now)
 	return wire.Grant{
 		Incarnation:     l.incarnation,
 		Seq:             p.grantSeq,
@@ -38,11 +37,6 @@
 	}, true
 }
 
-// grantMemory is how long a grant can matter for the reading of a report.
-func (l *Ledger) grantMemory() time.Duration {
-	return l.params.PermitTime + l.params.Margin + l.params.ReportLag + peakBuckets*time.Second
-}
-
 // GrantSelf turns a grant to this instance itself into a permit.
 func (l *Ledger) GrantSelf(g *wire.Grant, now time.Time) (Permit, error) {
 	return l.ReceiveGrant(l.self, g, now)
@@ -75,7 +69,9 @@
 		Owner:    from,
 		Expires:  expires,
 	}
-	permit.serial = l.entry.hold(g.Target, from, expires)
+	held := &heldPermit{target: g.Target, owner: from, seq: g.Seq, expires: expires}
+	l.entry.hold(held)
+	permit.serial = held.serial
 	l.target(g.Target).add(1, now)
 	l.believe(g.Target, now)
 	return permit, nil
@@ -113,8 +109,13 @@
 
 // release takes a permit out of the accounts, if it is there.
 func (l *Ledger) release(serial uint64, now time.Time) {
-	target, ok := l.entry.release(serial)
-	if ok {
-		l.target(target).add(-1, now)
+	permit := l.entry.release(serial)
+	if permit == nil {
+		return
+	}
+	t := l.target(permit.target)
+	t.add(-1, now)
+	if t.uncertain() > 0 && !permit.used.IsZero() {
+		t.ended = append(t.ended, endedWork{used: permit.used, ended: now})
 	}
 }
--- a/internal/limit/ledger.go
+++ b/internal/limit/ledger.go
@@ -33,6 +33,9 @@
 	read      time.Time
 	confirmed time.Time
 	disputed  time.Time
+	// suspended says that the list was out of touch for longer than CutOff and awaits
+	// the platform or a peer of the same data centre with the same list.
+	suspended bool
 	// started is when this incarnation started.
 	started time.Time
 	// views is the record of this instance's own view.
@@ -70,11 +73,15 @@
 // of an unchanged list, because it confirms the list.
 func (l *Ledger) SetMembers(instances []fleet.ListedInstance, order OwnerOrder, now time.Time) {
 	l.advance(now)
-	l.read = now
 	next := newSnapshot(instances, order)
 	for _, instance := range instances {
 		l.notePeer(instance, now)
 	}
+	if !l.fresh(now) {
+		l.lists = []*snapshot{newSnapshot(nil, nil)}
+	}
+	l.read = now
+	l.suspended = false
 	if l.list().equal(next) {
 		return
 	}
@@ -188,6 +195,9 @@
 // advance does the housekeeping that is due. It takes O(peers) at most once in
 // each sweepInterval.
 func (l *Ledger) advance(now time.Time) {
+	if !l.fresh(now) {
+		l.suspended = true
+	}
 	if now.Sub(l.swept) < sweepInterval {
 		return
 	}
@@ -246,6 +256,9 @@
 	if within(l.read, l.params.CutOff, now) {
 		return true
 	}
+	if l.suspended {
+		return false
+	}
 	return within(l.confirmed, l.params.CutOff, now) && !within(l.disputed, l.params.CutOff, now)
 }
 
--- a/internal/limit/peers.go
+++ b/internal/limit/peers.go
@@ -127,8 +127,7 @@
 	hb.View = uint64(l.views.current)
 	hb.Lends = l.lends(now)
 	hb.Leaving = hb.Leaving || l.leaving
-	hb.Running = l.runningFor(to, now)
-	hb.GrantSeq = p.grantsFrom
+	l.fillState(p, hb, now)
 }
 
 // lends tells whether this instance may lend its escrow now.
@@ -199,6 +198,7 @@
 		p.retired = append(p.retired, retiredIncarnation{incarnation: p.incarnation, at: now})
 	}
 	l.abandon(p, now)
+	l.entry.stateAll(p.id)
 	p.incarnation = next
 	p.received = 0
 	p.anchor = time.Time{}
@@ -220,9 +220,21 @@
 	} else {
 		p.views.set(view, l.params.borrowDelay(), now)
 	}
-	if p.dataCentre == l.dataCentre && l.decode(view).list == nil {
-		l.disputed = now
-		return
+	l.confirm(p, view, now)
+}
+
+// confirm counts a heartbeat as a proof of touch, or as a dispute if it is from a
+// peer of the same data centre with an unknown list.
+func (l *Ledger) confirm(p *peer, view membership.View, now time.Time) {
+	if p.dataCentre == l.dataCentre {
+		list := l.decode(view).list
+		if list == nil {
+			l.disputed = now
+			return
+		}
+		if list == l.list() && within(p.anchor, l.params.CutOff, now) {
+			l.suspended = false
+		}
 	}
 	if p.anchor.After(l.confirmed) {
 		l.confirmed = p.anchor
@@ -242,8 +254,7 @@
 	l.recover(p, now)
 	next := make(map[*target]int, len(hb.Running))
 	for _, running := range hb.Running {
-		t := l.target(running.Target)
-		next[t] += running.Count
+		next[l.target(running.Target)] += max(0, running.Count)
 	}
 	for t, count := range p.counts {
 		t.add(-count, now)
@@ -257,6 +268,29 @@
 	if hb.EchoIncarnation == l.incarnation {
 		reflected = hb.GrantSeq
 	}
+	l.sampleState(p, reflected, now)
+	l.dropPending(p, reflected, now)
+}
+
+// sampleState keeps the state for the reading of reports on uncertain targets.
+func (l *Ledger) sampleState(p *peer, reflected uint64, now time.Time) {
+	for t, count := range p.counts {
+		if t.uncertain() == 0 {
+			continue
+		}
+		started := 0
+		for _, g := range p.pending {
+			if g.target == t && g.seq <= reflected {
+				started++
+			}
+		}
+		t.sample(p, stateSample{sent: p.stated, received: now, count: count, started: started})
+	}
+}
+
+// dropPending ends the pending grants that the state covers: those it reflects, and
+// those that cannot be used any more and had not arrived when it was sent.
+func (l *Ledger) dropPending(p *peer, reflected uint64, now time.Time) {
 	p.pending = slices.DeleteFunc(p.pending, func(g pendingGrant) bool {
 		missed := p.stated.Sub(g.at) > l.params.PermitTime+l.params.Margin
 		if g.seq > reflected && !missed {
--- /dev/null
+++ b/internal/limit/property_test.go
@@ -0,0 +1,255 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// simFault is one fault of a plan: what, when, for how long and to whom.
+type simFault struct {
+	kind, node, other int
+	after, lasts      time.Duration
+}
+
+// Kinds of faults.
+const (
+	faultCutOneWay = iota
+	faultIsolate
+	faultPause
+	faultRestart
+	faultList
+	faultCold
+	faultCrash
+	faultReadsDown
+	faultNoise
+	faultNoPoll
+	faultSplit
+	faultKinds
+)
+
+// allKinds are all kinds of faults.
+func allKinds() []int {
+	kinds := make([]int, faultKinds)
+	for i := range kinds {
+		kinds[i] = i
+	}
+	return kinds
+}
+
+// drawFault draws one fault of the given kinds.
+func drawFault(t *rapid.T, kinds []int) simFault {
+	return simFault{
+		kind:  rapid.SampledFrom(kinds).Draw(t, "kind"),
+		node:  rapid.IntRange(0, 5).Draw(t, "node"),
+		other: rapid.IntRange(0, 5).Draw(t, "other"),
+		after: time.Duration(rapid.IntRange(0, 100).Draw(t, "after")) * simStep,
+		lasts: time.Duration(rapid.IntRange(10, 250).Draw(t, "lasts")) * simStep,
+	}
+}
+
+// cut stops messages from one node to another for a while.
+func (s *sim) cut(from, to *simNode, d time.Duration) {
+	s.cuts[[2]*simNode{from, to}] = s.now.Add(d)
+}
+
+// apply makes a fault happen now.
+func (s *sim) apply(f simFault) {
+	n := s.nodes[f.node%len(s.nodes)]
+	other := s.nodes[f.other%len(s.nodes)]
+	target := s.targets[f.other%len(s.targets)]
+	switch f.kind {
+	case faultCutOneWay:
+		s.cut(n, other, f.lasts)
+	case faultIsolate:
+		for _, peer := range s.nodes {
+			s.cut(n, peer, f.lasts)
+			s.cut(peer, n, f.lasts)
+		}
+	case faultSplit:
+		s.split(f)
+	case faultPause:
+		n.pausedUntil = s.now.Add(f.lasts)
+	case faultRestart:
+		s.restart(n)
+	case faultList:
+		s.publish(n, f)
+	case faultCold:
+		s.turnCold(target, !target.cold)
+	case faultCrash:
+		s.crash(target)
+	case faultReadsDown:
+		if s.now.Sub(s.lists[len(s.lists)-1].at) > s.params.CutOff {
+			s.readsDown = s.now.Add(f.lasts)
+		}
+	case faultNoise:
+		s.noisyUntil = s.now.Add(f.lasts)
+		s.loss = float64(f.other) / 8
+		s.slow = time.Duration(f.node) * time.Second
+	case faultNoPoll:
+		s.noPoll[n] = s.now.Add(f.lasts)
+	}
+}
+
+// crash restarts a target cold: its work is gone and the entries see it break.
+func (s *sim) crash(t *simTarget) {
+	t.boot++
+	t.booted = s.now
+	t.completed = 0
+	s.turnCold(t, true)
+	for _, w := range t.running {
+		if w.entry.incarnation == w.incarnation {
+			w.entry.ended = append(w.entry.ended, w)
+			w.entry.ledger.Broken(t.ID, s.clock(w.entry))
+		}
+	}
+	t.running = nil
+}
+
+// split cuts the nodes into two groups.
+func (s *sim) split(f simFault) {
+	for i, a := range s.nodes {
+		for j, b := range s.nodes {
+			if (f.node+1)>>(i%3)&1 != (f.node+1)>>(j%3)&1 {
+				s.cut(a, b, f.lasts)
+			}
+		}
+	}
+}
+
+// publish makes a new version of the list, if the last one has reached everybody.
+func (s *sim) publish(n *simNode, f simFault) {
+	last := s.lists[len(s.lists)-1].at
+	if s.now.Before(s.readsDown) || s.now.Sub(last) <= s.params.CutOff {
+		return
+	}
+	if f.other == 0 {
+		n = nil
+	}
+	s.lists = append(s.lists, simList{at: s.now, instances: s.listed(n)})
+}
+
+func (s *sim) turnCold(t *simTarget, cold bool) {
+	t.cold = cold
+	t.coldFrom = s.now
+}
+
+// drawSim draws a fleet and its targets.
+func drawSim(t *rapid.T, setUp func(*sim)) *sim {
+	targets := []Target{
+		{ID: "one", DataCentre: "d", Limit: 1, ColdLimit: 1},
+		{ID: "few", DataCentre: "d", Limit: 5, ColdLimit: 1},
+		{ID: "many", DataCentre: "d", Limit: 16, ColdLimit: 2},
+	}
+	inside := rapid.IntRange(2, 5).Draw(t, "inside")
+	s := newSim(rapid.Uint64().Draw(t, "seed"), inside, targets)
+	s.params.ReportLag = rapid.SampledFrom([]time.Duration{simStep, 2 * time.Second}).Draw(t, "lag")
+	setUp(s)
+	s.begin()
+	return s
+}
+
+// play runs a plan of faults after a quiet beginning.
+func (s *sim) play(t *rapid.T, kinds []int) {
+	s.run(10 * time.Second)
+	draw := rapid.Custom(func(t *rapid.T) simFault { return drawFault(t, kinds) })
+	for _, f := range rapid.SliceOfN(draw, 1, 30).Draw(t, "faults") {
+		s.run(f.after)
+		s.apply(f)
+	}
+	s.run(15 * time.Second)
+}
+
+func TestWorkNeverExceedsLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSim(t, func(*sim) {})
+		s.play(t, allKinds())
+		if s.violation != "" {
+			t.Fatal(s.violation)
+		}
+	})
+}
+
+// heal ends all faults and lets the work drain.
+func (s *sim) heal() {
+	clear(s.cuts)
+	clear(s.noPoll)
+	s.readsDown, s.noisyUntil = s.now, s.now
+	for _, n := range s.nodes {
+		n.pausedUntil = s.now
+	}
+	s.lists = append(s.lists, simList{at: s.now, instances: s.listed(nil)})
+	for _, t := range s.targets {
+		s.turnCold(t, false)
+	}
+	s.quiet = true
+}
+
+// recoveryTime is how long after the last fault the owner holds the whole limit.
+func recoveryTime(p Params) time.Duration {
+	detect := p.DeadPeer + simListLag + simRead
+	gain := max(p.HoldDown, p.borrowDelay())
+	report := p.PermitTime + p.Margin + 2*p.ReportLag + simMaxAge + 3*simPoll
+	return detect + gain + report
+}
+
+func TestOwnerRecoversWholeLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSim(t, func(*sim) {})
+		s.play(t, allKinds())
+		s.heal()
+		s.run(simStep)
+		for _, target := range s.targets {
+			target.completed += 1000
+			for _, w := range target.running {
+				w.ends = s.now
+			}
+		}
+		s.run(recoveryTime(s.params))
+		for _, target := range s.targets {
+			owner, _ := s.nodes[0].ledger.Owner(target.ID, s.clock(s.nodes[0]))
+			for _, n := range s.nodes {
+				if n.id != owner {
+					continue
+				}
+				if got := n.ledger.Available(target.ID, s.clock(n)); got != target.Limit {
+					t.Fatalf("%s: owner %s has %d of %d: %+v", target.ID, n.id, got, target.Limit, n.ledger.State(target.ID))
+				}
+			}
+		}
+	})
+}
+
+// maxPlans is how many plans of faults a broken variant is given.
+const maxPlans = 300
+
+// TestBrokenVariantsExceedLimit shows that the model finds each broken variant.
+func TestBrokenVariantsExceedLimit(t *testing.T) {
+	variants := []struct {
+		name   string
+		kinds  []int
+		change func(*sim)
+	}{
+		{"loan anchored at receipt", allKinds(), func(s *sim) { s.faults.anchorAtReceipt = true }},
+		{"reports ignored", allKinds(), func(s *sim) { s.faults.emptyReports = true }},
+		{"permits not checked", []int{faultPause}, func(s *sim) { s.faults.uncheckedUse = true }},
+		{"no hold-down", []int{faultIsolate, faultList}, func(s *sim) { s.params.HoldDown = 0 }},
+	}
+	for _, variant := range variants {
+		t.Run(variant.name, func(t *testing.T) {
+			for i := range maxPlans {
+				plan := rapid.Custom(func(t *rapid.T) *sim {
+					s := drawSim(t, variant.change)
+					s.play(t, variant.kinds)
+					return s
+				})
+				if s := plan.Example(i); s.violation != "" {
+					t.Logf("plan %d: %s", i, s.violation)
+					return
+				}
+			}
+			t.Fatalf("no violation in %d plans", maxPlans)
+		})
+	}
+}
--- a/internal/limit/report.go
+++ b/internal/limit/report.go
@@ -143,34 +143,14 @@
 		if r.earliest.Before(t.decisive) {
 			continue
 		}
-		t.resolve(r.running - l.surelyRunning(t, r, now))
+		t.resolve(r.running - l.leastRunning(t, r, now))
 	}
+	t.forgetSamples(now)
 	latest := t.readings[len(t.readings)-1]
 	others := max(0, t.level(l.params, now)-t.held)
 	t.foreign = max(0, latest.running-t.peakSince(latest.earliest)-t.uncertain()-others)
 }
 
-// surelyRunning returns how much of the known work a report must include: work that
-// started before its figures were taken and was still running afterwards.
-func (l *Ledger) surelyRunning(t *target, r reading, now time.Time) int {
-	if now.Sub(r.latest) <= l.params.Margin {
-		return 0
-	}
-	sure := l.entry.usedBefore(t.ID, r.earliest)
-	if t.wholeFrom.IsZero() || r.earliest.Before(t.wholeFrom) {
-		return sure
-	}
-	startable := r.earliest.Add(-l.params.PermitTime - l.params.Margin)
-	for _, p := range l.peers {
-		count := p.counts[t]
-		if count == 0 || p.lost || p.stated.Sub(r.latest) <= l.params.Margin {
-			continue
-		}
-		sure += max(0, count-t.grantsSince(p, startable))
-	}
-	return sure
-}
-
 // State describes what the ledger knows of a target.
 func (l *Ledger) State(id fleet.TargetID) TargetStatus {
 	t, ok := l.targets[id]
--- /dev/null
+++ b/internal/limit/samples.go
@@ -0,0 +1,116 @@
+package limit
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// sampleStep is the resolution at which a report is compared with known work.
+	sampleStep = 100 * time.Millisecond
+	// sampleMemory is how long states and ended work are kept.
+	sampleMemory = peakBuckets * time.Second
+)
+
+// stateSample is one state of an entry for one target.
+type stateSample struct {
+	// sent is the earliest time at which it can have been sent.
+	sent, received time.Time
+	count          int
+	// started bounds the work in count that was not in the state before.
+	started int
+}
+
+// endedWork is work of this instance as an entry that has ended.
+type endedWork struct{ used, ended time.Time }
+
+// sample keeps a state.
+func (t *target) sample(p *peer, s stateSample) {
+	if t.samples == nil {
+		t.samples = make(map[*peer][]stateSample)
+	}
+	kept := slices.DeleteFunc(t.samples[p], func(old stateSample) bool {
+		return s.received.Sub(old.received) > sampleMemory
+	})
+	t.samples[p] = append(kept, s)
+}
+
+// forgetSamples drops what is of no use any more.
+func (t *target) forgetSamples(now time.Time) {
+	if t.uncertain() == 0 {
+		t.samples = nil
+		t.ended = nil
+		return
+	}
+	t.ended = slices.DeleteFunc(t.ended, func(w endedWork) bool {
+		return now.Sub(w.ended) > sampleMemory
+	})
+}
+
+// leastRunning returns a lower bound of the known work that ran on the target at
+// the time of the reading's figures, whenever within its interval that was. Work
+// takes up to the margin to arrive, and its end up to the margin to be known.
+func (l *Ledger) leastRunning(t *target, r reading, now time.Time) int {
+	whole := !t.wholeFrom.IsZero() && !r.earliest.Before(t.wholeFrom)
+	least := -1
+	for from := r.earliest; !from.After(r.latest); from = from.Add(sampleStep) {
+		arrived := from.Add(-l.params.Margin)
+		ended := from.Add(sampleStep + l.params.Margin)
+		if ended.After(now) {
+			return 0
+		}
+		running := l.ownRunning(t, arrived, ended)
+		if whole {
+			for p, samples := range t.samples {
+				if !p.lost {
+					running += runningThrough(samples, arrived, ended)
+				}
+			}
+		}
+		if least < 0 || running < least {
+			least = running
+		}
+	}
+	return max(0, least)
+}
+
+// ownRunning counts this instance's work as an entry that ran through an interval.
+func (l *Ledger) ownRunning(t *target, from, to time.Time) int {
+	count := 0
+	if w, ok := l.entry.work[t.ID]; ok {
+		for _, permit := range w.permits {
+			if !permit.used.IsZero() && !permit.used.After(from) {
+				count++
+			}
+		}
+	}
+	for _, w := range t.ended {
+		if !w.used.After(from) && !w.ended.Before(to) {
+			count++
+		}
+	}
+	return count
+}
+
+// runningThrough returns a lower bound of an entry's work at any one time within an
+// interval: the first state sent after it, less what that state and those before it
+// may have started since the last state received before it.
+func runningThrough(samples []stateSample, from, to time.Time) int {
+	started := 0
+	before := false
+	for _, s := range samples {
+		if !s.received.After(from) {
+			before = true
+			started = 0
+			continue
+		}
+		started += s.started
+		if !s.sent.Before(to) {
+			if !before {
+				return 0
+			}
+			return max(0, s.count-started)
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/limit/sim_test.go
@@ -0,0 +1,394 @@
+package limit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/wire"
+)
+
+// Steps and bounds of the model in which the ledgers run.
+const (
+	simStep      = 50 * time.Millisecond
+	simHeartbeat = 250 * time.Millisecond
+	simPoll      = 400 * time.Millisecond
+	simRead      = 500 * time.Millisecond
+	simListLag   = 2400 * time.Millisecond
+	simMaxAge    = 300 * time.Millisecond
+	simMaxDial   = 100 * time.Millisecond
+)
+
+// simFaults lets a property break the ledger or its inputs on purpose.
+type simFaults struct {
+	anchorAtReceipt bool
+	emptyReports    bool
+	uncheckedUse    bool
+}
+
+// simWork is one request that runs, or is being dialled, on a target.
+type simWork struct {
+	entry       *simNode
+	incarnation fleet.Incarnation
+	permit      Permit
+	arrives     time.Time
+	ends        time.Time
+}
+
+// simTarget is the truth about one target.
+type simTarget struct {
+	Target
+	boot, completed int64
+	booted          time.Time
+	coldFrom        time.Time
+	cold            bool
+	running         []*simWork
+	history         []simFigures
+}
+
+// simFigures are the true figures of a target at one step.
+type simFigures struct {
+	running   int
+	completed int64
+	cold      bool
+}
+
+// simNode is one instance; its clock has an offset and drifts.
+type simNode struct {
+	id          fleet.InstanceID
+	dataCentre  fleet.DataCentreID
+	ledger      *Ledger
+	incarnation fleet.Incarnation
+	pausedUntil time.Time
+	offset      time.Duration
+	drift       float64
+	phase       time.Duration
+	listLag     time.Duration
+	seen        int
+	unused      []Permit
+	ended       []*simWork
+}
+
+// simMessage is a heartbeat or a grant under way.
+type simMessage struct {
+	from, to  *simNode
+	at        time.Time
+	heartbeat *wire.Heartbeat
+	grant     *wire.Grant
+}
+
+// simList is one version of the platform's list.
+type simList struct {
+	at        time.Time
+	instances []fleet.ListedInstance
+}
+
+// sim is the whole model.
+type sim struct {
+	start, now time.Time
+	rng        *rand.Rand
+	params     Params
+	faults     simFaults
+	nodes      []*simNode
+	targets    []*simTarget
+	queue      []simMessage
+	lists      []simList
+	cuts       map[[2]*simNode]time.Time
+	readsDown  time.Time
+	noPoll     map[*simNode]time.Time
+	loss       float64
+	slow       time.Duration
+	noisyUntil time.Time
+	quiet      bool
+	violation  string
+	starts     int
+}
+
+func newSim(seed uint64, inside int, targets []Target) *sim {
+	start := time.Unix(100000, 0)
+	s := &sim{
+		start: start, now: start, params: DefaultParams(),
+		rng:    rand.New(rand.NewPCG(seed, 1)),
+		cuts:   make(map[[2]*simNode]time.Time),
+		noPoll: make(map[*simNode]time.Time),
+	}
+	for i := range inside + 1 {
+		n := &simNode{
+			id: fleet.InstanceID(fmt.Sprint("i", i)), dataCentre: "d",
+			offset: time.Duration(s.rng.Int64N(int64(time.Hour))),
+			drift:  (s.rng.Float64() - 0.5) / 100,
+			phase:  simStep * time.Duration(s.rng.IntN(20)),
+		}
+		if i == inside {
+			n.dataCentre = "outside"
+		}
+		s.nodes = append(s.nodes, n)
+	}
+	for _, t := range targets {
+		s.targets = append(s.targets, &simTarget{Target: t, boot: 1, completed: 1000, booted: start})
+	}
+	s.lists = []simList{{at: start, instances: s.listed(nil)}}
+	return s
+}
+
+// begin starts all instances.
+func (s *sim) begin() {
+	for _, n := range s.nodes {
+		s.restart(n)
+	}
+}
+
+// listed returns the instances but for the one that is left out.
+func (s *sim) listed(out *simNode) []fleet.ListedInstance {
+	var instances []fleet.ListedInstance
+	for _, n := range s.nodes {
+		if n != out {
+			instances = append(instances, fleet.ListedInstance{ID: n.id, DataCentre: n.dataCentre, State: fleet.StateLive})
+		}
+	}
+	return instances
+}
+
+// clock returns the node's own time.
+func (s *sim) clock(n *simNode) time.Time {
+	elapsed := float64(s.now.Sub(s.start)) * (1 + n.drift)
+	return s.start.Add(n.offset + time.Duration(elapsed))
+}
+
+func (s *sim) restart(n *simNode) {
+	n.incarnation = fleet.Incarnation(s.rng.Uint64() | 1)
+	n.ledger = New(n.id, n.incarnation, s.params, s.clock(n))
+	n.unused, n.ended = nil, nil
+	n.listLag = time.Duration(s.rng.Int64N(int64(simListLag)))
+	for _, t := range s.targets {
+		for _, w := range t.running {
+			if w.entry == n && s.rng.IntN(2) == 0 {
+				w.ends = s.now.Add(time.Duration(s.rng.Int64N(int64(3 * time.Second))))
+			}
+		}
+	}
+}
+
+// due tells whether a node's periodic duty falls on this step.
+func (s *sim) due(n *simNode, every time.Duration) bool {
+	return (s.now.Sub(s.start)+n.phase)%every == 0
+}
+
+// step moves the model on by simStep.
+func (s *sim) step() {
+	s.now = s.now.Add(simStep)
+	for _, t := range s.targets {
+		s.stepTarget(t)
+	}
+	s.deliver()
+	for _, i := range s.rng.Perm(len(s.nodes)) {
+		if n := s.nodes[i]; !s.now.Before(n.pausedUntil) {
+			s.stepNode(n)
+		}
+	}
+}
+
+func (s *sim) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.step()
+	}
+}
+
+// stepTarget ends work and lets dialled work arrive.
+func (s *sim) stepTarget(t *simTarget) {
+	t.running = slices.DeleteFunc(t.running, func(w *simWork) bool {
+		if w.arrives.After(s.now) || w.ends.After(s.now) {
+			return false
+		}
+		t.completed++
+		if w.entry.incarnation == w.incarnation {
+			w.entry.ended = append(w.entry.ended, w)
+		}
+		return true
+	})
+	t.history = append(t.history, simFigures{running: s.count(t), completed: t.completed, cold: t.cold})
+}
+
+// count returns the work that runs on a target and checks the limit.
+func (s *sim) count(t *simTarget) int {
+	running, arrived := 0, false
+	for _, w := range t.running {
+		if w.arrives.After(s.now) {
+			continue
+		}
+		running++
+		arrived = arrived || s.now.Sub(w.arrives) < simStep
+	}
+	known := s.params.CutOff + 2*s.params.ReportLag + s.params.PermitTime + s.params.Margin + simMaxAge
+	limit := t.Limit
+	if t.cold && s.now.Sub(t.coldFrom) > known {
+		limit = t.ColdLimit
+	}
+	if arrived && running > limit && s.violation == "" {
+		s.violation = fmt.Sprintf("%v: %d run on %s, limit in force %d", s.now.Sub(s.start), running, t.ID, limit)
+	}
+	return running
+}
+
+// deliver hands over messages that are due, in random order.
+func (s *sim) deliver() {
+	var due, later []simMessage
+	for _, m := range s.queue {
+		if m.at.After(s.now) || s.now.Before(m.to.pausedUntil) {
+			later = append(later, m)
+		} else {
+			due = append(due, m)
+		}
+	}
+	s.queue = later
+	s.rng.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	for _, m := range due {
+		s.receive(m)
+	}
+}
+
+func (s *sim) receive(m simMessage) {
+	now := s.clock(m.to)
+	if m.grant != nil {
+		if permit, err := m.to.ledger.ReceiveGrant(m.from.id, m.grant, now); err == nil {
+			m.to.unused = append(m.to.unused, permit)
+		}
+		return
+	}
+	if s.faults.anchorAtReceipt {
+		sent := &m.to.ledger.peer(m.from.id, now).sent
+		sent.ring[m.heartbeat.EchoSeq%sentWindow].at = now
+	}
+	m.to.ledger.ReceiveHeartbeat(m.from.id, m.heartbeat, now)
+}
+
+// send puts a message on its way: it may be lost, late or repeated.
+func (s *sim) send(m simMessage) {
+	if s.now.Before(s.cuts[[2]*simNode{m.from, m.to}]) {
+		return
+	}
+	delay, copies := time.Duration(s.rng.Int64N(int64(80*time.Millisecond))), 1
+	if s.now.Before(s.noisyUntil) {
+		if s.rng.Float64() < s.loss {
+			return
+		}
+		copies += s.rng.IntN(2)
+		delay += time.Duration(s.rng.Int64N(int64(s.slow) + 1))
+	}
+	for i := range copies {
+		m.at = s.now.Add(delay * time.Duration(1+i))
+		s.queue = append(s.queue, m)
+	}
+}
+
+// stepNode does all duties of an instance that are due.
+func (s *sim) stepNode(n *simNode) {
+	now := s.clock(n)
+	for _, w := range n.ended {
+		n.ledger.Done(&w.permit, now)
+	}
+	n.ended = nil
+	if s.due(n, simRead) && !s.now.Before(s.readsDown) {
+		s.read(n)
+	}
+	if s.due(n, simHeartbeat) {
+		for _, to := range s.nodes {
+			if to != n {
+				hb := &wire.Heartbeat{}
+				n.ledger.FillHeartbeat(to.id, hb, now)
+				s.send(simMessage{from: n, to: to, heartbeat: hb})
+			}
+		}
+	}
+	if s.due(n, simPoll) && !s.now.Before(s.noPoll[n]) {
+		for _, id := range n.ledger.Owned(now) {
+			s.poll(n, id)
+		}
+	}
+	if !s.quiet {
+		s.grant(n, now)
+	}
+	s.use(n, now)
+}
+
+// read gives a node the newest version that has reached its reader.
+func (s *sim) read(n *simNode) {
+	for i, list := range s.lists {
+		if !list.at.Add(n.listLag).After(s.now) {
+			n.seen = max(n.seen, i)
+		}
+	}
+	var targets []Target
+	for _, t := range s.targets {
+		targets = append(targets, t.Target)
+	}
+	n.ledger.SetMembers(s.lists[n.seen].instances, nil, s.clock(n))
+	n.ledger.SetTargets(targets, s.clock(n))
+}
+
+// poll gives a node a report with figures up to ReportLag and an age old.
+func (s *sim) poll(n *simNode, id fleet.TargetID) {
+	t := s.targets[slices.IndexFunc(s.targets, func(t *simTarget) bool { return t.ID == id })]
+	age := time.Duration(s.rng.Int64N(int64(simMaxAge)))
+	old := age + time.Duration(s.rng.Int64N(int64(s.params.ReportLag)+1))
+	steps := min(int(old/simStep), int(s.now.Sub(t.booted)/simStep), len(t.history)-1)
+	figures := t.history[len(t.history)-1-steps]
+	report := fleet.LoadReport{
+		BootID: fmt.Sprint(t.boot), State: fleet.TargetReady, Completed: figures.completed,
+		Running: figures.running, AgeMillis: age.Milliseconds(),
+	}
+	if figures.cold {
+		report.State = fleet.TargetCold
+	}
+	if s.faults.emptyReports {
+		report.Running = 0
+	}
+	n.ledger.Report(id, report, s.clock(n), s.clock(n))
+}
+
+// grant gives out all that a node may grant, to entries at random.
+func (s *sim) grant(n *simNode, now time.Time) {
+	for _, t := range s.targets {
+		for n.ledger.Available(t.ID, now) > 0 {
+			to := s.nodes[s.rng.IntN(len(s.nodes))]
+			g, ok := n.ledger.Grant(t.ID, to.id, "c", fleet.Workload{Model: "m"}, now)
+			if !ok {
+				break
+			}
+			if to != n {
+				s.send(simMessage{from: n, to: to, grant: &g})
+			} else if permit, err := n.ledger.GrantSelf(&g, now); err == nil {
+				n.unused = append(n.unused, permit)
+			}
+		}
+	}
+}
+
+// use starts, returns or keeps each permit that a node holds.
+func (s *sim) use(n *simNode, now time.Time) {
+	n.unused = slices.DeleteFunc(n.unused, func(permit Permit) bool {
+		choice := s.rng.IntN(10)
+		if choice > 6 && now.Before(permit.Expires) {
+			return false
+		}
+		usable := n.ledger.Usable(&permit, now) || s.faults.uncheckedUse
+		if choice == 0 || !usable {
+			n.ledger.Done(&permit, now)
+			return true
+		}
+		s.starts++
+		arrives := s.now.Add(time.Duration(s.rng.Int64N(int64(simMaxDial))))
+		length := time.Duration(s.rng.ExpFloat64() * float64(4*time.Second))
+		if s.quiet {
+			length = 0
+		}
+		t := s.targets[slices.IndexFunc(s.targets, func(t *simTarget) bool { return t.ID == permit.Target })]
+		t.running = append(t.running, &simWork{
+			entry: n, incarnation: n.incarnation, permit: permit,
+			arrives: arrives, ends: arrives.Add(length),
+		})
+		return true
+	})
+}
--- a/internal/limit/target.go
+++ b/internal/limit/target.go
@@ -14,12 +14,6 @@
 	peakBuckets = 16
 )
 
-// grantRecord is a grant in the log of a target.
-type grantRecord struct {
-	at time.Time
-	to *peer
-}
-
 // reading is a load report with the interval in which its figures were true.
 type reading struct {
 	earliest time.Time
@@ -53,7 +47,6 @@
 	decisive   time.Time
 	// foreign is reported work that nobody accounts for.
 	foreign int
-	grants  []grantRecord
 
 	// held is the number of units this instance may use now, heldRule the same by
 	// the highest limit the rules have given, which is reference.
@@ -64,6 +57,11 @@
 	// wholeFrom is since when this instance has held every unit; zero if it does not.
 	wholeFrom time.Time
 
+	// samples are the latest states of each entry and ended the latest own work, both
+	// kept while work is uncertain.
+	samples map[*peer][]stateSample
+	ended   []endedWork
+
 	load loadState
 	// readings are the latest reports, oldest first.
 	readings []reading
@@ -139,26 +137,3 @@
 	t.bound = min(t.bound, max(rest, 0))
 	t.unresolved = min(t.unresolved, t.bound)
 }
-
-// grantsSince counts the grants to a peer at or after a time.
-func (t *target) grantsSince(to *peer, since time.Time) int {
-	count := 0
-	for i := len(t.grants) - 1; i >= 0 && !t.grants[i].at.Before(since); i-- {
-		if t.grants[i].to == to {
-			count++
-		}
-	}
-	return count
-}
-
-// logGrant records a grant and forgets those older than keep.
-func (t *target) logGrant(to *peer, keep time.Duration, now time.Time) {
-	old := 0
-	for old < len(t.grants) && now.Sub(t.grants[old].at) > keep {
-		old++
-	}
-	if old > len(t.grants)/2 {
-		t.grants = append(t.grants[:0], t.grants[old:]...)
-	}
-	t.grants = append(t.grants, grantRecord{at: now, to: to})
-}
