--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -13,7 +13,7 @@
 // *fairness.Accounts is one.
 type Accounts interface {
 	VirtualTime(c fleet.CustomerID) int64
-	Share(c fleet.CustomerID) int
+	Standing(c fleet.CustomerID) (virtualTime int64, share int)
 	// Epoch changes when a virtual time may have fallen.
 	Epoch() uint64
 	ActivateAt(c fleet.CustomerID, floor int64)
@@ -287,10 +287,11 @@
 
 func (o *Owner) key(m *member) int64 {
 	c := m.customer
+	virtualTime, share := o.accounts.Standing(c.id)
 	contender := Contender{
 		Customer:    c.id,
-		Share:       o.accounts.Share(c.id),
-		VirtualTime: o.accounts.VirtualTime(c.id),
+		Share:       share,
+		VirtualTime: virtualTime,
 		Pending:     c.pending,
 		LastTurn:    c.lastTurn,
 	}
--- a/internal/fairness/accounts.go
+++ b/internal/fairness/accounts.go
@@ -224,13 +224,15 @@
 	return a.accounts[i].virtualTime()
 }
 
-// Share returns a customer's share, 1 for an unknown customer. O(1).
-func (a *Accounts) Share(c fleet.CustomerID) int {
+// Standing returns a customer's virtual time and share, 0 and 1 for an unknown
+// customer. O(1).
+func (a *Accounts) Standing(c fleet.CustomerID) (virtualTime int64, share int) {
 	i, ok := a.index[c]
 	if !ok {
-		return 1
+		return 0, 1
 	}
-	return int(a.accounts[i].share)
+	acc := &a.accounts[i]
+	return acc.virtualTime(), int(acc.share)
 }
 
 // Idle reports whether the customer has had no demand here and no service at
--- /dev/null
+++ b/internal/fairness/accounts_test.go
@@ -0,0 +1,282 @@
+package fairness
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/wire"
+	"pgregory.net/rapid"
+)
+
+func customer(i int) fleet.CustomerID { return fleet.CustomerID(fmt.Sprintf("c%d", i)) }
+
+func drawServices(t *rapid.T, label string) []wire.Service {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) wire.Service {
+		return wire.Service{
+			Incarnation: fleet.Incarnation(rapid.IntRange(0, 4).Draw(t, "incarnation")),
+			Customer:    customer(rapid.IntRange(0, 3).Draw(t, "customer")),
+			Total:       fleet.Cost(rapid.IntRange(-5, 1000).Draw(t, "total")),
+		}
+	}), 0, 20).Draw(t, label)
+}
+
+func drawOffsets(t *rapid.T, label string) []wire.Offset {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) wire.Offset {
+		return wire.Offset{Customer: customer(rapid.IntRange(0, 3).Draw(t, "customer")), Lift: fleet.Cost(rapid.IntRange(0, 1000).Draw(t, "lift"))}
+	}), 0, 10).Draw(t, label)
+}
+
+func figures(a *Accounts) map[fleet.CustomerID]CustomerStatus {
+	m := map[fleet.CustomerID]CustomerStatus{}
+	for _, s := range a.Status(nil) {
+		if s.VirtualTime != 0 {
+			m[s.Customer] = s
+		}
+	}
+	return m
+}
+
+// TestMergeLaws checks that a merge is commutative, associative and idempotent.
+func TestMergeLaws(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ss, os := drawServices(t, "services"), drawOffsets(t, "offsets")
+		a, b := New(9, Params{}), New(9, Params{})
+		a.Merge(ss, os)
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		for range 2 {
+			rng.Shuffle(len(ss), func(i, j int) { ss[i], ss[j] = ss[j], ss[i] })
+			rng.Shuffle(len(os), func(i, j int) { os[i], os[j] = os[j], os[i] })
+			cut := rng.IntN(len(ss) + 1)
+			b.Merge(ss[cut:], os)
+			b.Merge(ss[:cut], nil)
+			b.Merge(ss, os)
+		}
+		if fa, fb := figures(a), figures(b); fmt.Sprint(fa) != fmt.Sprint(fb) {
+			t.Fatalf("orders differ: %v and %v", fa, fb)
+		}
+	})
+}
+
+// TestHeartbeatsConverge drives instances over links that lose, delay, repeat and
+// reorder, with restarts, and checks that once heartbeats pass all agree.
+func TestHeartbeatsConverge(t *testing.T) {
+	const nodes, customers = 3, 6
+	type link struct{ seq, heard uint64 }
+	type message struct {
+		from, to int
+		inc      fleet.Incarnation
+		hb       wire.Heartbeat
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		limit := rapid.IntRange(1, 5).Draw(t, "limit")
+		var accs [nodes]*Accounts
+		var incs [nodes]fleet.Incarnation
+		var links [nodes][nodes]link
+		var flying []message
+		now := time.Unix(1, 0)
+		start := func(i int) {
+			incs[i] += 1 + nodes
+			accs[i] = New(incs[i]*nodes+fleet.Incarnation(i), Params{Threshold: 50})
+			links[i] = [nodes]link{}
+		}
+		id := func(i int) fleet.InstanceID { return fleet.InstanceID(fmt.Sprint(i)) }
+		receive := func(m message) {
+			l := &links[m.to][m.from]
+			if m.inc != incs[m.from] {
+				return
+			}
+			accs[m.to].Merge(m.hb.Service, m.hb.Offsets)
+			echo := m.hb.EchoSeq
+			if m.hb.EchoIncarnation != incs[m.to] {
+				echo = 0
+			}
+			accs[m.to].Acknowledge(id(m.from), m.inc, echo)
+			l.heard = max(l.heard, m.hb.Seq)
+		}
+		send := func(i, j int) message {
+			l := &links[i][j]
+			l.seq++
+			m := message{from: i, to: j, inc: incs[i], hb: wire.Heartbeat{Seq: l.seq, EchoSeq: l.heard, EchoIncarnation: incs[j]}}
+			accs[i].FillHeartbeat(id(j), &m.hb, limit)
+			if n := len(m.hb.Service) + len(m.hb.Offsets); n > limit {
+				t.Fatalf("%d records, limit %d", n, limit)
+			}
+			return m
+		}
+		for i := range nodes {
+			start(i)
+		}
+		for range 200 {
+			i, j := rng.IntN(nodes), rng.IntN(nodes)
+			switch c := customer(rng.IntN(customers)); rng.IntN(8) {
+			case 0, 1, 2:
+				accs[i].Charge(c, fleet.Cost(rng.IntN(100)))
+			case 3:
+				accs[i].LiftTo(c, rng.Int64N(500))
+			case 4:
+				if rng.IntN(20) == 0 {
+					old := accs[i].self
+					start(i)
+					for k := range nodes {
+						links[k][i].heard = 0
+						accs[k].Retire(old)
+					}
+				}
+			default:
+				if i != j {
+					flying = append(flying, send(i, j))
+				}
+			}
+			for len(flying) > 3 {
+				k := rng.IntN(len(flying))
+				if m := flying[k]; rng.IntN(3) > 0 {
+					receive(m)
+				}
+				if rng.IntN(4) > 0 {
+					flying = slices.Delete(flying, k, k+1)
+				}
+			}
+		}
+		for range 4 * customers * int(recordKinds) {
+			now = now.Add(time.Minute)
+			for i := range nodes {
+				accs[i].Tick(now)
+				for j := range nodes {
+					if i != j {
+						receive(send(i, j))
+					}
+				}
+			}
+		}
+		for c := range customers {
+			v := accs[0].VirtualTime(customer(c))
+			for i := range nodes {
+				if got := accs[i].VirtualTime(customer(c)); got != v {
+					t.Fatalf("%s has virtual time %d at instance %d and %d at 0", customer(c), got, i, v)
+				}
+			}
+		}
+	})
+}
+
+// TestRestartedInstanceLearnsRetired checks that virtual times outlive the
+// incarnations that served, without growth of memory.
+func TestRestartedInstanceLearnsRetired(t *testing.T) {
+	a, fresh := New(1, Params{}), New(2, Params{})
+	for inc := fleet.Incarnation(10); inc < 1000; inc++ {
+		a.Merge([]wire.Service{{Incarnation: inc, Customer: "x", Total: 7}}, nil)
+		a.Retire(inc)
+		a.Merge([]wire.Service{{Incarnation: inc, Customer: "x", Total: 9}}, nil)
+	}
+	if n := len(a.counters); n != 0 {
+		t.Errorf("%d incarnations are still counted one by one", n)
+	}
+	hb := wire.Heartbeat{Seq: 1}
+	a.FillHeartbeat("fresh", &hb, 10)
+	fresh.Merge(hb.Service, hb.Offsets)
+	if got, want := fresh.VirtualTime("x"), int64(990*7); got != want || a.VirtualTime("x") != want {
+		t.Errorf("virtual time is %d, and %d where retired, want %d", got, a.VirtualTime("x"), want)
+	}
+}
+
+// TestActivate checks the lift of idle customers only, to the floor exactly.
+func TestActivate(t *testing.T) {
+	start := time.Unix(100, 0)
+	for _, c := range []struct {
+		name    string
+		own     fleet.Cost
+		lastHad time.Duration
+		foreign bool
+		want    int64
+	}{
+		{"idle and behind", 40, time.Hour, false, 500},
+		{"idle and ahead keeps its debt", 900, time.Hour, false, 900},
+		{"backlogged a moment ago keeps its place", 40, time.Second, false, 40},
+		{"served elsewhere a moment ago keeps its place", 40, time.Hour, true, 41},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := New(1, Params{IdleAfter: 2 * time.Second})
+			a.Tick(start)
+			a.Charge("x", c.own)
+			a.Activate("x")
+			a.Deactivate("x")
+			a.Charge("busy", 500)
+			a.Activate("busy")
+			a.Tick(start.Add(c.lastHad))
+			if c.foreign {
+				a.Merge([]wire.Service{{Incarnation: 2, Customer: "x", Total: 1}}, nil)
+			}
+			a.Activate("x")
+			if got := a.VirtualTime("x"); got != c.want {
+				t.Errorf("virtual time is %d, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+// TestClamp checks that no neighbours stay further apart than the clamp, that the
+// order and all differences within the clamp are kept, and that none falls.
+func TestClamp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const clamp = 100
+		a := New(1, Params{Clamp: clamp})
+		var before []int64
+		var members []fleet.CustomerID
+		for i, vt := range rapid.SliceOfN(rapid.Int64Range(0, 1000), 1, 12).Draw(t, "times") {
+			members = append(members, customer(i))
+			a.LiftTo(customer(i), vt)
+			before = append(before, vt)
+		}
+		slices.Sort(before)
+		a.Clamp(members)
+		var after []int64
+		for _, c := range members {
+			after = append(after, a.VirtualTime(c))
+		}
+		slices.Sort(after)
+		for i := range after {
+			if after[i] < before[i] || (i == len(after)-1 && after[i] != before[i]) {
+				t.Fatalf("clamp of %v gives %v", before, after)
+			}
+			if i == 0 {
+				continue
+			}
+			was, is := before[i]-before[i-1], after[i]-after[i-1]
+			if is > clamp || (was <= clamp && is != was) {
+				t.Fatalf("clamp of %v gives %v", before, after)
+			}
+		}
+	})
+}
+
+// TestEstimateCharges checks that charges cover what was used at any time, that
+// what they exceed it by is the credit and what running requests may still use,
+// and that the estimate stays within what was seen.
+func TestEstimateCharges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := New(1, Params{FirstEstimate: 50})
+		used, most := fleet.Cost(0), fleet.Cost(50)
+		for range rapid.IntRange(1, 30).Draw(t, "requests") {
+			known := fleet.Cost(rapid.IntRange(0, 20).Draw(t, "known"))
+			output := fleet.Cost(rapid.IntRange(0, 300).Draw(t, "output"))
+			most = max(most, output)
+			if e := a.Estimate("x", known); e < known || e > known+most {
+				t.Fatalf("estimate %d for known %d and outputs up to %d", e, known, most)
+			}
+			w := a.Start("x", known)
+			a.Stream(&w, known+output/2)
+			a.Stream(&w, known+output/3)
+			a.Finish(&w, known+output)
+			used += known + output
+			acc := a.accounts[a.index["x"]]
+			if acc.own != used+acc.estimate.credit || acc.estimate.credit < 0 {
+				t.Fatalf("charged %d, used %d, credit %d", acc.own, used, acc.estimate.credit)
+			}
+		}
+	})
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -2,7 +2,9 @@
 // fingerprint of customer, workload and content, and bounds what they can take
 // down.
 //
-// Requests that ran on a target when it crashed become suspects. A suspect runs
+// Requests that ran on a target when its boot id changed become suspects. One
+// whose connection broke waits until the target's next report tells a crash from a
+// network fault, so that a partition makes no suspects by itself. A suspect runs
 // next only alone on a target, one suspect at a time at each instance, and only at
 // the one instance that rendezvous hashing over the visible instances names for
 // its fingerprint. After a crash while it ran alone it is refused for RefuseFor.
@@ -44,7 +46,8 @@
 	Run Verdict = iota
 	// RunAlone lets it run only as the single request on its target.
 	RunAlone
-	// Wait keeps it waiting, since another suspect runs here.
+	// Wait keeps it waiting, since another suspect runs here or the fate of its
+	// last target is not known yet.
 	Wait
 	// Redirect refuses it as not run; the instance that Holder names runs it.
 	Redirect
@@ -71,14 +74,18 @@
 type Params struct {
 	// RefuseFor is how long a suspect is remembered after its last crash.
 	RefuseFor time.Duration
+	// ResolveAfter is how long a broken connection waits for the target's word
+	// before it counts as a crash.
+	ResolveAfter time.Duration
 	// MaxSuspects bounds the fingerprints remembered.
 	MaxSuspects int
 }
 
 // Defaults of Params.
 const (
-	DefaultRefuseFor   = 30 * time.Minute
-	DefaultMaxSuspects = 4096
+	DefaultResolveAfter = 5 * time.Second
+	DefaultRefuseFor    = 30 * time.Minute
+	DefaultMaxSuspects  = 4096
 )
 
 // suspect is the state of one fingerprint.
@@ -109,16 +116,27 @@
 	self     fleet.InstanceID
 	visible  []fleet.InstanceID
 	suspects map[uint64]suspect
-	// running counts the runs of a fingerprint on each target, from this entry.
-	running map[fleet.TargetID]map[uint64]int
+	// running holds the runs of a fingerprint on each target, from this entry.
+	running map[fleet.TargetID]map[uint64]*runs
 	changed map[uint64]struct{}
 }
 
+// runs counts the runs of one fingerprint on one target.
+type runs struct {
+	active int
+	// broken runs lost their connection at brokenAt, the latest of them.
+	broken   int
+	brokenAt time.Time
+}
+
 // New returns a tracker without suspects for the instance self.
 func New(self fleet.InstanceID, p Params) *Tracker {
 	if p.RefuseFor <= 0 {
 		p.RefuseFor = DefaultRefuseFor
 	}
+	if p.ResolveAfter <= 0 {
+		p.ResolveAfter = DefaultResolveAfter
+	}
 	if p.MaxSuspects <= 0 {
 		p.MaxSuspects = DefaultMaxSuspects
 	}
@@ -127,7 +145,7 @@
 		self:     self,
 		visible:  []fleet.InstanceID{self},
 		suspects: map[uint64]suspect{},
-		running:  map[fleet.TargetID]map[uint64]int{},
+		running:  map[fleet.TargetID]map[uint64]*runs{},
 		changed:  map[uint64]struct{}{},
 	}
 }
@@ -140,67 +158,101 @@
 
 // Running notes that this entry started a request on a target.
 func (t *Tracker) Running(fp uint64, target fleet.TargetID) {
-	runs, ok := t.running[target]
+	there, ok := t.running[target]
 	if !ok {
-		runs = map[uint64]int{}
-		t.running[target] = runs
+		there = map[uint64]*runs{}
+		t.running[target] = there
+	}
+	if there[fp] == nil {
+		there[fp] = &runs{}
 	}
-	runs[fp]++
+	there[fp].active++
 }
 
-// Ended notes that a run on a target ended without the target's crash. finished
-// says that it ran to its end, which clears a suspect.
+// Ended notes that a run on a target ended while the target lives. finished says
+// that it ran to its end, which clears a suspect.
 func (t *Tracker) Ended(fp uint64, target fleet.TargetID, finished bool, now time.Time) {
-	if !t.stop(fp, target) {
+	r := t.running[target][fp]
+	if r == nil || r.active == 0 {
 		return
 	}
-	s, ok := t.suspects[fp]
-	if finished && ok && s.unsafe() {
+	r.active--
+	t.tidy(fp, target)
+	s := t.suspects[fp]
+	if finished && s.unsafe() {
 		t.advance(fp, suspect{crashes: s.crashes, cleared: true, since: now})
 	}
 }
 
-// stop takes out one run and reports whether it was known.
-func (t *Tracker) stop(fp uint64, target fleet.TargetID) bool {
-	runs := t.running[target]
-	if runs[fp] == 0 {
-		return false
-	}
-	runs[fp]--
-	if runs[fp] == 0 {
-		delete(runs, fp)
+// tidy drops the record of a fingerprint without runs.
+func (t *Tracker) tidy(fp uint64, target fleet.TargetID) {
+	there := t.running[target]
+	if r := there[fp]; r.active > 0 || r.broken > 0 {
+		return
 	}
-	if len(runs) == 0 {
+	delete(there, fp)
+	if len(there) == 0 {
 		delete(t.running, target)
 	}
-	return true
 }
 
-// Crashed notes that a target changed its boot id or broke its connections while
-// requests of this entry ran on it. It returns their fingerprints, which are now
-// suspects and run no more. O(running there).
+// Broken notes that a run lost its connection to the target and that it is not
+// known yet whether the target crashed. Crashed, Survived or, after ResolveAfter,
+// Expire decides.
+func (t *Tracker) Broken(fp uint64, target fleet.TargetID, now time.Time) {
+	r := t.running[target][fp]
+	if r == nil || r.active == 0 {
+		return
+	}
+	r.active--
+	r.broken++
+	r.brokenAt = now
+}
+
+// Survived notes a report of the target, taken at the given time, with the boot id
+// that it had before: connections that broke earlier were no crash.
+// O(running there).
+func (t *Tracker) Survived(target fleet.TargetID, at time.Time) {
+	for fp, r := range t.running[target] {
+		if r.broken > 0 && r.brokenAt.Before(at) {
+			r.broken = 0
+			t.tidy(fp, target)
+		}
+	}
+}
+
+// Crashed notes that a target changed its boot id while requests of this entry ran
+// on it or had lost their connection to it. It returns their fingerprints, which
+// are now suspects and run no more. O(running there).
 func (t *Tracker) Crashed(target fleet.TargetID, now time.Time) []uint64 {
-	runs := t.running[target]
-	fps := make([]uint64, 0, len(runs))
-	for fp := range runs {
+	there := t.running[target]
+	fps := make([]uint64, 0, len(there))
+	for fp := range there {
 		fps = append(fps, fp)
-		s := t.suspects[fp]
-		crashes := s.crashes + 1
-		if s.cleared && crashes%2 == 0 {
-			crashes++
-		}
-		t.advance(fp, suspect{crashes: crashes, since: now})
+		t.suspect(fp, now)
 	}
 	delete(t.running, target)
 	return fps
 }
 
+// suspect counts a crash against a fingerprint.
+func (t *Tracker) suspect(fp uint64, now time.Time) {
+	s := t.suspects[fp]
+	crashes := s.crashes + 1
+	if s.cleared && crashes%2 == 0 {
+		crashes++
+	}
+	t.advance(fp, suspect{crashes: crashes, since: now})
+}
+
 // Check says what to do with a request that is about to be queued or started.
-// O(targets with running work) for a suspect, else O(1).
+// O(targets with running work), for a suspect O(running work).
 func (t *Tracker) Check(fp uint64, now time.Time) Verdict {
-	s, ok := t.suspects[fp]
+	s := t.suspects[fp]
 	switch {
-	case !ok || !s.unsafe() || t.expired(s, now):
+	case t.unresolved(fp):
+		return Wait
+	case !s.unsafe() || t.expired(s, now):
 		return Run
 	case s.refused():
 		return Refuse
@@ -216,11 +268,22 @@
 	return now.Sub(s.since) >= t.params.RefuseFor
 }
 
+// unresolved reports whether a run of the request lost its connection and it is
+// not known why.
+func (t *Tracker) unresolved(fp uint64) bool {
+	for _, there := range t.running {
+		if r := there[fp]; r != nil && r.broken > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // suspectRuns reports whether this entry runs a suspect now.
 func (t *Tracker) suspectRuns() bool {
-	for _, runs := range t.running {
-		for fp := range runs {
-			if t.suspects[fp].unsafe() {
+	for _, there := range t.running {
+		for fp, r := range there {
+			if r.active > 0 && t.suspects[fp].unsafe() {
 				return true
 			}
 		}
@@ -312,11 +375,21 @@
 	return ss
 }
 
-// Expire forgets what is older than RefuseFor. O(suspects).
+// Expire forgets suspects older than RefuseFor and counts a crash where a broken
+// connection stayed unexplained for ResolveAfter. O(suspects + running).
 func (t *Tracker) Expire(now time.Time) {
 	for fp, s := range t.suspects {
 		if t.expired(s, now) {
 			t.forget(fp)
 		}
 	}
+	for target, there := range t.running {
+		for fp, r := range there {
+			if r.broken > 0 && now.Sub(r.brokenAt) >= t.params.ResolveAfter {
+				r.broken = 0
+				t.suspect(fp, now)
+				t.tidy(fp, target)
+			}
+		}
+	}
 }
