Prove the bound on targets that one request takes down

Cause: a request that crashes targets is sent again by its caller. The heap test now compares true keys; before, a heap that returned stale tops passed it. Broken variants, each seen failing: no rendezvous holder, no parity of the count after a clearing, merge that overwrites or adds, no refusal, broken connections forgotten (quarantine); stale heap tops, far owners asked at once (dispatch).

--- a/internal/dispatch/owner_test.go
+++ b/internal/dispatch/owner_test.go
@@ -181,10 +181,14 @@
 				s.running["t0"], s.running["t1"] = rng.IntN(2), rng.IntN(2)
 			}
 			d, ok := o.Next(s, now)
+			key := int64(0)
+			if ok {
+				key = o.key(o.member(demandKey{d.Customer, d.Workload}))
+			}
 			for _, cl := range o.ordered {
 				for _, m := range cl.heap {
-					if o.bestTarget(cl) >= 0 && (!ok || o.key(m) < d.Key) {
-						t.Fatalf("%s has key %d, chosen was %v with %d", m.customer.id, o.key(m), d.Customer, d.Key)
+					if o.bestTarget(cl) >= 0 && (!ok || o.key(m) < key) {
+						t.Fatalf("%s has key %d, chosen was %v with %d", m.customer.id, o.key(m), d.Customer, key)
 					}
 				}
 			}
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,158 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/wire"
+	"pgregory.net/rapid"
+)
+
+const poison, innocent = uint64(1), uint64(0)
+
+// TestTargetsTakenDown sends three requests that crash every target again and again,
+// two copies at a time after the first crash, to random instances, beside a harmless
+// one, in a fleet of k parts that heals in the end. Each takes down at most MaxTargets for each part, and the harmless one is
+// never refused.
+func TestTargetsTakenDown(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const nodes = 6
+		parts := rapid.IntRange(1, 3).Draw(t, "parts")
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		trackers := map[fleet.InstanceID]*Tracker{}
+		members := make([][]fleet.InstanceID, parts)
+		for i := range nodes {
+			id := fleet.InstanceID(fmt.Sprint("i", i))
+			trackers[id] = New(id, Params{})
+			members[i%parts] = append(members[i%parts], id)
+		}
+		now, down, downAlone := time.Unix(1, 0), map[uint64]int{}, map[uint64]int{}
+		spread := func() {
+			for _, ids := range members {
+				for _, a := range ids {
+					ss := trackers[a].Changed()
+					for _, b := range ids {
+						trackers[b].SetVisible(ids)
+						trackers[b].Merge(ss, now)
+					}
+				}
+			}
+		}
+		run := func(ids []fleet.InstanceID, fp uint64) {
+			at := ids[rng.IntN(len(ids))]
+			verdict := trackers[at].Check(fp, now)
+			if verdict == Redirect {
+				at = trackers[at].Holder(fp)
+				verdict = trackers[at].Check(fp, now)
+			}
+			tr, target := trackers[at], fleet.TargetID(fmt.Sprint("t", rng.IntN(3)))
+			switch verdict {
+			case Refuse:
+				if fp == innocent {
+					t.Fatal("the harmless request is refused")
+				}
+				return
+			case Redirect, Wait:
+				t.Fatalf("verdict %v where the request belongs and nothing runs", verdict)
+			}
+			tr.Running(fp, target)
+			if verdict == Run && rng.IntN(2) == 0 && tr.Check(innocent, now) == Run {
+				tr.Running(innocent, target)
+			}
+			if fp == innocent {
+				tr.Ended(fp, target, true, now)
+				tr.Ended(innocent, target, false, now)
+				return
+			}
+			if rng.IntN(2) == 0 {
+				tr.Broken(fp, target, now)
+				if v := tr.Check(fp, now); v != Wait {
+					t.Fatalf("verdict %v while it is unknown why the connection broke", v)
+				}
+			}
+			tr.Crashed(target, now)
+			down[fp]++
+			if verdict == RunAlone {
+				downAlone[fp]++
+			}
+		}
+		for n := range 30 {
+			for _, ids := range members {
+				for range min(n%10+1, 2) {
+					run(ids, poison+uint64(n/10))
+				}
+				spread()
+				run(ids, innocent)
+				spread()
+			}
+		}
+		var all []fleet.InstanceID
+		for _, ids := range members {
+			all = append(all, ids...)
+		}
+		for _, id := range all {
+			for _, other := range all {
+				trackers[id].Merge(trackers[other].All(), now)
+			}
+		}
+		members = [][]fleet.InstanceID{all}
+		for range 10 {
+			spread()
+			run(all, poison)
+			run(all, poison)
+		}
+		for fp, n := range down {
+			if n > MaxTargets*parts || downAlone[fp] > parts {
+				t.Fatalf("request %d took down %d targets, %d by runs alone, in %d parts", fp, n, downAlone[fp], parts)
+			}
+		}
+	})
+}
+
+// TestMergeLaws checks that merges commute and are idempotent.
+func TestMergeLaws(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1, 0)
+		ss := rapid.SliceOf(rapid.Custom(func(t *rapid.T) wire.Suspect {
+			return wire.Suspect{Fingerprint: rapid.Uint64Range(1, 3).Draw(t, "fp"), Crashes: rapid.IntRange(0, 5).Draw(t, "n"), Cleared: rapid.Bool().Draw(t, "cleared")}
+		})).Draw(t, "suspects")
+		a, b := New("i", Params{}), New("i", Params{})
+		a.Merge(ss, now)
+		for i := range ss {
+			b.Merge(ss[len(ss)-1-i:], now)
+		}
+		if got, want := fmt.Sprint(b.suspects), fmt.Sprint(a.suspects); got != want {
+			t.Fatalf("merged %v in reverse and %v in order", got, want)
+		}
+	})
+}
+
+// TestBrokenConnections checks how a broken connection is resolved and forgotten.
+func TestBrokenConnections(t *testing.T) {
+	start := time.Unix(100, 0)
+	resolve, forget := start.Add(DefaultResolveAfter), start.Add(DefaultResolveAfter+DefaultRefuseFor)
+	for _, c := range []struct {
+		name  string
+		event func(tr *Tracker)
+		at    time.Time
+		want  Verdict
+	}{
+		{"unknown", func(*Tracker) {}, start, Wait},
+		{"report taken before", func(tr *Tracker) { tr.Survived("t", start.Add(-time.Second)) }, start, Wait},
+		{"report taken after", func(tr *Tracker) { tr.Survived("t", start.Add(time.Second)) }, start, Run},
+		{"boot id changed", func(tr *Tracker) { tr.Crashed("t", start) }, start, RunAlone},
+		{"no word in time", func(tr *Tracker) { tr.Expire(resolve) }, resolve, RunAlone},
+		{"suspect long ago", func(tr *Tracker) { tr.Expire(resolve); tr.Expire(forget) }, forget, Run},
+	} {
+		tr := New("i", Params{})
+		tr.Running(poison, "t")
+		tr.Broken(poison, "t", start)
+		c.event(tr)
+		if got := tr.Check(poison, c.at); got != c.want {
+			t.Errorf("%s: verdict %v, want %v", c.name, got, c.want)
+		}
+	}
+}
