Give lost grants anew and send the charge of a start at once

Cause: a grant lost with its connection stayed subtracted from the entry's demand until a later one was acknowledged, so a single waiting request could wait until its deadline; and an acknowledged grant was neither pending nor visible while its charge was under the sending threshold. Change: unacknowledged grants older than GrantLife are forgotten; Start makes the own counter due for sending whatever its size.

--- a/internal/dispatch/alone.go
+++ b/internal/dispatch/alone.go
@@ -81,6 +81,7 @@
 		Workload:    d.Workload,
 		Entry:       entry,
 		Target:      t.ID,
+		At:          now,
 		Alone:       true,
 		Estimate:    d.Estimate,
 		VirtualTime: o.accounts.VirtualTime(d.Customer),
--- a/internal/dispatch/next.go
+++ b/internal/dispatch/next.go
@@ -41,6 +41,8 @@
 	Workload fleet.Workload
 	Entry    fleet.InstanceID
 	Target   fleet.TargetID
+	// At is when the decision was made.
+	At time.Time
 	// Alone says that the request must be the only one on the target.
 	Alone bool
 	// Estimate is the expected cost in cost units.
@@ -78,16 +80,17 @@
 	if best == nil {
 		return Decision{}, false
 	}
-	return o.decision(best, target), true
+	return o.decision(best, target, now), true
 }
 
-func (o *Owner) decision(m *member, target int) Decision {
+func (o *Owner) decision(m *member, target int, now time.Time) Decision {
 	dm, t := m.longestWaiting(), &o.targets[target]
 	d := Decision{
 		Customer:    m.customer.id,
 		Workload:    m.class.workload,
 		Entry:       dm.entry,
 		Target:      t.ID,
+		At:          now,
 		Estimate:    dm.estimate,
 		VirtualTime: o.accounts.VirtualTime(m.customer.id),
 		Key:         m.key,
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -46,9 +46,15 @@
 	reserved bool
 }
 
+// GrantLife is how long an unacknowledged grant counts as on its way. It must
+// exceed the permit time by a heartbeat's interval and delay; a grant that was lost
+// is then given anew.
+const GrantLife = 2 * time.Second
+
 // grant is one that the entry has not yet acknowledged.
 type grant struct {
 	seq      uint64
+	at       time.Time
 	demand   *demand
 	estimate fleet.Cost
 }
@@ -156,7 +162,7 @@
 		o.entries[entry] = e
 	}
 	o.checkEpoch()
-	o.settle(e, acknowledged)
+	o.settle(e, acknowledged, now)
 	e.round++
 	for _, wd := range ds {
 		d := o.demand(entry, e, demandKey{wd.Customer, wd.Workload})
@@ -176,10 +182,15 @@
 	}
 }
 
-// settle forgets the grants in flight up to a sequence number.
-func (o *Owner) settle(e *entryState, acknowledged uint64) {
+// settle forgets the grants in flight up to a sequence number, and those that are
+// too old to be used.
+func (o *Owner) settle(e *entryState, acknowledged uint64, now time.Time) {
 	n := 0
-	for n < len(e.inFlight) && e.inFlight[n].seq <= acknowledged {
+	for n < len(e.inFlight) {
+		g := &e.inFlight[n]
+		if g.seq > acknowledged && now.Sub(g.at) < GrantLife {
+			break
+		}
 		o.release(e.inFlight[n])
 		n++
 	}
@@ -330,7 +341,7 @@
 	if !ok {
 		return
 	}
-	e.inFlight = append(e.inFlight, grant{seq: seq, demand: dm, estimate: d.Estimate})
+	e.inFlight = append(e.inFlight, grant{seq: seq, at: d.At, demand: dm, estimate: d.Estimate})
 	dm.inFlight++
 	o.turn++
 	m := dm.member
--- a/internal/dispatch/owner_test.go
+++ b/internal/dispatch/owner_test.go
@@ -124,6 +124,7 @@
 		{"two more wait", func() {}, 3, 2, 2, 95},
 		{"one is returned", func() { o.Returned("e", 3) }, 3, 2, 1, 94},
 		{"entry is removed", func() { o.RemoveEntry("e") }, 1, 0, 1, 93},
+		{"all on their way are too old", func() { now = now.Add(2 * GrantLife) }, 1, 0, 1, 92},
 	} {
 		c.before()
 		o.SetDemand("e", []wire.Demand{waiting("x", c.waiting, 10, 0)}, c.acknowledged, now)
--- a/internal/fairness/accounts.go
+++ b/internal/fairness/accounts.go
@@ -179,6 +179,7 @@
 	}
 	a.flushed = now
 	for _, i := range a.unsent {
+		a.accounts[i].unsent = false
 		a.publishOwn(i)
 	}
 	a.unsent = a.unsent[:0]
@@ -206,7 +207,6 @@
 
 func (a *Accounts) publishOwn(i int32) {
 	acc := &a.accounts[i]
-	acc.unsent = false
 	if acc.own == acc.published {
 		return
 	}
--- a/internal/fairness/estimate.go
+++ b/internal/fairness/estimate.go
@@ -33,7 +33,9 @@
 }
 
 // Start charges the expected cost of a request that starts now, less what earlier
-// requests of the customer at this entry were charged too much. O(1).
+// requests of the customer at this entry were charged too much. Unlike other
+// charges it is worth sending whatever its size, since the owner that granted the
+// start counts it as pending only until the grant is acknowledged. O(1).
 func (a *Accounts) Start(c fleet.CustomerID, known fleet.Cost) Work {
 	expected := a.Estimate(c, known)
 	i, ok := a.intern(c)
@@ -44,6 +46,7 @@
 	fromCredit := min(e.credit, expected)
 	e.credit -= fromCredit
 	a.Charge(c, expected-fromCredit)
+	a.publishOwn(i)
 	return Work{customer: c, known: known, charged: expected}
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -156,7 +156,9 @@
 	t.visible = append(t.visible[:0], ids...)
 }
 
-// Running notes that this entry started a request on a target.
+// Running notes that this entry started a request on a target. Here and below, the
+// target is best named by its id and boot id together, so that a crash accuses
+// nothing that started after it.
 func (t *Tracker) Running(fp uint64, target fleet.TargetID) {
 	there, ok := t.running[target]
 	if !ok {
