Divide service by the share when it is charged

Cause: virtual time was total service over the share of today, so a new share rewrote the past: doubling a share halved the virtual time and gave a credit of half of all earlier service, halving it made a debt as large. Ruled out: a lift that makes up for it, since a lift cannot fall. Change: counters hold service for one share, with the remainder kept at the entry; total over the fleet is therefore in cost units for one share, Own stays in cost units. The spread orders owners with spare starts by rendezvous rank, not by spare, so that entries do not all ask the same one. Broken variants seen failing: division at reading and a dropped remainder (ShareChange), heaps not rebuilt after Retire (NextIsLeast).

--- a/internal/dispatch/owner_test.go
+++ b/internal/dispatch/owner_test.go
@@ -173,6 +173,9 @@
 				acc.Merge([]wire.Service{{Incarnation: 2, Customer: c, Total: fleet.Cost(rng.IntN(3000))}}, nil)
 			case 2:
 				acc.SetCustomers([]fairness.Customer{{ID: c, Share: 1 + rng.IntN(4)}})
+				ended := fleet.Incarnation(3 + seq)
+				acc.Merge([]wire.Service{{Incarnation: ended, Customer: c, Total: 500}, {Customer: c, Total: fleet.Cost(rng.IntN(3000))}}, nil)
+				acc.Retire(ended - fleet.Incarnation(rng.IntN(2)))
 			case 3:
 				o.Tick()
 			case 4:
--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -146,10 +146,10 @@
 		}
 	}
 	slices.SortFunc(s.near, func(a, b candidate) int {
-		if (a.spare > 0) != (b.spare > 0) {
-			return cmp.Compare(b.spare, a.spare)
+		if (a.spare > 0) == (b.spare > 0) {
+			return cmp.Compare(a.rank, b.rank)
 		}
-		return cmp.Compare(a.rank, b.rank)
+		return cmp.Compare(b.spare, a.spare)
 	})
 	nearest := func(a, b candidate) int { return cmp.Compare(a.distance, b.distance) }
 	slices.SortStableFunc(s.region, nearest)
--- a/internal/fairness/accounts.go
+++ b/internal/fairness/accounts.go
@@ -1,9 +1,10 @@
 // Package fairness keeps the fleet-wide service accounts of customers and turns
 // them into virtual times, by which owners choose whom to serve next.
 //
-// Service is counted in grow-only counters, one for each pair of incarnation and
-// customer; counters merge by maximum. The virtual time of a customer is its
-// total service divided by its share, plus a lift. The lift is a max-register: it
+// Service is divided by the customer's share when it is charged, and counted in
+// grow-only counters, one for each pair of incarnation and customer; counters merge
+// by maximum. The virtual time of a customer is the sum of its counters, plus a
+// lift. A change of shares therefore moves no virtual time. The lift is a max-register: it
 // rises when an idle customer becomes backlogged, and when a customer has fallen
 // too far behind those it competes with. Late, repeated and reordered messages
 // therefore do no harm.
@@ -41,7 +42,7 @@
 	// anywhere before it counts as idle. It should cover the information age.
 	IdleAfter time.Duration
 	// Threshold is the unsent growth of an own counter that makes it worth
-	// sending at once, in cost units.
+	// sending at once, in cost units for one share.
 	Threshold fleet.Cost
 	// FlushAfter bounds how long a growth below Threshold stays unsent.
 	FlushAfter time.Duration
@@ -77,7 +78,8 @@
 	return p
 }
 
-// account is the state of one customer.
+// account is the state of one customer. Unless said otherwise its amounts are in
+// cost units for one share.
 type account struct {
 	id    fleet.CustomerID
 	share fleet.Cost
@@ -90,6 +92,9 @@
 	// put into the change order.
 	own, published fleet.Cost
 	lift           fleet.Cost
+	// cost is what was charged here, in cost units; remainder is the part of it too
+	// small to count in own yet.
+	cost, remainder fleet.Cost
 	// backlogged says that the customer has demand here; lastActive is when it last
 	// had, or was served at another instance.
 	backlogged bool
@@ -98,13 +103,13 @@
 	unsent     bool
 }
 
-// total returns the customer's service over the whole fleet as known here.
+// total returns the sum of the customer's counters as known here.
 func (c *account) total() fleet.Cost {
 	return c.live + max(c.retired, c.reported)
 }
 
 func (c *account) virtualTime() int64 {
-	return int64(c.total()/c.share + c.lift)
+	return int64(c.total() + c.lift)
 }
 
 // Accounts holds the service accounts as one instance knows them.
@@ -136,8 +141,9 @@
 	}
 }
 
-// SetCustomers sets the shares of the configured customers. Accounts of customers
-// that are no longer configured stay, with a share of 1. O(customers).
+// SetCustomers sets the shares of the configured customers, for what is charged
+// from now on. Accounts of customers that are no longer configured stay, with a
+// share of 1. O(customers).
 func (a *Accounts) SetCustomers(cs []Customer) {
 	for i := range a.accounts {
 		a.accounts[i].share = 1
@@ -147,7 +153,6 @@
 			a.accounts[i].share = fleet.Cost(max(1, c.Share))
 		}
 	}
-	a.epoch++
 }
 
 // intern returns the index of the customer's account, which it makes if there is
@@ -166,8 +171,8 @@
 	return i, true
 }
 
-// Epoch changes whenever a virtual time may have fallen: after a change of shares
-// and after Retire. In between, virtual times only rise.
+// Epoch changes whenever a virtual time may have fallen, which is after Retire. In
+// between, virtual times only rise.
 func (a *Accounts) Epoch() uint64 { return a.epoch }
 
 // Tick advances the accounts' clock and makes small unsent changes due for
@@ -185,7 +190,7 @@
 	a.unsent = a.unsent[:0]
 }
 
-// Charge adds service that this instance, as an entry, saw for a customer. Cost
+// Charge adds service, in cost units, that this instance saw as an entry. Cost
 // that is not positive is ignored, so the counter only grows. O(1).
 func (a *Accounts) Charge(c fleet.CustomerID, cost fleet.Cost) {
 	i, ok := a.intern(c)
@@ -193,8 +198,12 @@
 		return
 	}
 	acc := &a.accounts[i]
-	acc.own += cost
-	acc.live += cost
+	acc.cost += cost
+	acc.remainder += cost
+	units := acc.remainder / acc.share
+	acc.remainder -= units * acc.share
+	acc.own += units
+	acc.live += units
 	if acc.own-acc.published >= a.params.Threshold {
 		a.publishOwn(i)
 		return
--- a/internal/fairness/accounts_test.go
+++ b/internal/fairness/accounts_test.go
@@ -184,6 +184,25 @@
 	}
 }
 
+// TestShareChange checks that a new share moves no virtual time but counts for what
+// is charged after it, to the unit.
+func TestShareChange(t *testing.T) {
+	a := New(1, Params{})
+	for _, c := range []struct {
+		share, charges int
+		cost           fleet.Cost
+		want           int64
+	}{{1, 1, 1000, 1000}, {4, 1, 402, 1100}, {4, 2, 1, 1101}, {1000, 2500, 1, 1103}, {1, 1, 0, 1103}, {1, 1, 500, 2103}} {
+		a.SetCustomers([]Customer{{ID: "x", Share: c.share}})
+		for range c.charges {
+			a.Charge("x", c.cost)
+		}
+		if got := a.VirtualTime("x"); got != c.want {
+			t.Errorf("virtual time is %d after %d charges of %d at share %d, want %d", got, c.charges, c.cost, c.share, c.want)
+		}
+	}
+}
+
 // TestActivate checks the lift of idle customers only, to the floor exactly.
 func TestActivate(t *testing.T) {
 	start := time.Unix(100, 0)
@@ -274,8 +293,8 @@
 			a.Finish(&w, known+output)
 			used += known + output
 			acc := a.accounts[a.index["x"]]
-			if acc.own != used+acc.estimate.credit || acc.estimate.credit < 0 {
-				t.Fatalf("charged %d, used %d, credit %d", acc.own, used, acc.estimate.credit)
+			if acc.cost != used+acc.estimate.credit || acc.estimate.credit < 0 {
+				t.Fatalf("charged %d, used %d, credit %d", acc.cost, used, acc.estimate.credit)
 			}
 		}
 	})
--- a/internal/fairness/status.go
+++ b/internal/fairness/status.go
@@ -6,12 +6,13 @@
 type CustomerStatus struct {
 	Customer fleet.CustomerID `json:"customer"`
 	Share    int              `json:"share"`
-	// Total is the service over the whole fleet; Own is this entry's part of it.
-	Total fleet.Cost `json:"total"`
-	Own   fleet.Cost `json:"own"`
-	// Lift and VirtualTime are in cost units for one share.
+	// Total is the service over the whole fleet, Lift what was added to it without
+	// service and VirtualTime their sum, in cost units for one share.
+	Total       fleet.Cost `json:"total"`
 	Lift        fleet.Cost `json:"lift"`
 	VirtualTime int64      `json:"virtual_time"`
+	// Own is the service through this entry, in cost units.
+	Own fleet.Cost `json:"own"`
 	Backlogged  bool       `json:"backlogged"`
 }
 
@@ -24,9 +25,9 @@
 			Customer:    acc.id,
 			Share:       int(acc.share),
 			Total:       acc.total(),
-			Own:         acc.own,
 			Lift:        acc.lift,
 			VirtualTime: acc.virtualTime(),
+			Own:         acc.cost,
 			Backlogged:  acc.backlogged,
 		})
 	}
