--- /dev/null
+++ b/internal/observe/decisions.go
@@ -0,0 +1,137 @@
+package observe
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+)
+
+// Decisions writes the decision log: one JSON line for each decision, with the
+// member "event" naming its kind. The fields are described one by one in
+// docs/operators/log.md. It is safe for concurrent use.
+type Decisions struct {
+	log zerolog.Logger
+}
+
+// NewDecisions returns a decision log that writes to log. Time stamps and the
+// instance's name are the logger's own fields.
+func NewDecisions(log zerolog.Logger) *Decisions {
+	return &Decisions{log: log}
+}
+
+// Reason says why a decision was made, in a short fixed word.
+type Reason string
+
+// Reasons of refusals.
+const (
+	ReasonQueueFull       Reason = "queue_full"
+	ReasonFleetFull       Reason = "fleet_full"
+	ReasonUnknownWorkload Reason = "unknown_workload"
+	ReasonUnknownCustomer Reason = "unknown_customer"
+	ReasonNoTarget        Reason = "no_target"
+	ReasonLeaving         Reason = "leaving"
+	ReasonNotReady        Reason = "not_ready"
+	ReasonTimeout         Reason = "timeout"
+	ReasonCancelled       Reason = "cancelled"
+	ReasonCallID          Reason = "call_id"
+	ReasonQuarantined     Reason = "quarantined"
+	ReasonInvalid         Reason = "invalid"
+)
+
+// Reasons of placements.
+const (
+	ReasonLeastService   Reason = "least_service"
+	ReasonOnlyWaiting    Reason = "only_waiting"
+	ReasonPrefixAffinity Reason = "prefix_affinity"
+	ReasonLeastLoaded    Reason = "least_loaded"
+	ReasonOldest         Reason = "oldest"
+	ReasonSuspectAlone   Reason = "suspect_alone"
+	ReasonRegionFull     Reason = "region_full"
+)
+
+// Reasons of retries and of unknown outcomes.
+const (
+	ReasonDialFailed      Reason = "dial_failed"
+	ReasonTargetRefused   Reason = "target_refused"
+	ReasonConnectionLost  Reason = "connection_lost"
+	ReasonTargetRestarted Reason = "target_restarted"
+	ReasonPermitExpired   Reason = "permit_expired"
+	ReasonSilent          Reason = "silent"
+	ReasonForeignCallID   Reason = "foreign_call_id"
+)
+
+// Outcome says what became of a request.
+type Outcome string
+
+// The outcomes. OutcomeNotRun is said only of a request that certainly did not run.
+const (
+	OutcomeOK      Outcome = "ok"
+	OutcomeNotRun  Outcome = "not_run"
+	OutcomeFailed  Outcome = "failed"
+	OutcomeUnknown Outcome = "unknown"
+	OutcomeCut     Outcome = "cut"
+)
+
+// Request names the request that a decision is about.
+type Request struct {
+	ID       string
+	Customer fleet.CustomerID
+	Workload fleet.Workload
+	// Attempt counts from 1.
+	Attempt int
+}
+
+func (r *Request) append(e *zerolog.Event) *zerolog.Event {
+	e.Str("request", r.ID).Str("customer", string(r.Customer))
+	return appendWorkload(e, r.Workload).Int("attempt", r.Attempt)
+}
+
+func appendWorkload(e *zerolog.Event, w fleet.Workload) *zerolog.Event {
+	if w.Service != "" {
+		return e.Str("service", string(w.Service))
+	}
+	return e.Str("model", string(w.Model))
+}
+
+func appendWait(e *zerolog.Event, wait time.Duration) *zerolog.Event {
+	return e.Int64("wait_ms", wait.Milliseconds())
+}
+
+// Alternative is a candidate that a decision passed over, with the figures that
+// were compared. Empty fields are left out.
+type Alternative struct {
+	Customer fleet.CustomerID
+	Target   fleet.TargetID
+	// VirtualTime is in cost units for one share.
+	VirtualTime fleet.Cost
+	Running     int
+	Limit       int
+}
+
+func appendAlternatives(e *zerolog.Event, alternatives []Alternative) *zerolog.Event {
+	if len(alternatives) == 0 {
+		return e
+	}
+	array := zerolog.Arr()
+	for i := range alternatives {
+		array.Dict(alternatives[i].dict())
+	}
+	return e.Array("alternatives", array)
+}
+
+func (a *Alternative) dict() *zerolog.Event {
+	d := zerolog.Dict()
+	if a.Customer != "" {
+		d.Str("customer", string(a.Customer)).Int64("virtual_time", int64(a.VirtualTime))
+	}
+	if a.Target != "" {
+		d.Str("target", string(a.Target)).Int("running", a.Running).Int("limit", a.Limit)
+	}
+	return d
+}
+
+func (d *Decisions) event(name string) *zerolog.Event {
+	return d.log.Info().Str("event", name)
+}
--- /dev/null
+++ b/internal/observe/decisions_test.go
@@ -0,0 +1,98 @@
+package observe
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+)
+
+var (
+	aRequest      = Request{ID: "r1", Customer: "c1", Attempt: 1}
+	aAlternatives = []Alternative{{Customer: "c2", VirtualTime: 7}, {Target: "t2", Running: 1, Limit: 2}}
+)
+
+// logAll writes one line of each event.
+func logAll(d *Decisions) {
+	aRequest.Workload.Model = "m"
+	d.Admitted(&Admitted{Request: aRequest})
+	service := aRequest
+	service.Workload.Model, service.Workload.Service = "", "s"
+	d.Refused(&Refused{Request: service, Reason: ReasonQueueFull, Outcome: OutcomeNotRun})
+	d.Granted(&Granted{Customer: "c1", Target: "t1", Reason: ReasonLeastService, Wait: 1500 * time.Millisecond, Alternatives: aAlternatives})
+	d.Started(&Started{Request: aRequest, Reason: ReasonPrefixAffinity})
+	d.Finished(&Finished{Request: aRequest, Outcome: OutcomeOK})
+	d.Retried(&Retried{Request: aRequest, Reason: ReasonDialFailed})
+	d.Unknown(&Unknown{Request: aRequest, Reason: ReasonConnectionLost})
+	d.ConfigApplied(&ConfigApplied{Source: SourcePeer})
+	d.ConfigRefused(&ConfigRefused{Source: SourcePlatform, Reason: ReasonInvalidRules, Error: errors.New("x")})
+	d.TargetState(&TargetState{Reason: ReasonNewBoot})
+	d.OwnerChanged(&OwnerChanged{})
+	d.PeerState(&PeerState{State: PeerGone, Error: errors.New("x")})
+	d.Draining(&Draining{Phase: DrainBegun})
+}
+
+// documentedFields returns the members that the operators' page describes in a line
+// of their own, by section.
+func documentedFields(t *testing.T) map[string]map[string]bool {
+	t.Helper()
+	page, err := os.ReadFile("../../docs/operators/log.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	field := regexp.MustCompile("(?m)^\\| `([a-z_]+)` \\|")
+	sections := make(map[string]map[string]bool)
+	for _, section := range regexp.MustCompile("\n##+ ").Split(string(page), -1) {
+		name, body, _ := strings.Cut(section, "\n")
+		fields := make(map[string]bool)
+		for _, match := range field.FindAllStringSubmatch(body, -1) {
+			fields[match[1]] = true
+		}
+		sections[strings.Trim(name, "`")] = fields
+	}
+	return sections
+}
+
+// TestEveryFieldIsDocumented compares the lines with the operators' page: each member
+// that is written is described under its event, and each described one is written.
+func TestEveryFieldIsDocumented(t *testing.T) {
+	sections := documentedFields(t)
+	var out bytes.Buffer
+	logAll(NewDecisions(zerolog.New(&out)))
+	for line := range strings.Lines(out.String()) {
+		members := make(map[string]any)
+		if err := json.Unmarshal([]byte(line), &members); err != nil {
+			t.Fatal(err)
+		}
+		event := members["event"].(string)
+		for member := range members {
+			if member != "event" && member != "level" && !sections[event][member] && !sections["request"][member] {
+				t.Errorf("%s: member %q is not documented", event, member)
+			}
+		}
+		for member := range sections[event] {
+			if members[member] == nil && member != "service" {
+				t.Errorf("%s: %q is documented but not written", event, member)
+			}
+		}
+	}
+	if !strings.Contains(out.String(), `"wait_ms":1500`) || !strings.Contains(out.String(), `"alternatives":[{"customer":"c2","virtual_time":7},{"target":"t2","running":1,"limit":2}]`) {
+		t.Errorf("figures missing:\n%s", out.String())
+	}
+}
+
+func BenchmarkGranted(b *testing.B) {
+	d := NewDecisions(zerolog.New(io.Discard).With().Timestamp().Logger())
+	g := &Granted{Customer: "c1", Target: "t1", Entry: "i1", Owner: "i2", Reason: ReasonLeastService, Alternatives: aAlternatives}
+	b.ReportAllocs()
+	for b.Loop() {
+		d.Granted(g)
+	}
+}
