--- a/internal/config/watch.go
+++ b/internal/config/watch.go
@@ -8,8 +8,8 @@
 	"github.com/pkg/errors"
 )
 
-// sourceService names the configuration service in logs and snapshots.
-const sourceService = "service"
+// SourceService names the configuration service in logs and snapshots.
+const SourceService = "service"
 
 // jitter is the part by which waits differ at random, up and down.
 const jitter = 0.1
@@ -73,8 +73,8 @@
 	if version <= after {
 		return nil
 	}
-	outcome, err := w.store.OfferValue(version, value, sourceService)
-	w.offered(version, sourceService, outcome, err)
+	outcome, err := w.store.OfferValue(version, value, SourceService)
+	w.offered(version, SourceService, outcome, err)
 	w.wake()
 	return nil
 }
--- a/internal/instance/admission.go
+++ b/internal/instance/admission.go
@@ -7,6 +7,7 @@
 	"medlarwind.dev/medlarwind/internal/entry"
 	"medlarwind.dev/medlarwind/internal/fairness"
 	"medlarwind.dev/medlarwind/internal/limit"
+	"medlarwind.dev/medlarwind/internal/observe"
 )
 
 // chargeStep is how many generated tokens pass between two charges of one stream.
@@ -100,15 +101,19 @@
 	permit    limit.Permit
 	addr      string
 	waiter    *waiter
+	metrics   *observe.Metrics
+	// lastToken is when the latest tokens came.
+	lastToken time.Time
 	// charged is the token counts at the last charge.
 	chargedInput, chargedOutput int64
 	// input and output are the latest counts.
 	input, output int64
 
 	// The rest belongs to the core.
-	begun    bool
-	started  time.Time
-	charging fairness.Work
+	begun      bool
+	started    time.Time
+	firstToken time.Time
+	charging   fairness.Work
 }
 
 var _ entry.Lease = (*lease)(nil)
@@ -140,6 +145,7 @@
 
 // Charge implements entry.Lease.
 func (l *lease) Charge(inputTokens, outputTokens int64) {
+	l.measure(outputTokens - l.output)
 	l.input = inputTokens
 	l.output = outputTokens
 	if l.input == l.chargedInput && l.output-l.chargedOutput < chargeStep {
@@ -150,6 +156,15 @@
 	l.admission.post(context.Background(), chargeEvent{lease: l, input: l.input, output: l.output})
 }
 
+// measure records the time between tokens, over those that came together.
+func (l *lease) measure(tokens int64) {
+	now := time.Now()
+	if tokens > 0 && !l.lastToken.IsZero() {
+		l.metrics.BetweenTokens.Record(now.Sub(l.lastToken) / time.Duration(tokens))
+	}
+	l.lastToken = now
+}
+
 // End implements entry.Lease.
 func (l *lease) End(kind entry.EndKind) {
 	l.admission.post(context.Background(), endEvent{lease: l, kind: kind, input: l.input, output: l.output})
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -12,6 +12,7 @@
 	"medlarwind.dev/medlarwind/internal/fairness"
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/limit"
+	"medlarwind.dev/medlarwind/internal/observe"
 	"medlarwind.dev/medlarwind/internal/quarantine"
 	"medlarwind.dev/medlarwind/internal/wire"
 )
@@ -67,6 +68,8 @@
 	events    chan event
 	done      chan struct{}
 	log       zerolog.Logger
+	decisions *observe.Decisions
+	metrics   *observe.Metrics
 	transport transport
 	directory *directory
 	poller    loadPoller
@@ -96,7 +99,6 @@
 	waiting     map[uint64]*waiter
 	parked      []*waiter
 	leases      map[*lease]struct{}
-	refused     map[fleet.CustomerID]int64
 
 	lastID        uint64
 	selfGrant     uint64
@@ -104,6 +106,7 @@
 	ownedChanged  bool
 	settled       bool
 	draining      bool
+	drainBegun    time.Time
 	closed        bool
 	slowTick      time.Time
 	spreadRound   uint64
@@ -124,6 +127,8 @@
 		events:      make(chan event, eventBacklog),
 		done:        make(chan struct{}),
 		log:         log,
+		decisions:   observe.NewDecisions(log),
+		metrics:     observe.NewMetrics(time.Now),
 		directory:   d,
 		ledger:      limit.New(o.self, o.incarnation, o.limits, now),
 		accounts:    accounts,
@@ -139,7 +144,6 @@
 		peers:       make(map[fleet.InstanceID]*peerState),
 		waiting:     make(map[uint64]*waiter),
 		leases:      make(map[*lease]struct{}),
-		refused:     make(map[fleet.CustomerID]int64),
 	}
 	c.admission = &admission{events: c.events, done: c.done}
 	return c
@@ -206,17 +210,19 @@
 }
 
 // apply takes a planned stop: callers and peers are told to go elsewhere.
-func (drainEvent) apply(c *core, _ time.Time) {
+func (drainEvent) apply(c *core, now time.Time) {
 	c.draining = true
+	c.drainBegun = now
 	c.ledger.SetLeaving(true)
 	c.publishEntries()
 	c.markAllPeers()
-	c.log.Info().Str("event", "draining").Int("waiting", c.queue.Len()).Int("running", len(c.leases)).Msg("")
+	c.noteDraining(observe.DrainBegun, now)
 }
 
 // apply ends the acceptance of new work and hands back what still waits.
 func (e closeEvent) apply(c *core, now time.Time) {
 	c.closed = true
+	c.noteDraining(observe.DrainClosed, now)
 	for _, w := range c.waiting {
 		c.queue.Remove(w.id)
 		c.refuse(w, c.drainOutcome(w), now)
--- a/internal/instance/heartbeat.go
+++ b/internal/instance/heartbeat.go
@@ -162,6 +162,7 @@
 		return
 	}
 	p.leaving = leaving
+	c.notePeer(p)
 	c.ownedChanged = true
 	c.publishEntries()
 }
@@ -206,7 +207,7 @@
 	p.connected = e.connected
 	p.dirty = true
 	c.ownedChanged = true
-	c.log.Info().Str("event", "peer").Str("peer", string(e.from.Instance)).Bool("connected", e.connected).Msg("")
+	c.notePeer(p)
 	c.updateVisible()
 }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -29,6 +29,7 @@
 	"medlarwind.dev/medlarwind/internal/fairness"
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/limit"
+	"medlarwind.dev/medlarwind/internal/observe"
 	"medlarwind.dev/medlarwind/internal/peer"
 	"medlarwind.dev/medlarwind/internal/platform"
 	"medlarwind.dev/medlarwind/internal/settings"
@@ -88,7 +89,6 @@
 	directory *directory
 	poller    *poller
 	dropped   atomic.Int64
-	listReads atomic.Int64
 
 	callers  *http.Server
 	operator *http.Server
@@ -171,6 +171,7 @@
 	i.transport = i.newTransport(incarnation, rng.Uint64())
 	i.watcher = config.NewWatcher(i.watcherOptions(), i.store, i.platform, peerFetcher{i.transport}, rng, i.options.Log)
 	i.core.transport = i.transport
+	i.core.metrics.SetControlTraffic(func() observe.ControlTraffic { return controlTraffic(i.transport.Counters()) })
 	i.core.poller = i.poller
 	i.core.watcher = i.watcher
 	i.server = entry.NewServer(entry.Options{
@@ -323,7 +324,7 @@
 	ticker := time.NewTicker(listInterval)
 	defer ticker.Stop()
 	for {
-		i.listReads.Add(1)
+		i.core.metrics.PlatformRead("list")
 		list, err := i.platform.List(ctx)
 		i.core.admission.post(ctx, listEvent{list: list, err: err})
 		select {
--- /dev/null
+++ b/internal/instance/observe.go
@@ -0,0 +1,217 @@
+package instance
+
+import (
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/config"
+	"medlarwind.dev/medlarwind/internal/dispatch"
+	"medlarwind.dev/medlarwind/internal/entry"
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/limit"
+	"medlarwind.dev/medlarwind/internal/observe"
+	"medlarwind.dev/medlarwind/internal/peer"
+	"medlarwind.dev/medlarwind/internal/wire"
+)
+
+// logged is how the decision log names a request.
+func logged(w *entry.Work) observe.Request {
+	return observe.Request{
+		ID:       w.RequestID,
+		Customer: w.Customer,
+		Workload: w.Workload,
+		Attempt:  w.Attempt,
+	}
+}
+
+func (c *core) noteAdmitted(w *waiter) {
+	c.decisions.Admitted(&observe.Admitted{
+		Request:  logged(&w.work),
+		Queued:   c.queue.Len(),
+		Estimate: c.estimate(&w.work),
+	})
+}
+
+func (c *core) noteRefused(w *waiter, outcome *entry.OutcomeError, now time.Time) {
+	reason := observe.Reason(outcome.Reason)
+	c.metrics.Refused(reason)
+	c.decisions.Refused(&observe.Refused{
+		Request:    logged(&w.work),
+		Reason:     reason,
+		Outcome:    observedOutcome(outcome.Kind),
+		Wait:       now.Sub(w.since),
+		RetryAfter: outcome.RetryAfter,
+	})
+}
+
+func observedOutcome(kind entry.Kind) observe.Outcome {
+	switch kind {
+	case entry.NotRun:
+		return observe.OutcomeNotRun
+	case entry.Failed:
+		return observe.OutcomeFailed
+	default:
+		return observe.OutcomeUnknown
+	}
+}
+
+func (c *core) noteGranted(d dispatch.Decision, g *wire.Grant) {
+	state := c.ledger.State(d.Target)
+	reason := observe.ReasonLeastService
+	if d.Alone {
+		reason = observe.ReasonSuspectAlone
+	}
+	var alternatives [dispatch.MaxAlternatives]observe.Alternative
+	for i := range d.Alternatives.NumCustomers {
+		figure := d.Alternatives.Customers[i]
+		alternatives[i] = observe.Alternative{Customer: figure.Customer, VirtualTime: fleet.Cost(figure.Key)}
+	}
+	c.decisions.Granted(&observe.Granted{
+		Customer:     d.Customer,
+		Workload:     d.Workload,
+		Target:       d.Target,
+		Entry:        d.Entry,
+		Owner:        c.options.self,
+		Grant:        g.Seq,
+		Reason:       reason,
+		VirtualTime:  fleet.Cost(d.VirtualTime),
+		Running:      state.Accounted,
+		Limit:        state.Limit,
+		CrossRegion:  c.crossesRegion(d.Entry),
+		Alternatives: alternatives[:d.Alternatives.NumCustomers],
+	})
+}
+
+func (c *core) noteStarted(l *lease, now time.Time) {
+	wait := now.Sub(l.waiter.since)
+	c.metrics.Started()
+	c.metrics.Wait.Record(wait)
+	c.decisions.Started(&observe.Started{
+		Request:     logged(&l.waiter.work),
+		Target:      l.permit.Target,
+		Entry:       c.options.self,
+		Owner:       l.permit.Owner,
+		Reason:      observe.ReasonOldest,
+		Wait:        wait,
+		Queued:      c.queue.Len(),
+		CrossRegion: c.crossesRegion(l.permit.Owner),
+	})
+}
+
+// noteExpired logs a permit that was no longer usable at the moment of use.
+func (c *core) noteExpired(l *lease) {
+	c.decisions.Retried(&observe.Retried{
+		Request: logged(&l.waiter.work),
+		Target:  l.permit.Target,
+		Reason:  observe.ReasonPermitExpired,
+	})
+}
+
+func (c *core) noteEnded(l *lease, e endEvent, now time.Time) {
+	work := &l.waiter.work
+	outcome := endOutcome(e.kind)
+	used := work.Cost
+	if work.Workload.Service == "" {
+		used = c.tokenCost(work.Workload.Model, e.input, e.output)
+	}
+	c.metrics.Finished(outcome)
+	c.metrics.AddService(work.Customer, used)
+	finished := observe.Finished{
+		Request:      logged(work),
+		Target:       l.permit.Target,
+		Outcome:      outcome,
+		Reason:       observe.Reason(e.kind.String()),
+		Duration:     now.Sub(l.started),
+		InputTokens:  e.input,
+		OutputTokens: e.output,
+		Cost:         used,
+	}
+	if !l.firstToken.IsZero() {
+		finished.FirstToken = l.firstToken.Sub(l.started)
+	}
+	c.decisions.Finished(&finished)
+}
+
+func endOutcome(kind entry.EndKind) observe.Outcome {
+	switch kind {
+	case entry.EndFinished:
+		return observe.OutcomeOK
+	case entry.EndFailed:
+		return observe.OutcomeFailed
+	case entry.EndUnused, entry.EndUnreachable:
+		return observe.OutcomeNotRun
+	case entry.EndCancelled:
+		return observe.OutcomeCut
+	default:
+		return observe.OutcomeUnknown
+	}
+}
+
+func (c *core) noteTarget(e reportEvent, before, after limit.TargetStatus) {
+	reason := observe.ReasonReported
+	if before.BootID != after.BootID {
+		reason = observe.ReasonNewBoot
+	}
+	c.decisions.TargetState(&observe.TargetState{
+		Target: e.target,
+		State:  after.State,
+		Former: before.State,
+		BootID: after.BootID,
+		Limit:  after.Limit,
+		Reason: reason,
+	})
+}
+
+func (c *core) notePeer(p *peerState) {
+	state := observe.PeerGone
+	switch {
+	case p.connected && p.leaving:
+		state = observe.PeerLeaving
+	case p.connected:
+		state = observe.PeerLive
+	}
+	c.decisions.PeerState(&observe.PeerState{
+		Peer:        p.hello.Instance,
+		Incarnation: p.hello.Incarnation,
+		State:       state,
+	})
+}
+
+func (c *core) noteDraining(phase observe.DrainPhase, now time.Time) {
+	c.decisions.Draining(&observe.Draining{
+		Phase:   phase,
+		Running: len(c.leases),
+		Queued:  c.queue.Len(),
+		Elapsed: now.Sub(c.drainBegun),
+	})
+}
+
+// controlTraffic turns the transport's counters into the metrics' form.
+func controlTraffic(counters peer.Counters) observe.ControlTraffic {
+	return observe.ControlTraffic{
+		DataCentre:  scopeTraffic(counters.Scopes[peer.ScopeDataCentre]),
+		Region:      scopeTraffic(counters.Scopes[peer.ScopeRegion]),
+		CrossRegion: scopeTraffic(counters.Scopes[peer.ScopeCrossRegion]),
+	}
+}
+
+func scopeTraffic(t peer.Traffic) observe.ScopeTraffic {
+	return observe.ScopeTraffic{
+		BytesSent:        t.BytesSent,
+		BytesReceived:    t.BytesReceived,
+		MessagesSent:     t.MessagesSent,
+		MessagesReceived: t.MessagesReceived,
+	}
+}
+
+func (c *core) noteConfig(next *config.Snapshot) {
+	applied := observe.ConfigApplied{Version: next.Version, Digest: next.Digest, Source: observe.SourcePlatform}
+	if next.Source != config.SourceService {
+		applied.Source = observe.SourcePeer
+		applied.Peer = fleet.InstanceID(next.Source)
+	}
+	if c.snapshot != nil {
+		applied.Former = c.snapshot.Version
+	}
+	c.metrics.SetConfigVersion(next.Version)
+	c.decisions.ConfigApplied(&applied)
+}
--- a/internal/instance/operator.go
+++ b/internal/instance/operator.go
@@ -16,6 +16,7 @@
 func (i *Instance) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+PathStatus, i.serveStatus)
+	mux.Handle("GET "+PathMetrics, i.core.metrics)
 	mux.HandleFunc("GET "+PathHealth, i.serveHealth)
 	return mux
 }
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -29,7 +29,9 @@
 		if !known || info.out {
 			continue
 		}
-		targets = append(targets, c.dispatchTarget(id, info))
+		t := c.dispatchTarget(id, info)
+		targets = append(targets, t)
+		c.metrics.SetTarget(id, c.ledger.State(id).Accounted, t.Limit)
 		c.pollDue(id, info, now)
 	}
 	c.owner.SetTargets(targets)
@@ -75,8 +77,7 @@
 	if before.BootID == after.BootID && before.State == after.State {
 		return
 	}
-	c.log.Info().Str("event", "target_state").Str("target", string(e.target)).
-		Str("boot", after.BootID).Str("state", string(after.State)).Int("limit", after.Limit).Msg("")
+	c.noteTarget(e, before, after)
 }
 
 // ownersByTarget groups the targets' workloads by their owners.
@@ -158,6 +159,12 @@
 	}
 }
 
+// crossesRegion reports whether an instance stands in another region.
+func (c *core) crossesRegion(id fleet.InstanceID) bool {
+	place, _ := c.placeOf(id)
+	return place == dispatch.PlaceElsewhere
+}
+
 // grant starts what can start on the targets that this instance owns.
 func (c *core) grant(now time.Time) {
 	if !c.settled {
@@ -184,7 +191,7 @@
 	}
 	g.Alone = d.Alone
 	c.owner.Granted(d, g.Seq)
-	c.logGrant(d, &g)
+	c.noteGranted(d, &g)
 	if d.Entry != c.options.self {
 		c.transport.SendGrant(d.Entry, &g)
 		return true
@@ -199,17 +206,6 @@
 	return true
 }
 
-func (c *core) logGrant(d dispatch.Decision, g *wire.Grant) {
-	e := c.log.Info().Str("event", "granted").Str("customer", string(d.Customer)).
-		Str("workload", d.Workload.String()).Str("entry", string(d.Entry)).
-		Str("target", string(d.Target)).Uint64("grant", g.Seq).
-		Int64("virtual_time", d.VirtualTime).Int("free", d.Free).Bool("alone", d.Alone)
-	for _, f := range d.Alternatives.Customers[:d.Alternatives.NumCustomers] {
-		e = e.Int64("alternative_"+string(f.Customer), f.Key)
-	}
-	e.Msg("")
-}
-
 func (e grantEvent) apply(c *core, now time.Time) {
 	permit, err := c.ledger.ReceiveGrant(e.from.Instance, e.grant, now)
 	c.markPeer(e.from.Instance)
--- a/internal/instance/requests.go
+++ b/internal/instance/requests.go
@@ -93,6 +93,7 @@
 	}
 	c.waiting[w.id] = w
 	c.demandChanged = true
+	c.noteAdmitted(w)
 }
 
 func fullOutcome(err error) *entry.OutcomeError {
@@ -134,11 +135,7 @@
 		return
 	}
 	w.done = true
-	c.refused[w.work.Customer]++
-	c.log.Info().Str("event", "refused").Str("request", w.work.RequestID).
-		Str("customer", string(w.work.Customer)).Str("workload", w.work.Workload.String()).
-		Str("outcome", outcome.Kind.String()).Str("reason", outcome.Reason).
-		Dur("waited", now.Sub(w.since)).Dur("retry_after", outcome.RetryAfter).Msg("")
+	c.noteRefused(w, outcome, now)
 	w.reply <- admitted{outcome: outcome}
 }
 
@@ -185,15 +182,12 @@
 	w.done = true
 	l := &lease{
 		admission: c.admission,
+		metrics:   c.metrics,
 		permit:    permit,
 		addr:      c.targets[permit.Target].addr,
 		waiter:    w,
 	}
 	c.leases[l] = struct{}{}
-	c.log.Info().Str("event", "assigned").Str("request", w.work.RequestID).
-		Str("customer", string(w.work.Customer)).Str("workload", w.work.Workload.String()).
-		Str("target", string(permit.Target)).Str("owner", string(permit.Owner)).
-		Int("attempt", w.work.Attempt).Dur("waited", now.Sub(w.since)).Msg("")
 	w.reply <- admitted{lease: l}
 }
 
@@ -227,9 +221,10 @@
 		l.started = now
 		c.quarantine.Running(l.waiter.work.Fingerprint, l.runKey())
 		c.startCharging(l)
+		c.noteStarted(l, now)
+	} else {
+		c.noteExpired(l)
 	}
-	c.log.Info().Str("event", "started").Str("request", l.waiter.work.RequestID).
-		Str("target", string(l.permit.Target)).Bool("usable", usable).Msg("")
 	e.reply <- usable
 }
 
@@ -242,7 +237,8 @@
 	l.charging = c.accounts.Start(work.Customer, c.known(work))
 }
 
-func (e chargeEvent) apply(c *core, _ time.Time) {
+func (e chargeEvent) apply(c *core, now time.Time) {
+	c.noteFirstToken(e.lease, now)
 	if !e.lease.begun || e.lease.waiter.work.Workload.Service != "" {
 		return
 	}
@@ -250,6 +246,14 @@
 	c.accounts.Stream(&e.lease.charging, used)
 }
 
+// noteFirstToken records when the first tokens of an answer came.
+func (c *core) noteFirstToken(l *lease, now time.Time) {
+	if l.begun && l.firstToken.IsZero() {
+		l.firstToken = now
+		c.metrics.FirstToken.Record(now.Sub(l.started))
+	}
+}
+
 func (e endEvent) apply(c *core, now time.Time) {
 	l := e.lease
 	if _, open := c.leases[l]; !open {
@@ -262,10 +266,7 @@
 	}
 	c.finishCharging(l, e.input, e.output)
 	c.settleQuarantine(l, e.kind, now)
-	c.log.Info().Str("event", "ended").Str("request", l.waiter.work.RequestID).
-		Str("customer", string(l.waiter.work.Customer)).Str("target", string(l.permit.Target)).
-		Str("end", e.kind.String()).Int64("input_tokens", e.input).Int64("output_tokens", e.output).
-		Dur("ran", now.Sub(l.started)).Msg("")
+	c.noteEnded(l, e, now)
 }
 
 func (c *core) finishCharging(l *lease, input, output int64) {
--- a/internal/instance/view.go
+++ b/internal/instance/view.go
@@ -50,6 +50,7 @@
 }
 
 func (e configEvent) apply(c *core, now time.Time) {
+	c.noteConfig(e.snapshot)
 	c.snapshot = e.snapshot
 	customers := make([]fairness.Customer, 0, len(c.snapshot.Rules.Customers))
 	for _, customer := range c.snapshot.Rules.Customers {
@@ -67,8 +68,6 @@
 	c.updateTargets(now)
 	c.publishEntries()
 	c.markAllPeers()
-	c.log.Info().Str("event", "config").Uint64("version", c.snapshot.Version).
-		Str("digest", c.snapshot.Digest).Str("source", c.snapshot.Source).Msg("")
 }
 
 func (askedEvent) apply(c *core, _ time.Time) {
