Read only changed rules, and let bunched versions be one

Change: rules.Update parses only the changed lines while the same rules stand and nothing changed that other rules depend on; a change hashes the text once in place of five times; CommonLines compares in blocks; a version is taken from peers at most once in 1.5 s, as from the service. Heartbeats may leave the version out. Ruled out: a gap of 2 s.

--- /dev/null
+++ b/internal/config/bench_test.go
@@ -0,0 +1,89 @@
+package config
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"medlarwind.dev/medlarwind/internal/wire"
+)
+
+// designDocument returns a document of 15,000 customers and 12,000 targets; the
+// share of one customer differs for each n.
+func designDocument(n int) []byte {
+	var out strings.Builder
+	for i := range 21 {
+		fmt.Fprintf(&out, "datacentre dc-%02d region region-%d in # Lin, operations\n", i, i%8)
+	}
+	out.WriteString("model appraise input 1 output 4 # Wu, inspection\n")
+	for i := range 15_000 {
+		share := 1 + i%9
+		if i == 7_000 {
+			share = 1 + n
+		}
+		key := sha256.Sum256(fmt.Appendf(nil, "secret %d", i))
+		fmt.Fprintf(&out, "customer mill-%05d share %d queue 64 key sha256:%x # Chen, auction floor\n", i, share, key)
+	}
+	for i := range 12_000 {
+		fmt.Fprintf(&out, "target dc-%02d-e%05d datacentre dc-%02d serves appraise limit 8 cold 1 fencing checked sender ignored # Wu, inspection\n", i%21, i, i%21)
+	}
+	return []byte(out.String())
+}
+
+// BenchmarkChange brings one changed line into force at an instance of the design
+// size, by a patch as it comes from a peer and by the service's compressed value.
+func BenchmarkChange(b *testing.B) {
+	givers := []*Store{NewStore(), NewStore()}
+	for i, s := range givers {
+		s.Offer(1, designDocument(2-i), "service")
+		s.Offer(2, designDocument(1+i), "service")
+	}
+	run := func(b *testing.B, request wire.ConfigRequest) {
+		s := NewStore()
+		s.Offer(1, designDocument(2), "service")
+		b.ReportAllocs()
+		size := 0
+		for b.Loop() {
+			request.HaveDigest = s.Current().Digest
+			reply, err := givers[s.Version()%2^1].Answer(request, true)
+			if err != nil {
+				b.Fatal(err)
+			}
+			size = len(reply.Text)
+			for _, patch := range reply.Patches {
+				size += len(patch)
+			}
+			reply.Version = s.Version() + 1
+			if outcome, err := s.OfferReply(reply, "peer"); outcome != Applied {
+				b.Fatal(outcome, err)
+			}
+		}
+		b.ReportMetric(float64(size), "sent-bytes/op")
+	}
+	b.Run("patch", func(b *testing.B) { run(b, wire.ConfigRequest{Have: 1}) })
+	b.Run("whole", func(b *testing.B) { run(b, wire.ConfigRequest{}) })
+}
+
+// BenchmarkStep is the coordinator's step with nothing to do in a fleet of 21 data
+// centres with 18 instances each; there are 1/stepPeriod of them a second.
+func BenchmarkStep(b *testing.B) {
+	f := newTestFleet(21, 18, 1)
+	w := NewWatcher(f.options, NewStore(), nil, nil, f.rand, zerolog.Nop())
+	w.options.Self, w.options.DataCentre = f.list.Instances[3].ID, f.list.Instances[3].DataCentre
+	now := time.Unix(0, 0)
+	c := newCoordinator(w, now)
+	c.setList(f.list)
+	w.store.Offer(1, document(1), "service")
+	for _, id := range c.gate.Unanswered() {
+		c.gate.Answered(id, 1, true)
+		c.observe(Observation{Peer: id, Version: 1, Digest: w.store.Current().Digest}, now)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		c.step(now)
+	}
+}
--- a/internal/config/coordinator.go
+++ b/internal/config/coordinator.go
@@ -87,9 +87,11 @@
 	// peers named, first named at newsAt.
 	fetching int
 	fetchAt  time.Time
-	whole    bool
-	news     uint64
-	newsAt   time.Time
+	// takenAt is when a peer's version last came into force.
+	takenAt time.Time
+	whole   bool
+	news    uint64
+	newsAt  time.Time
 	// conflict is the last conflict that was logged.
 	conflict Observation
 	state    GateState
@@ -131,7 +133,9 @@
 func (c *coordinator) observe(o Observation, now time.Time) (news bool) {
 	peer := c.view(o.Peer)
 	peer.heard = now
-	peer.version, peer.digest = o.Version, o.Digest
+	if o.Version != 0 {
+		peer.version, peer.digest = o.Version, o.Digest
+	}
 	if o.Version > c.news {
 		c.news, c.newsAt = o.Version, now
 	}
@@ -187,9 +191,14 @@
 	c.w.counters.fetchedBytes.Add(int64(size))
 	outcome, err := c.w.store.OfferReply(reply, peerSource(id))
 	c.whole = errors.Is(err, ErrPatchDamaged)
-	if outcome != Applied {
+	if outcome == Applied {
+		c.takenAt = now
+	} else {
 		peer.next = now.Add(c.w.options.FetchRetry)
 	}
+	if reply.Version == 0 {
+		peer.version, peer.digest = 0, ""
+	}
 	c.w.offered(reply.Version, peerSource(id), outcome, err)
 }
 
@@ -251,6 +260,9 @@
 	if c.news <= c.w.store.Version() {
 		return
 	}
+	if now.Sub(c.takenAt) < c.w.options.ReadGap {
+		return
+	}
 	if c.fetching >= maxFetches || c.fetching > 0 && now.Sub(c.fetchAt) < c.w.options.HedgeAfter {
 		return
 	}
--- a/internal/config/delta.go
+++ b/internal/config/delta.go
@@ -21,42 +21,24 @@
 // copied, also where they have moved, so that its length is in proportion to the
 // lines changed. It takes time and memory in proportion to both texts.
 func Delta(old, new []byte) []byte {
+	return makePatch(old, new, Digest(old), Digest(new))
+}
+
+// makePatch is Delta for texts with known digests.
+func makePatch(old, new []byte, oldDigest, newDigest string) []byte {
 	w := &patchWriter{}
-	w.patch = append(w.patch, Digest(old)...)
-	w.patch = append(w.patch, Digest(new)...)
+	w.patch = append(w.patch, oldDigest...)
+	w.patch = append(w.patch, newDigest...)
 	w.patch = binary.AppendUvarint(w.patch, uint64(len(new)))
 
-	prefix := commonPrefix(old, new)
-	suffix := commonSuffix(old[prefix:], new[prefix:])
+	prefix, suffix := rules.CommonLines(old, new)
 	w.copy(0, prefix)
-	w.middle(string(old[:len(old)-suffix]), string(new[prefix:len(new)-suffix]), prefix)
+	w.middle(old[:len(old)-suffix], new[prefix:len(new)-suffix], prefix)
 	w.copy(len(old)-suffix, suffix)
 	w.flush()
 	return w.patch
 }
 
-// commonPrefix returns the length of the whole lines with which both begin.
-func commonPrefix(a, b []byte) int {
-	n := 0
-	for n < len(a) && n < len(b) && a[n] == b[n] {
-		n++
-	}
-	return bytes.LastIndexByte(a[:n], '\n') + 1
-}
-
-// commonSuffix returns the length of the whole lines with which both end.
-func commonSuffix(a, b []byte) int {
-	n := 0
-	for n < len(a) && n < len(b) && a[len(a)-1-n] == b[len(b)-1-n] {
-		n++
-	}
-	if n == len(a) || n == len(b) {
-		return n
-	}
-	tail := a[len(a)-n:]
-	return len(tail) - (bytes.IndexByte(tail, '\n') + 1)
-}
-
 // patchWriter appends steps and joins copies that follow one another.
 type patchWriter struct {
 	patch []byte
@@ -67,16 +49,16 @@
 
 // middle writes the lines between common prefix and suffix. Old lines before from
 // are only in the prefix and are not looked for.
-func (w *patchWriter) middle(old, new string, from int) {
-	if new == "" {
+func (w *patchWriter) middle(old, new []byte, from int) {
+	if len(new) == 0 {
 		return
 	}
 	index := indexLines(old, from)
 	next := from
-	for line := range strings.Lines(new) {
+	for line := range bytes.Lines(new) {
 		at := next
-		if !strings.HasPrefix(old[at:], line) {
-			found, known := index[line]
+		if !bytes.HasPrefix(old[at:], line) {
+			found, known := index[string(line)]
 			if !known {
 				w.add(line)
 				continue
@@ -89,9 +71,9 @@
 }
 
 // indexLines returns the offset of the first of each line from an offset on.
-func indexLines(text string, from int) map[string]int {
+func indexLines(text []byte, from int) map[string]int {
 	index := make(map[string]int)
-	for line := range strings.Lines(text[from:]) {
+	for line := range strings.Lines(string(text[from:])) {
 		if _, known := index[line]; !known {
 			index[line] = from
 		}
@@ -112,7 +94,7 @@
 	w.from, w.length = from, length
 }
 
-func (w *patchWriter) add(line string) {
+func (w *patchWriter) add(line []byte) {
 	w.flush()
 	w.patch = binary.AppendUvarint(w.patch, uint64(len(line))<<1|stepAdd)
 	w.patch = append(w.patch, line...)
@@ -131,26 +113,33 @@
 // not for the old text and ErrPatchDamaged if the result is not the text that the
 // patch was made from. It allocates at most rules.MaxTextBytes.
 func Apply(old, patch []byte) ([]byte, error) {
+	text, _, err := applyPatch(old, Digest(old), patch)
+	return text, err
+}
+
+// applyPatch is Apply for a text with known digest. It returns the new text's as
+// well.
+func applyPatch(old []byte, oldDigest string, patch []byte) (text []byte, digest string, err error) {
 	if len(patch) < 2*digestLength {
-		return nil, ErrPatchDamaged
+		return nil, "", ErrPatchDamaged
 	}
-	if string(patch[:digestLength]) != Digest(old) {
-		return nil, ErrPatchBase
+	if string(patch[:digestLength]) != oldDigest {
+		return nil, "", ErrPatchBase
 	}
 	want := string(patch[digestLength : 2*digestLength])
 	r := &patchReader{rest: patch[2*digestLength:]}
 	size := r.number()
 	if r.bad || size > rules.MaxTextBytes {
-		return nil, ErrPatchDamaged
+		return nil, "", ErrPatchDamaged
 	}
-	text := make([]byte, 0, size)
+	text = make([]byte, 0, size)
 	for len(r.rest) > 0 && !r.bad {
 		text = r.step(old, text)
 	}
 	if r.bad || len(text) != size || Digest(text) != want {
-		return nil, ErrPatchDamaged
+		return nil, "", ErrPatchDamaged
 	}
-	return text, nil
+	return text, want, nil
 }
 
 // patchReader reads numbers and steps until the first one that is out of range.
--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -235,3 +235,15 @@
 	}
 	return all
 }
+
+// untilInForce waits until a version is in force at every running node, no longer
+// than it may take, and returns how long it took to a tenth of a second.
+func (f *testFleet) untilInForce(version uint64) time.Duration {
+	const period = 100 * time.Millisecond
+	var waited time.Duration
+	for waited < inForceWithin && f.behind(version) != nil {
+		time.Sleep(period)
+		waited += period
+	}
+	return waited
+}
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -129,6 +129,14 @@
 // The error is nil for Applied, Same and Older, a *ConflictError for Conflict and
 // an *InvalidError for Invalid. It takes time in proportion to the text.
 func (s *Store) Offer(version uint64, text []byte, source string) (Outcome, error) {
+	if version < s.Version() {
+		return Older, nil
+	}
+	return s.offer(version, text, Digest(text), source)
+}
+
+// offer is Offer for a text with known digest.
+func (s *Store) offer(version uint64, text []byte, digest, source string) (Outcome, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if version == 0 {
@@ -138,14 +146,13 @@
 	if current != nil && version < current.Version {
 		return Older, nil
 	}
-	digest := Digest(text)
 	if current != nil && version == current.Version {
 		if digest == current.Digest {
 			return Same, nil
 		}
 		return Conflict, &ConflictError{Version: version, Source: source, InForce: current.Digest, Offered: digest}
 	}
-	document, err := rules.Parse(text)
+	document, err := parseNext(current, text)
 	if err != nil {
 		return Invalid, s.refuse(version, digest, source, err)
 	}
@@ -156,6 +163,14 @@
 	return Applied, nil
 }
 
+// parseNext parses the text that follows a snapshot, nil for none.
+func parseNext(current *Snapshot, text []byte) (*rules.Document, error) {
+	if current == nil {
+		return rules.Parse(text)
+	}
+	return rules.Update(current.Rules, current.Text, text)
+}
+
 // OfferValue is Offer for a value of the configuration service, which may be
 // compressed.
 func (s *Store) OfferValue(version uint64, value []byte, source string) (Outcome, error) {
@@ -182,15 +197,15 @@
 	if current == nil {
 		return Invalid, ErrPatchBase
 	}
-	text := current.Text
+	text, digest := current.Text, current.Digest
 	for _, data := range reply.Patches {
-		next, err := Apply(text, data)
+		var err error
+		text, digest, err = applyPatch(text, digest, data)
 		if err != nil {
 			return Invalid, err
 		}
-		text = next
 	}
-	return s.Offer(reply.Version, text, source)
+	return s.offer(reply.Version, text, digest, source)
 }
 
 // Request returns the request for a peer that has a higher version.
@@ -257,7 +272,7 @@
 	if current := s.Current(); current != nil {
 		s.keepPatch(patch{
 			from: current.Version, digest: current.Digest,
-			data: Delta(current.Text, next.Text),
+			data: makePatch(current.Text, next.Text, current.Digest, next.Digest),
 		})
 	}
 	s.current.Store(next)
--- a/internal/config/watcher.go
+++ b/internal/config/watcher.go
@@ -35,7 +35,8 @@
 	Readers int
 	// Watch is how long one watch may wait.
 	Watch time.Duration
-	// ReadGap is the least time between two reads of one instance.
+	// ReadGap is the least time between two reads of one instance, and between two
+	// versions that it takes from peers: changes that bunch are one.
 	ReadGap time.Duration
 	// Fallback is the mean time between two reads of an instance that is no
 	// reader; such a read waits no longer than FallbackWait.
@@ -65,7 +66,7 @@
 	return Options{
 		Readers:      2,
 		Watch:        10 * time.Second,
-		ReadGap:      2 * time.Second,
+		ReadGap:      1500 * time.Millisecond,
 		Fallback:     30 * time.Second,
 		FallbackWait: time.Second,
 		BackoffMin:   250 * time.Millisecond,
@@ -90,7 +91,9 @@
 
 // Observation is the configuration that a peer's heartbeat names.
 type Observation struct {
-	Peer    fleet.InstanceID
+	Peer fleet.InstanceID
+	// Version is 0 if the heartbeat leaves it out; it then only shows that the peer
+	// lives, and the version named before still counts.
 	Version uint64
 	Digest  string
 }
@@ -172,7 +175,7 @@
 	}
 }
 
-// Observe takes what a peer's heartbeat says. It does not block; an observation
+// Observe takes what a peer's heartbeat says, and is to be called for each one. It does not block; an observation
 // that finds the channel full is dropped and counted.
 func (w *Watcher) Observe(observation Observation) {
 	select {
