--- a/internal/config/coordinator.go
+++ b/internal/config/coordinator.go
@@ -87,7 +87,7 @@
 	// peers named, first named at newsAt.
 	fetching int
 	fetchAt  time.Time
-	// takenAt is when a peer's version last came into force.
+	// takenAt is when a peer's version last came into force or was refused.
 	takenAt time.Time
 	whole   bool
 	news    uint64
@@ -136,6 +136,7 @@
 	if o.Version != 0 {
 		peer.version, peer.digest = o.Version, o.Digest
 	}
+	c.gate.Named(o.Version)
 	if o.Version > c.news {
 		c.news, c.newsAt = o.Version, now
 	}
@@ -191,9 +192,10 @@
 	c.w.counters.fetchedBytes.Add(int64(size))
 	outcome, err := c.w.store.OfferReply(reply, peerSource(id))
 	c.whole = errors.Is(err, ErrPatchDamaged)
-	if outcome == Applied {
+	if outcome == Applied || outcome == Invalid {
 		c.takenAt = now
-	} else {
+	}
+	if outcome != Applied {
 		peer.next = now.Add(c.w.options.FetchRetry)
 	}
 	if reply.Version == 0 {
--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -29,7 +29,9 @@
 	cut     map[fleet.InstanceID]bool
 	// stale is the version that readers are shown at most, 0 for the newest.
 	stale uint64
-	reads int
+	// faulty is a version whose document is refused.
+	faulty uint64
+	reads  int
 }
 
 func (s *testService) publish(version uint64) {
@@ -59,6 +61,9 @@
 			return 0, nil, errUnreachable
 		}
 		if version > after {
+			if version == s.faulty {
+				return version, []byte("model\n"), nil
+			}
 			return version, document(version), nil
 		}
 		select {
--- a/internal/config/gate.go
+++ b/internal/config/gate.go
@@ -83,11 +83,16 @@
 // Answered takes a peer's answer: the version in force there and whether the peer
 // is settled.
 func (g *Gate) Answered(peer fleet.InstanceID, version uint64, settled bool) {
-	g.highest = max(g.highest, version)
+	g.Named(version)
 	g.settled = g.settled || settled
 	g.answered[peer] = true
 }
 
+// Named takes a version that a peer's heartbeat names.
+func (g *Gate) Named(version uint64) {
+	g.highest = max(g.highest, version)
+}
+
 // Unanswered returns the peers that have not answered yet, in the order given.
 func (g *Gate) Unanswered() []fleet.InstanceID {
 	var missing []fleet.InstanceID
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -73,7 +73,7 @@
 	data   []byte
 }
 
-// refusal names the highest version that was refused as invalid.
+// refusal names the version that was last refused as invalid.
 type refusal struct {
 	version uint64
 	digest  string
@@ -109,12 +109,6 @@
 	return 0
 }
 
-// Seen returns the highest version that was applied or refused as invalid.
-// Nothing is gained by reading this one again from the same place.
-func (s *Store) Seen() uint64 {
-	return max(s.Version(), s.refused.Load().version)
-}
-
 // Wants reports whether a version that a peer names is worth fetching.
 func (s *Store) Wants(version uint64, digest string) bool {
 	return version > s.Version() && *s.refused.Load() != refusal{version, digest}
@@ -261,9 +255,7 @@
 
 // refuse notes a version that is invalid.
 func (s *Store) refuse(version uint64, digest, source string, err error) error {
-	if version >= s.refused.Load().version {
-		s.refused.Store(&refusal{version: version, digest: digest})
-	}
+	s.refused.Store(&refusal{version: version, digest: digest})
 	return &InvalidError{Version: version, Source: source, Err: err}
 }
 
--- a/internal/config/watch.go
+++ b/internal/config/watch.go
@@ -59,7 +59,7 @@
 func (w *Watcher) read(ctx context.Context, wait time.Duration) error {
 	readCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	after := w.store.Seen()
+	after := max(w.store.Version(), w.refused)
 	w.counters.reads.Add(1)
 	version, value, err := w.source.Config(readCtx, after)
 	if err != nil {
@@ -75,6 +75,9 @@
 	}
 	outcome, err := w.store.OfferValue(version, value, sourceService)
 	w.offered(version, sourceService, outcome, err)
+	if outcome == Invalid {
+		w.refused = version
+	}
 	w.wake()
 	return nil
 }
--- a/internal/config/watcher.go
+++ b/internal/config/watcher.go
@@ -139,6 +139,9 @@
 		reads, readErrors, asks, fetchedBytes, applied, conflicts, invalid, dropped atomic.Int64
 	}
 
+	// refused is the highest version of the service that was invalid. It and
+	// watchRand belong to the watch; fetchRand belongs to the coordinator.
+	refused   uint64
 	watchRand *rand.Rand
 	fetchRand *rand.Rand
 }
--- a/internal/config/watcher_test.go
+++ b/internal/config/watcher_test.go
@@ -94,6 +94,44 @@
 	})
 }
 
+// TestFaultyVersions checks that a faulty document of the service is read once by
+// each reader and leaves the earlier version in force, and that a high faulty
+// version from a peer does not hide the service's next one.
+func TestFaultyVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(1, 2, 1)
+		f.service.faulty = 2
+		f.service.publish(1)
+		f.startAll()
+		time.Sleep(20 * time.Second)
+		f.service.set(func(s *testService) { s.reads = 0 })
+		f.service.publish(2)
+		const span = 30 * time.Second
+		time.Sleep(span / 2)
+		for _, id := range f.readers() {
+			f.node(id).store.Offer(1<<60, []byte("model\n"), "peer")
+		}
+		time.Sleep(span / 2)
+		f.service.set(func(s *testService) {
+			if bound := readsBound(f.options, 1, 2, 1, span); float64(s.reads) > bound {
+				t.Errorf("%d reads around a faulty version, bound %.0f", s.reads, bound)
+			}
+		})
+		for version := uint64(1); version <= 3; version += 2 {
+			if version == 3 {
+				f.service.publish(3)
+				time.Sleep(inForceWithin)
+			}
+			for _, id := range f.readers() {
+				if got := f.node(id).store.Version(); got != version {
+					t.Errorf("version %d in force, want %d", got, version)
+				}
+			}
+		}
+		f.stopAll()
+	})
+}
+
 // readsBound returns the most reads of a fleet in a time: each data centre's
 // readers after each wait or change, no faster than the gap, and the others at the
 // fallback's shortest time.
--- a/internal/settings/example.go
+++ b/internal/settings/example.go
@@ -46,7 +46,7 @@
 	"stream_silence": "10s",
 
 	// How long one watch of the configuration service may wait.
-	"config_watch": "30s",
+	"config_watch": "10s",
 	// Wait for all peers' answers at the start, and the wait if none answers.
 	"config_start_wait": "3s",
 	"config_lone_wait": "15s",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -81,7 +81,7 @@
 	StreamSilence time.Duration `json:"stream_silence" min:"1s" max:"10m"`
 
 	// ConfigWatch is how long one watch of the configuration service may wait.
-	// Default 30 s.
+	// Default 10 s.
 	ConfigWatch time.Duration `json:"config_watch" min:"1s" max:"10m"`
 	// ConfigStartWait is how long a new instance waits for the answers of all
 	// peers before it makes do with one settled peer's. Default 3 s.
@@ -136,7 +136,7 @@
 		CallIDLifetime:    5 * time.Minute,
 		AnswerRetention:   time.Minute,
 		StreamSilence:     10 * time.Second,
-		ConfigWatch:       30 * time.Second,
+		ConfigWatch:       10 * time.Second,
 		ConfigStartWait:   3 * time.Second,
 		ConfigLoneWait:    15 * time.Second,
 		MemoryLimit:       224 << 20,
