--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -29,7 +29,9 @@
 	cut     map[fleet.InstanceID]bool
 	// stale is the version that readers are shown at most, 0 for the newest.
 	stale uint64
-	reads int
+	// faulty is a version whose document is refused.
+	faulty uint64
+	reads  int
 }
 
 func (s *testService) publish(version uint64) {
@@ -59,6 +61,9 @@
 			return 0, nil, errUnreachable
 		}
 		if version > after {
+			if version == s.faulty {
+				return version, []byte("model\n"), nil
+			}
 			return version, document(version), nil
 		}
 		select {
@@ -235,3 +240,15 @@
 	}
 	return all
 }
+
+// untilInForce waits until a version is in force at every running node, no longer
+// than it may take, and returns how long it took to a tenth of a second.
+func (f *testFleet) untilInForce(version uint64) time.Duration {
+	const period = 100 * time.Millisecond
+	var waited time.Duration
+	for waited < inForceWithin && f.behind(version) != nil {
+		time.Sleep(period)
+		waited += period
+	}
+	return waited
+}
