--- a/internal/config/gate_test.go
+++ b/internal/config/gate_test.go
@@ -18,22 +18,24 @@
 		name    string
 		peers   []fleet.InstanceID
 		answers []answer
+		named   uint64
 		inForce uint64
 		waited  time.Duration
 		want    GateState
 	}{
-		{"nothing in force", both, []answer{{"a", 0, true}, {"b", 0, true}}, 0, time.Hour, GateNoConfig},
-		{"list unknown", nil, nil, 7, 14 * time.Second, GateWaiting},
-		{"alone on the list", []fleet.InstanceID{}, nil, 7, 0, GateAllAnswered},
-		{"all answered", both, []answer{{"a", 7, false}, {"b", 6, true}}, 7, 0, GateAllAnswered},
-		{"all answered, behind", both, []answer{{"a", 8, true}, {"b", 6, true}}, 7, 14 * time.Second, GateBehind},
-		{"one answered, too early", both, []answer{{"a", 7, true}}, 7, 2 * time.Second, GateWaiting},
-		{"settled one answered", both, []answer{{"a", 7, true}}, 7, 3 * time.Second, GateSettledAnswered},
-		{"new one answered", both, []answer{{"a", 7, false}}, 7, 14 * time.Second, GateWaiting},
-		{"settled one answered, behind", both, []answer{{"a", 8, true}}, 7, 3 * time.Second, GateBehind},
-		{"none answered, service stale or not", both, nil, 7, 14 * time.Second, GateWaiting},
-		{"none answered in time", both, nil, 7, 15 * time.Second, GateLone},
-		{"a version that cannot be had", both, []answer{{"a", 8, true}}, 7, 15 * time.Second, GateLone},
+		{"nothing in force", both, []answer{{"a", 0, true}, {"b", 0, true}}, 0, 0, time.Hour, GateNoConfig},
+		{"list unknown", nil, nil, 0, 7, 14 * time.Second, GateWaiting},
+		{"alone on the list", []fleet.InstanceID{}, nil, 0, 7, 0, GateAllAnswered},
+		{"all answered", both, []answer{{"a", 7, false}, {"b", 6, true}}, 0, 7, 0, GateAllAnswered},
+		{"all answered, behind", both, []answer{{"a", 8, true}, {"b", 6, true}}, 0, 7, 14 * time.Second, GateBehind},
+		{"all answered, a heartbeat names more", both, []answer{{"a", 7, true}, {"b", 7, true}}, 8, 7, 3 * time.Second, GateBehind},
+		{"one answered, too early", both, []answer{{"a", 7, true}}, 0, 7, 2 * time.Second, GateWaiting},
+		{"settled one answered", both, []answer{{"a", 7, true}}, 0, 7, 3 * time.Second, GateSettledAnswered},
+		{"new one answered", both, []answer{{"a", 7, false}}, 0, 7, 14 * time.Second, GateWaiting},
+		{"settled one answered, behind", both, []answer{{"a", 8, true}}, 0, 7, 3 * time.Second, GateBehind},
+		{"none answered, service stale or not", both, nil, 0, 7, 14 * time.Second, GateWaiting},
+		{"none answered in time", both, nil, 0, 7, 15 * time.Second, GateLone},
+		{"a version that cannot be had", both, []answer{{"a", 8, true}}, 0, 7, 15 * time.Second, GateLone},
 	}
 	start := time.Unix(0, 0)
 	for _, test := range tests {
@@ -44,6 +46,7 @@
 		for _, a := range test.answers {
 			gate.Answered(a.peer, a.version, a.settled)
 		}
+		gate.Named(test.named)
 		got := gate.Update(start.Add(test.waited), test.inForce)
 		if got != test.want {
 			t.Errorf("%s: %v, want %v", test.name, got, test.want)
