Tell callers the truth before a connection and while starting

Cause: in pairs of faults, callers got errors without an outcome: Locate at a killed instance, and "credentials" from an instance that had no rules yet. A once-call sent again to a dead instance was told "not run" although an earlier sending had run. Change: the client turns a failed Locate into "not run"; an instance without rules answers "starting" with a retry time; the client says "not run" of a once-call only if no connection for it was ever made.

--- a/client/call.go
+++ b/client/call.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"hash/crc32"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
 
 	medlarwindv1 "medlarwind.dev/medlarwind/gen/medlarwind/v1"
 )
@@ -33,6 +36,10 @@
 type CallID struct {
 	ID      string
 	Address string
+
+	// unsent is true until a connection for the call was made; nil means that this
+	// is not known.
+	unsent *atomic.Bool
 }
 
 // IssueCallID asks an instance for a call id. An id that was not used costs nothing.
@@ -45,18 +52,42 @@
 	for _, address := range addresses {
 		response, err := c.router(c.http, address).IssueCallID(ctx, authorized(c, &medlarwindv1.IssueCallIDRequest{}))
 		if err == nil {
-			return CallID{ID: response.Msg.CallId, Address: response.Msg.Address}, nil
+			return newCallID(response.Msg), nil
 		}
 		last = requestError(err)
 	}
 	return CallID{}, last
 }
 
+func newCallID(issued *medlarwindv1.IssueCallIDResponse) CallID {
+	id := CallID{ID: issued.CallId, Address: issued.Address, unsent: new(atomic.Bool)}
+	id.unsent.Store(true)
+	return id
+}
+
 // CallOnce runs a call that may not be repeated. It can be called again with the
-// same id: the call runs at most once, and a kept answer is given again.
+// same id: the call runs at most once, and a kept answer is given again. "Not run"
+// speaks of the call, not of this sending of it: a dial that fails after an earlier
+// sending leaves the outcome unknown.
 func (c *Client) CallOnce(ctx context.Context, id CallID, service, method string, body []byte) ([]byte, error) {
 	request := &medlarwindv1.CallRequest{Service: service, Method: method, Body: body, CallId: id.ID}
-	return c.callAt(ctx, id.Address, request)
+	answer, err := c.callAt(ctx, id.Address, request)
+	var failed *RequestError
+	undialled := errors.As(err, &failed) && failed.Reason == reasonDial
+	if !undialled {
+		id.markSent()
+		return answer, err
+	}
+	if id.unsent == nil || !id.unsent.Load() {
+		failed.Kind = Unknown
+	}
+	return nil, failed
+}
+
+func (id CallID) markSent() {
+	if id.unsent != nil {
+		id.unsent.Store(false)
+	}
 }
 
 // callAt sends a call on a connection of its own.
--- a/client/client.go
+++ b/client/client.go
@@ -41,7 +41,7 @@
 	// ErrIncomplete means that the answer's count or checksum does not fit.
 	ErrIncomplete = errors.New("the answer is not whole")
 	// ErrNoAddress means that no seed answered.
-	ErrNoAddress = errors.New("no instance answered")
+	ErrNoAddress = errors.New("no instance gave an address")
 )
 
 // Client is safe for concurrent use.
@@ -109,7 +109,7 @@
 			break
 		}
 	}
-	return nil, errors.Wrap(last, "locate")
+	return nil, &RequestError{Kind: NotRun, Reason: reasonLocate, RetryAfter: locateRetry, Err: last}
 }
 
 // kept returns the kept answer while it lives.
@@ -129,8 +129,13 @@
 	return append(append([]string(nil), c.addresses...), c.options.Seeds...)
 }
 
-// locateTimeout bounds one question to one seed.
-const locateTimeout = 2 * time.Second
+// Times of Locate.
+const (
+	// locateTimeout bounds one question to one seed.
+	locateTimeout = 2 * time.Second
+	// locateRetry is when to ask again after no instance answered.
+	locateRetry = 500 * time.Millisecond
+)
 
 func (c *Client) ask(ctx context.Context, seed string) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
--- a/client/errors.go
+++ b/client/errors.go
@@ -36,6 +36,13 @@
 	}
 }
 
+// Reasons that this package gives; instances give others.
+const (
+	reasonDial       = "dial"
+	reasonConnection = "connection"
+	reasonLocate     = "locate"
+)
+
 // RequestError is why a request got no whole answer.
 type RequestError struct {
 	Kind   Kind
@@ -69,9 +76,9 @@
 	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return &RequestError{Kind: NotRun, Reason: "dial", Err: err}
+		return &RequestError{Kind: NotRun, Reason: reasonDial, Err: err}
 	}
-	return &RequestError{Kind: Unknown, Reason: "connection", Err: err}
+	return &RequestError{Kind: Unknown, Reason: reasonConnection, Err: err}
 }
 
 // broken reports whether the connection failed, rather than the request.
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/rules"
 )
@@ -98,13 +100,20 @@
 	End(kind EndKind)
 }
 
+// Errors of Directory.Authenticate.
+var (
+	ErrStarting    = errors.New("entry: no rules are in force yet")
+	ErrCredentials = errors.New("entry: no customer has this key")
+)
+
 // Directory answers what the entry must know of the fleet. It is safe for
 // concurrent use.
 type Directory interface {
 	// Locate ranks callers' addresses for a customer, with the answer's lifetime.
 	Locate(customer fleet.CustomerID) (addresses []string, lifetime time.Duration)
-	// Authenticate finds the customer whose key has this SHA-256.
-	Authenticate(keyHash [32]byte) (fleet.CustomerID, bool)
+	// Authenticate finds the customer whose key has this SHA-256. It fails with
+	// ErrStarting while no rules are in force and with ErrCredentials otherwise.
+	Authenticate(keyHash [32]byte) (fleet.CustomerID, error)
 	// Model and Call look up the rules in force.
 	Model(id fleet.ModelID) (rules.Model, bool)
 	Call(key rules.CallKey) (rules.Call, bool)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/pkg/errors"
 
 	medlarwindv1 "medlarwind.dev/medlarwind/gen/medlarwind/v1"
 	"medlarwind.dev/medlarwind/gen/medlarwind/v1/medlarwindv1connect"
@@ -36,6 +37,8 @@
 	defaultMaxTokens = 1024
 	// bytesPerToken estimates the size of a prompt in tokens.
 	bytesPerToken = 4
+	// startingRetry is when to try again at an instance without rules.
+	startingRetry = 500 * time.Millisecond
 	// maxAttempts bounds how often one request is started.
 	maxAttempts = 3
 )
@@ -255,11 +258,15 @@
 	if !found {
 		return "", refuse(ReasonCredentials, 0)
 	}
-	customer, known := s.directory.Authenticate(sha256.Sum256([]byte(secret)))
-	if !known {
+	customer, err := s.directory.Authenticate(sha256.Sum256([]byte(secret)))
+	switch {
+	case err == nil:
+		return customer, nil
+	case errors.Is(err, ErrStarting):
+		return "", refuse(ReasonStarting, startingRetry)
+	default:
 		return "", refuse(ReasonCredentials, 0)
 	}
-	return customer, nil
 }
 
 // randomHex returns n random bytes in hexadecimal, which cannot be guessed.
--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -53,13 +53,16 @@
 }
 
 // Authenticate implements entry.Directory.
-func (d *directory) Authenticate(keyHash [32]byte) (fleet.CustomerID, bool) {
+func (d *directory) Authenticate(keyHash [32]byte) (fleet.CustomerID, error) {
 	index := d.keys.Load()
 	if index == nil {
-		return "", false
+		return "", entry.ErrStarting
 	}
 	customer, known := index.byHash[keyHash]
-	return customer, known
+	if !known {
+		return "", entry.ErrCredentials
+	}
+	return customer, nil
 }
 
 // Model implements entry.Directory.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -220,6 +220,8 @@
 	o := config.DefaultOptions()
 	o.Self = s.Instance
 	o.DataCentre = s.DataCentre
+	o.Watch = s.ConfigWatch
+	o.SilentAfter = s.PeerTimeout
 	o.Gate.StartWait = s.ConfigStartWait
 	o.Gate.LoneWait = s.ConfigLoneWait
 	return o
