--- a/client/client.go
+++ b/client/client.go
@@ -122,11 +122,13 @@
 	return nil
 }
 
-// candidates are the last known addresses, then the seeds.
+// candidates are the seeds, which the caller chose as near, then the last known
+// addresses. Asked the other way round, a caller that was once sent to another
+// region would stay there, since instances there name themselves first.
 func (c *Client) candidates() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return append(append([]string(nil), c.addresses...), c.options.Seeds...)
+	return append(append([]string(nil), c.options.Seeds...), c.addresses...)
 }
 
 // Times of Locate.
--- a/internal/cli/devload.go
+++ b/internal/cli/devload.go
@@ -83,7 +83,7 @@
 		summary.Broken += rows[i].Broken
 	}
 	for _, m := range local.Members {
-		summary.ControlBytes += m.Instance.ControlBytes()
+		summary.ControlBytes += m.Running().ControlBytes()
 	}
 	return summary
 }
@@ -170,7 +170,7 @@
 func serviceOf(local *localfleet.Fleet, customer fleet.CustomerID) fleet.Cost {
 	var total fleet.Cost
 	for _, m := range local.Members {
-		status, err := m.Instance.Status(context.Background())
+		status, err := m.Running().Status(context.Background())
 		if err != nil {
 			continue
 		}
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -30,6 +30,9 @@
 	Deadline time.Time
 	// Attempt counts from 1.
 	Attempt int
+	// Ran says that an earlier attempt may have run, so that a refusal would no
+	// longer mean that the request did not run.
+	Ran bool
 }
 
 // Admission decides when and where a request may start. It is safe for concurrent
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -171,25 +171,24 @@
 // run starts the call on a target, again only where that is proven safe: a call
 // that did not run may start again; one that may have run only if it is repeatable.
 func (c *plainCall) run(ctx context.Context) ([]byte, *OutcomeError) {
-	ran := false
 	pause := unsentPause
 	for attempt := 1; ; attempt++ {
 		c.work.Attempt = attempt
 		lease, outcome := c.server.admission.Admit(ctx, &c.work)
 		if outcome != nil {
-			return nil, c.final(outcome, ran)
+			return nil, c.final(outcome)
 		}
 		body, outcome := c.attempt(ctx, lease)
 		if outcome == nil {
 			return body, nil
 		}
-		ran = ran || outcome.Kind != NotRun
+		c.work.Ran = c.work.Ran || outcome.Kind != NotRun
 		if outcome.Kind == NotRun && waitUnsent(ctx, &pause, c.work.Deadline) {
 			attempt--
 			continue
 		}
 		if ctx.Err() != nil || attempt >= maxAttempts || !c.retryable(outcome) {
-			return nil, c.final(outcome, ran)
+			return nil, c.final(outcome)
 		}
 	}
 }
@@ -206,8 +205,8 @@
 }
 
 // final keeps "not run" honest after an earlier attempt may have run.
-func (c *plainCall) final(outcome *OutcomeError, ran bool) *OutcomeError {
-	if !ran || outcome.Kind != NotRun {
+func (c *plainCall) final(outcome *OutcomeError) *OutcomeError {
+	if !c.work.Ran || outcome.Kind != NotRun {
 		return outcome
 	}
 	changed := *outcome
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -90,6 +90,7 @@
 	pause := unsentPause
 	for attempt := 1; ; attempt++ {
 		g.work.Attempt = attempt
+		g.work.Ran = g.ran
 		lease, outcome := g.server.admission.Admit(g.ctx, &g.work)
 		if outcome != nil {
 			g.answer.fail(g.final(outcome))
--- a/internal/faults/matrix_test.go
+++ b/internal/faults/matrix_test.go
@@ -40,11 +40,11 @@
 		return err == nil
 	}},
 	{name: "waiting", blocked: true, reached: func(w *world, p *probe) bool {
-		status, err := p.entry.Instance.Status(w.ctx)
+		status, err := p.entry.Running().Status(w.ctx)
 		return err == nil && status.Waiting > 0
 	}},
 	{name: "dialling", reached: func(w *world, p *probe) bool {
-		status, err := p.entry.Instance.Status(w.ctx)
+		status, err := p.entry.Running().Status(w.ctx)
 		return err == nil && status.Running > 0
 	}},
 	{name: "first byte", reached: func(w *world, p *probe) bool { return w.arrivals(p.prompt) > 0 }},
@@ -167,6 +167,6 @@
 // drain begins the planned stop of the entry in the background.
 func (w *world) drain(p *probe) {
 	m := p.entry
-	i := m.Instance
+	i := m.Running()
 	go func() { _ = i.Drain(w.ctx) }()
 }
--- a/internal/faults/world_test.go
+++ b/internal/faults/world_test.go
@@ -18,6 +18,7 @@
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/localfleet"
 	"medlarwind.dev/medlarwind/internal/memnet"
+	"medlarwind.dev/medlarwind/internal/settings"
 	"medlarwind.dev/medlarwind/internal/standin"
 )
 
@@ -34,18 +35,22 @@
 	pollStep      = time.Millisecond
 	probeTimeout  = 40 * time.Second
 	recoveryBound = 30 * time.Second
+	// locateLifetime is how long callers keep addresses.
+	locateLifetime = 5 * time.Second
 )
 
 // world is one fleet with its network and what was seen of its requests.
 type world struct {
-	t       *testing.T
-	net     *memnet.Network
-	hosts   interface{ HostIP(string) string }
-	fleet   *localfleet.Fleet
-	ctx     context.Context
-	callers int
+	t     *testing.T
+	net   *memnet.Network
+	hosts interface{ HostIP(string) string }
+	fleet *localfleet.Fleet
+	ctx   context.Context
+	// version is the last configuration that publish published.
+	version uint64
 
 	mu      sync.Mutex
+	callers int
 	results []result
 }
 
@@ -76,8 +81,9 @@
 			OrphanTime:  3 * time.Second,
 			ReportLag:   200 * time.Millisecond,
 		},
-		Seed: worldSeed,
-		Log:  zerolog.Nop(),
+		Seed:   worldSeed,
+		Adjust: func(s *settings.Settings) { s.LocateLifetime = locateLifetime },
+		Log:    zerolog.Nop(),
 	}
 	for _, id := range []string{"a", "b", "c"} {
 		spec.DataCentres = append(spec.DataCentres, localfleet.DataCentre{
@@ -138,6 +144,8 @@
 
 // customer returns a customer and a fresh caller's host name.
 func (w *world) caller() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.callers++
 	return fmt.Sprintf("caller-%d", w.callers)
 }
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -219,18 +219,26 @@
 	c.noteDraining(observe.DrainBegun, now)
 }
 
-// apply ends the acceptance of new work and hands back what still waits.
+// apply ends the acceptance of new work and hands back what still waits, but for
+// requests that may have run already: those are finished here.
 func (e closeEvent) apply(c *core, now time.Time) {
 	c.closed = true
 	c.noteDraining(observe.DrainClosed, now)
 	for _, w := range c.waiting {
-		c.queue.Remove(w.id)
-		c.refuse(w, c.drainOutcome(w), now)
+		if !w.work.Ran {
+			c.queue.Remove(w.id)
+			c.refuse(w, c.drainOutcome(w), now)
+		}
 	}
-	for _, w := range c.parked {
+	parked := c.parked
+	c.parked = nil
+	for _, w := range parked {
+		if w.work.Ran {
+			c.parked = append(c.parked, w)
+			continue
+		}
 		c.refuse(w, c.drainOutcome(w), now)
 	}
-	c.parked = nil
 	c.demandChanged = true
 	close(e.done)
 }
--- a/internal/instance/requests.go
+++ b/internal/instance/requests.go
@@ -29,7 +29,7 @@
 // refusal is why no new work is taken at all, nil if it is.
 func (c *core) refusal(w *waiter) *entry.OutcomeError {
 	switch {
-	case c.closed:
+	case c.closed && !w.work.Ran:
 		return c.drainOutcome(w)
 	case !c.settled || c.snapshot == nil:
 		return &entry.OutcomeError{Kind: entry.NotRun, Reason: entry.ReasonStarting, RetryAfter: startingRetry, Address: c.otherAddress(w)}
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,14 +31,16 @@
 // platformHost is the platform's host name.
 const platformHost = "platform"
 
-// Member is one instance of a local fleet; Instance is nil while it is stopped.
+// Member is one instance of a local fleet.
 type Member struct {
 	ID         fleet.InstanceID
 	DataCentre fleet.DataCentreID
 	CallerAddr string
 	// OperatorAddr is where status and metrics are served.
 	OperatorAddr string
-	Instance     *instance.Instance
+
+	mu       sync.Mutex
+	instance *instance.Instance
 
 	listed   fleet.ListedInstance
 	settings settings.Settings
@@ -48,6 +51,20 @@
 	starts uint64
 }
 
+// Running returns the instance, nil while it is stopped. It is safe for concurrent
+// use.
+func (m *Member) Running() *instance.Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.instance
+}
+
+func (m *Member) set(i *instance.Instance) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.instance = i
+}
+
 // EngineMember is one engine stand-in.
 type EngineMember struct {
 	ID         fleet.TargetID
@@ -263,7 +280,7 @@
 		return errors.Wrap(err, string(m.ID))
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	m.Instance = i
+	m.set(i)
 	m.stop = cancel
 	m.ended = make(chan struct{})
 	failed := make(chan error, 1)
@@ -281,12 +298,12 @@
 
 // Kill stops an instance at once, with whatever it runs.
 func (f *Fleet) Kill(m *Member) {
-	if m.Instance == nil {
+	if m.Running() == nil {
 		return
 	}
+	m.set(nil)
 	m.stop()
 	<-m.ended
-	m.Instance = nil
 }
 
 // Restart kills an instance and starts it again with nothing.
@@ -351,7 +368,7 @@
 // every other one.
 func (f *Fleet) AwaitReady(ctx context.Context) error {
 	for _, m := range f.Members {
-		if m.Instance == nil {
+		if m.Running() == nil {
 			continue
 		}
 		if err := f.awaitMember(ctx, m); err != nil {
@@ -365,7 +382,7 @@
 	ticker := time.NewTicker(readyPoll)
 	defer ticker.Stop()
 	for {
-		status, err := m.Instance.Status(ctx)
+		status, err := m.Running().Status(ctx)
 		if err != nil {
 			return err
 		}
@@ -393,7 +410,7 @@
 func (f *Fleet) runningMembers() int {
 	running := 0
 	for _, m := range f.Members {
-		if m.Instance != nil {
+		if m.Running() != nil {
 			running++
 		}
 	}
