--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -303,6 +303,7 @@
 			Waiting:    l.items.Len(),
 			Estimate:   oldest.Estimate,
 			WaitMillis: now.Sub(oldest.Enqueued).Milliseconds(),
+			Alone:      alone,
 		})
 	}
 	return ds
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -25,11 +25,10 @@
 
 import (
 	"cmp"
-	"encoding/binary"
-	"hash/fnv"
 	"time"
 
 	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/membership"
 	"medlarwind.dev/medlarwind/internal/wire"
 )
 
@@ -299,7 +298,7 @@
 	var holder fleet.InstanceID
 	most := uint64(0)
 	for _, id := range t.visible {
-		w := weight(fp, id)
+		w := membership.Score(fp, membership.Hash(string(id)))
 		if holder == "" || w > most || (w == most && id < holder) {
 			holder, most = id, w
 		}
@@ -307,15 +306,6 @@
 	return holder
 }
 
-func weight(fp uint64, id fleet.InstanceID) uint64 {
-	h := fnv.New64a()
-	var b [8]byte
-	binary.BigEndian.PutUint64(b[:], fp)
-	_, _ = h.Write([]byte(id))
-	_, _ = h.Write(b[:])
-	return h.Sum64()
-}
-
 // advance sets a fingerprint's state and makes room if there are too many.
 func (t *Tracker) advance(fp uint64, s suspect) {
 	if _, ok := t.suspects[fp]; !ok && len(t.suspects) >= t.params.MaxSuspects {
