fairness: a customer served at this entry is not idle

Cause: with demand registered at two owners only, an owner sees a customer now and then; its own entry's charges for it did not count as activity, so it was lifted and lost its place. Change: a charge counts as activity like a counter heard from elsewhere. Idle is no longer exported, nothing used it. Seen failing before: TestActivate/served_here_a_moment_ago_keeps_its_place, 500 against 41.

--- a/internal/fairness/accounts.go
+++ b/internal/fairness/accounts.go
@@ -39,7 +39,8 @@
 	// behind the next one ahead of it.
 	Clamp fleet.Cost
 	// IdleAfter is how long a customer must have had no demand here and no service
-	// anywhere before it counts as idle. It should cover the information age.
+	// anywhere before it counts as idle. It should cover the information age: a
+	// customer without demand here may wait at other owners.
 	IdleAfter time.Duration
 	// SettleFor is how long after its first Tick an instance lifts nobody: until it
 	// has heard all counters, differences in virtual time are not real, and a lift
@@ -111,7 +112,7 @@
 	// small to count in own yet.
 	cost, remainder fleet.Cost
 	// backlogged says that the customer has demand here; lastActive is when it last
-	// had, or was served at another instance.
+	// had, or was served anywhere.
 	backlogged bool
 	lastActive time.Time
 	estimate   estimate
@@ -229,6 +230,7 @@
 		return
 	}
 	acc := &a.accounts[i]
+	acc.lastActive = a.now
 	acc.cost += cost
 	acc.remainder += cost
 	units := acc.remainder / acc.share
@@ -275,16 +277,8 @@
 	return acc.virtualTime(), int(acc.share)
 }
 
-// Idle reports whether the customer has had no demand here and no service at
-// other instances for at least IdleAfter.
-func (a *Accounts) Idle(c fleet.CustomerID) bool {
-	i, ok := a.index[c]
-	if !ok {
-		return true
-	}
-	return a.idle(&a.accounts[i])
-}
-
+// idle reports whether the customer has had no demand here and no service anywhere
+// for at least IdleAfter.
 func (a *Accounts) idle(acc *account) bool {
 	if acc.backlogged {
 		return false
--- a/internal/fairness/accounts_test.go
+++ b/internal/fairness/accounts_test.go
@@ -212,18 +212,21 @@
 
 // TestActivate checks the lift of idle customers only, to the floor exactly.
 func TestActivate(t *testing.T) {
-	start := time.Unix(100, 0)
+	start, nothing := time.Unix(100, 0), func(*Accounts) {}
 	for _, c := range []struct {
 		name    string
 		own     fleet.Cost
 		lastHad time.Duration
-		foreign bool
+		served  func(a *Accounts)
 		want    int64
 	}{
-		{"idle and behind", 40, time.Hour, false, 500},
-		{"idle and ahead keeps its debt", 900, time.Hour, false, 900},
-		{"backlogged a moment ago keeps its place", 40, time.Second, false, 40},
-		{"served elsewhere a moment ago keeps its place", 40, time.Hour, true, 41},
+		{"idle and behind", 40, time.Hour, nothing, 500},
+		{"idle and ahead keeps its debt", 900, time.Hour, nothing, 900},
+		{"backlogged a moment ago keeps its place", 40, time.Second, nothing, 40},
+		{"served here a moment ago keeps its place", 40, time.Hour, func(a *Accounts) { a.Charge("x", 1) }, 41},
+		{"served elsewhere a moment ago keeps its place", 40, time.Hour, func(a *Accounts) {
+			a.Merge([]wire.Service{{Incarnation: 2, Customer: "x", Total: 1}}, nil)
+		}, 41},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			a := settledAccounts(1, Params{IdleAfter: 2 * time.Second})
@@ -234,9 +237,7 @@
 			a.Charge("busy", 500)
 			a.Activate("busy")
 			a.Tick(start.Add(c.lastHad))
-			if c.foreign {
-				a.Merge([]wire.Service{{Incarnation: 2, Customer: "x", Total: 1}}, nil)
-			}
+			c.served(a)
 			a.Activate("x")
 			if got := a.VirtualTime("x"); got != c.want {
 				t.Errorf("virtual time is %d, want %d", got, c.want)
