Let a target's next report tell a crash from a network fault

Cause: a connection that broke counted as a crash at once, so a partition between an entry and its targets made every running request a suspect that then ran alone, one after the other; and a suspect whose entry was not the one that rendezvous hashing names was refused, which cut innocent requests. Change: after a break the entry asks the target for its load until it answers: another boot id means a crash, the same one a network fault. A request whose own run broke at an entry is tried again there. Unlisted peers' states are dropped. Ruled out: forwarding the request to the named instance, since no request byte passes through a second instance.

--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -95,6 +95,8 @@
 	// owned ones that an entry told of, each with the time.
 	broken      map[fleet.TargetID]time.Time
 	heardBroken map[fleet.TargetID]time.Time
+	brokenBoots map[fleet.TargetID][]brokenBoot
+	resolvePoll time.Time
 	peers       map[fleet.InstanceID]*peerState
 	waiting     map[uint64]*waiter
 	parked      []*waiter
@@ -141,6 +143,7 @@
 		suspended:   make(map[fleet.TargetID]time.Time),
 		broken:      make(map[fleet.TargetID]time.Time),
 		heardBroken: make(map[fleet.TargetID]time.Time),
+		brokenBoots: make(map[fleet.TargetID][]brokenBoot),
 		peers:       make(map[fleet.InstanceID]*peerState),
 		waiting:     make(map[uint64]*waiter),
 		leases:      make(map[*lease]struct{}),
@@ -197,6 +200,7 @@
 // tick looks at clocks: deadlines of waiting requests, parked suspects and upkeep.
 func (c *core) tick(now time.Time) {
 	c.expireWaiting(now)
+	c.pollBrokenBoots(now)
 	c.recheckParked(now)
 	c.ownedChanged = true
 	c.demandChanged = c.demandChanged || c.queue.Len() > 0
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -61,7 +61,7 @@
 	c.poller.ask(poll{target: id, addr: info.addr})
 }
 
-func (e reportEvent) apply(c *core, _ time.Time) {
+func (e reportEvent) apply(c *core, now time.Time) {
 	if e.err != nil {
 		c.suspend(e.target, e.asked)
 		c.log.Debug().Str("event", "poll_failed").Str("target", string(e.target)).Err(e.err).Msg("")
@@ -70,6 +70,7 @@
 	if !e.asked.Before(c.suspended[e.target]) {
 		delete(c.suspended, e.target)
 	}
+	c.resolveBoots(e.target, e.report.BootID, e.asked, now)
 	before := c.ledger.State(e.target)
 	c.ledger.Report(e.target, e.report, e.asked, e.received)
 	after := c.ledger.State(e.target)
--- a/internal/instance/requests.go
+++ b/internal/instance/requests.go
@@ -60,7 +60,7 @@
 
 // place queues a request as the quarantine's verdict says.
 func (c *core) place(w *waiter, now time.Time) {
-	switch verdict := c.quarantine.Check(w.work.Fingerprint, now); verdict {
+	switch verdict := c.verdict(w, now); verdict {
 	case quarantine.Refuse:
 		c.refuse(w, &entry.OutcomeError{Kind: entry.Failed, Reason: entry.ReasonCrashesTargets}, now)
 	case quarantine.Redirect:
@@ -73,6 +73,15 @@
 	}
 }
 
+// verdict asks the quarantine. A request whose own run broke here is tried again
+// here: sent to another instance, an innocent request would be cut off.
+func (c *core) verdict(w *waiter, now time.Time) quarantine.Verdict {
+	if w.work.Ran {
+		return c.quarantine.CheckHere(w.work.Fingerprint, now)
+	}
+	return c.quarantine.Check(w.work.Fingerprint, now)
+}
+
 func (c *core) enqueue(w *waiter, alone bool, now time.Time) {
 	c.lastID++
 	w.id = c.lastID
@@ -277,15 +286,16 @@
 	c.accounts.Finish(&l.charging, c.tokenCost(work.Workload.Model, input, output))
 }
 
-// runKey names one run to the quarantine. Each run sees its own connection break, at
-// its own time: a late break must not accuse requests that started on the target
-// after it came back.
-func (l *lease) runKey() fleet.TargetID {
-	return l.permit.Target + fleet.TargetID("#"+l.waiter.work.RequestID)
+// runKey names a run's target to the quarantine, with its boot id, so that a crash
+// accuses nothing that started after it.
+func (l *lease) runKey() fleet.TargetID { return bootKey(l.permit.Target, l.permit.BootID) }
+
+func bootKey(t fleet.TargetID, boot string) fleet.TargetID {
+	return t + "#" + fleet.TargetID(boot)
 }
 
-// settleQuarantine tells the quarantine how the run ended. A connection that broke
-// with work running counts as a crash until the target proves otherwise.
+// settleQuarantine tells the quarantine how the run ended. Whether a connection that
+// broke means a crash is decided by the target's next report.
 func (c *core) settleQuarantine(l *lease, kind entry.EndKind, now time.Time) {
 	fingerprint := l.waiter.work.Fingerprint
 	if kind == entry.EndBroken || kind == entry.EndUnreachable {
@@ -295,6 +305,6 @@
 		c.quarantine.Ended(fingerprint, l.runKey(), kind == entry.EndFinished, now)
 		return
 	}
-	c.quarantine.Crashed(l.runKey(), now)
-	c.spreadSuspects()
+	c.quarantine.Broken(fingerprint, l.runKey(), now)
+	c.awaitBoot(l.permit.Target, l.permit.BootID, now)
 }
--- a/internal/instance/view.go
+++ b/internal/instance/view.go
@@ -41,6 +41,7 @@
 		}
 		p.listed = listed
 	}
+	c.forgetUnlisted()
 	c.transport.SetPeers(others)
 	c.watcher.SetList(c.list)
 	c.publishEntries()
@@ -49,6 +50,23 @@
 		Int("instances", len(c.list.Instances)).Int("targets", len(c.list.Targets)).Msg("")
 }
 
+// forgetUnlisted drops the states of instances that the list no longer names and
+// that are not connected.
+func (c *core) forgetUnlisted() {
+	listed := make(map[fleet.InstanceID]bool, len(c.list.Instances))
+	for _, l := range c.list.Instances {
+		listed[l.ID] = true
+	}
+	for id, p := range c.peers {
+		if listed[id] || p.connected {
+			continue
+		}
+		delete(c.peers, id)
+		c.accounts.RemovePeer(id)
+		c.owner.RemoveEntry(id)
+	}
+}
+
 func (e configEvent) apply(c *core, now time.Time) {
 	c.noteConfig(e.snapshot)
 	c.snapshot = e.snapshot
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -15,7 +15,7 @@
 // fleet and MaxTargets·k in a fleet partitioned into k parts, if the failure is
 // told to the caller only after the suspicion has reached the instances of its
 // part. A caller that sends n copies before the first crash can take down n - 1
-// more.
+// more, and as many again, since each entry whose run broke tries it once alone.
 //
 // The state of a fingerprint is a counter that merges by maximum. An odd crash
 // count means one crash since the last clearing, an even one two; a crash after a
@@ -249,6 +249,17 @@
 // Check says what to do with a request that is about to be queued or started.
 // O(targets with running work), for a suspect O(running work).
 func (t *Tracker) Check(fp uint64, now time.Time) Verdict {
+	verdict := t.CheckHere(fp, now)
+	if (verdict == RunAlone || verdict == Wait && !t.unresolved(fp)) && t.Holder(fp) != t.self {
+		return Redirect
+	}
+	return verdict
+}
+
+// CheckHere is Check for a request whose own run broke at this entry: it is tried
+// again here, whichever instance is the holder, since its caller would otherwise
+// lose it. O(running work) for a suspect.
+func (t *Tracker) CheckHere(fp uint64, now time.Time) Verdict {
 	s := t.suspects[fp]
 	switch {
 	case t.unresolved(fp):
@@ -257,8 +268,6 @@
 		return Run
 	case s.refused():
 		return Refuse
-	case t.Holder(fp) != t.self:
-		return Redirect
 	case t.suspectRuns():
 		return Wait
 	}
