--- a/internal/faults/world_test.go
+++ b/internal/faults/world_test.go
@@ -187,6 +187,15 @@
 	return 0
 }
 
+// reasonOf is the reason that a caller was given.
+func reasonOf(err error) string {
+	var failed *client.RequestError
+	if errors.As(err, &failed) {
+		return failed.Reason
+	}
+	return ""
+}
+
 // check verifies what must hold after every cell.
 func (w *world) check() {
 	for _, r := range w.results {
