--- a/internal/limit/grants.go
+++ b/internal/limit/grants.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/membership"
 	"medlarwind.dev/medlarwind/internal/wire"
 )
 
@@ -19,7 +20,7 @@
 	p := l.peer(to, now)
 	if to == l.self {
 		p.incarnation = l.incarnation
-	} else if p.incarnation == 0 || p.lost || !within(p.heard, l.params.PermitTime, now) {
+	} else if p.incarnation == 0 || p.lost || !membership.Within(p.contact.Heard, l.params.PermitTime, now) {
 		return wire.Grant{}, false
 	}
 	p.grantSeq++
--- a/internal/limit/holding.go
+++ b/internal/limit/holding.go
@@ -22,7 +22,7 @@
 	if now.Before(t.holdUntil) {
 		return
 	}
-	until := l.freshUntil(now)
+	until := l.touch.Until(now)
 	if limit := now.Add(holdingInterval); limit.Before(until) || !until.After(now) {
 		until = limit
 	}
@@ -50,10 +50,10 @@
 // usableHolders returns the holders whose units may be asked for, none while this
 // instance is restarting or has lost touch.
 func (l *Ledger) usableHolders(t *target, now time.Time) []fleet.InstanceID {
-	if l.restarting(now) || !l.fresh(now) {
+	if l.Restarting(now) || !l.fresh(now) {
 		return nil
 	}
-	return l.ranked(t, l.list())
+	return l.ranked(t, l.lists.Current())
 }
 
 // setHeld takes the new holding. Units gained may be occupied by work of their former
@@ -128,7 +128,7 @@
 // hold-down.
 func (l *Ledger) units(t *target, id fleet.InstanceID, limit int) int {
 	least := limit
-	for _, list := range l.lists {
+	for _, list := range l.lists.All() {
 		order := l.ranked(t, list)
 		rank := slices.Index(order, id)
 		if rank < 0 {
--- a/internal/limit/ledger.go
+++ b/internal/limit/ledger.go
@@ -24,18 +24,10 @@
 	dataCentre  fleet.DataCentreID
 	leaving     bool
 
-	// lists are the known versions within the hold-down; the last is current.
-	lists []*snapshot
+	lists membership.Lists
 	// settled is when the last replaced list left the hold-down.
 	settled time.Time
-	// read is when the platform last gave the list, confirmed when a peer last
-	// proved to be in touch, and disputed when one last held an unknown list.
-	read      time.Time
-	confirmed time.Time
-	disputed  time.Time
-	// suspended says that the list was out of touch for longer than CutOff and awaits
-	// the platform or a peer of the same data centre with the same list.
-	suspended bool
+	touch   membership.Freshness
 	// started is when this incarnation started.
 	started time.Time
 	// views is the record of this instance's own view.
@@ -61,7 +53,8 @@
 		peers:       make(map[fleet.InstanceID]*peer),
 		targets:     make(map[fleet.TargetID]*target),
 		entry:       newEntry(),
-		lists:       []*snapshot{newSnapshot(nil, nil)},
+		lists:       membership.NewLists(p.HoldDown),
+		touch:       membership.NewFreshness(p.CutOff),
 		settled:     now,
 		started:     now,
 	}
@@ -73,21 +66,16 @@
 // of an unchanged list, because it confirms the list.
 func (l *Ledger) SetMembers(instances []fleet.ListedInstance, order OwnerOrder, now time.Time) {
 	l.advance(now)
-	next := newSnapshot(instances, order)
 	for _, instance := range instances {
 		l.notePeer(instance, now)
 	}
 	if !l.fresh(now) {
-		l.lists = []*snapshot{newSnapshot(nil, nil)}
+		l.lists = membership.NewLists(l.params.HoldDown)
 	}
-	l.read = now
-	l.suspended = false
-	if l.list().equal(next) {
-		return
+	l.touch.Read(now)
+	if l.lists.Replace(membership.NewList(instances, order), now) {
+		l.listsChanged(now)
 	}
-	l.list().until = now
-	l.lists = append(l.lists, next)
-	l.listsChanged(now)
 }
 
 // listsChanged drops what was derived from the lists.
@@ -159,7 +147,7 @@
 
 // owner returns the first holder in rendezvous order that is not skipped.
 func (l *Ledger) owner(t *target, now time.Time) (fleet.InstanceID, bool) {
-	for _, id := range l.ranked(t, l.list()) {
+	for _, id := range l.ranked(t, l.lists.Current()) {
 		if !l.skips(id, now) {
 			return id, true
 		}
@@ -189,20 +177,21 @@
 		return l.leaving
 	}
 	p, ok := l.peers[id]
-	return !ok || p.leaving || !p.reachable(l.params, now)
+	return !ok || p.leaving || !p.contact.Reachable(l.params.DeadPeer, now)
 }
 
 // advance does the housekeeping that is due. It takes O(peers) at most once in
 // each sweepInterval.
 func (l *Ledger) advance(now time.Time) {
-	if !l.fresh(now) {
-		l.suspended = true
-	}
+	l.touch.Check(now)
 	if now.Sub(l.swept) < sweepInterval {
 		return
 	}
 	l.swept = now
-	l.pruneLists(now)
+	if l.lists.Prune(now) {
+		l.settled = now
+		l.listsChanged(now)
+	}
 	for _, p := range l.peers {
 		l.checkLost(p, now)
 	}
@@ -213,25 +202,11 @@
 	}
 }
 
-// pruneLists forgets lists that have left the hold-down.
-func (l *Ledger) pruneLists(now time.Time) {
-	dropped := 0
-	for dropped < len(l.lists)-1 && now.Sub(l.lists[dropped].until) > l.params.HoldDown {
-		dropped++
-	}
-	if dropped == 0 {
-		return
-	}
-	l.lists = slices.Delete(l.lists, 0, dropped)
-	l.settled = now
-	l.listsChanged(now)
-}
-
 // updateView recomputes whom this instance skips among its data centre's members.
 func (l *Ledger) updateView(now time.Time) {
-	members := l.list().members[l.dataCentre]
+	members := l.lists.Current().Members(l.dataCentre)
 	skipped := l.skipped[:0:0]
-	view := l.list().views[l.dataCentre]
+	view := l.lists.Current().View(l.dataCentre)
 	for _, id := range members {
 		if l.skips(id, now) {
 			skipped = append(skipped, id)
@@ -250,34 +225,15 @@
 	}
 }
 
-// fresh tells whether the list may be acted on: the platform gave it within CutOff,
-// or a peer was in touch within CutOff and none held an unknown list.
-func (l *Ledger) fresh(now time.Time) bool {
-	if within(l.read, l.params.CutOff, now) {
-		return true
-	}
-	if l.suspended {
-		return false
-	}
-	return within(l.confirmed, l.params.CutOff, now) && !within(l.disputed, l.params.CutOff, now)
-}
+// CutOff tells whether this instance must take no new work, because neither the
+// platform nor a peer has confirmed its list within CutOff.
+func (l *Ledger) CutOff(now time.Time) bool { return !l.fresh(now) }
 
-// freshUntil returns when fresh ends without another read or heartbeat.
-func (l *Ledger) freshUntil(now time.Time) time.Time {
-	last := l.read
-	if l.confirmed.After(last) && !within(l.disputed, l.params.CutOff, now) {
-		last = l.confirmed
-	}
-	return last.Add(l.params.CutOff)
-}
-
-// within tells whether t is set and at most d before now.
-func within(t time.Time, d time.Duration, now time.Time) bool {
-	return !t.IsZero() && now.Sub(t) <= d
-}
-
-// restarting tells whether a former incarnation's loans and grants may still be in
-// use.
-func (l *Ledger) restarting(now time.Time) bool {
+// Restarting tells whether what a former incarnation lent and granted may still be
+// in use. The instance neither lends nor grants then.
+func (l *Ledger) Restarting(now time.Time) bool {
 	return now.Sub(l.started) <= l.params.Release()
 }
+
+// fresh tells whether the current list may be acted on.
+func (l *Ledger) fresh(now time.Time) bool { return l.touch.Check(now) }
--- a/internal/limit/peers.go
+++ b/internal/limit/peers.go
@@ -58,11 +58,7 @@
 	// received is the highest heartbeat sequence of the incarnation.
 	received uint64
 	sent     sendTimes
-	// noted is when the peer became known, heard when its last heartbeat arrived and
-	// anchor when the latest of this instance's heartbeats that it echoed was sent.
-	noted  time.Time
-	heard  time.Time
-	anchor time.Time
+	contact  membership.Contact
 
 	leaving bool
 	lends   bool
@@ -93,28 +89,12 @@
 func (l *Ledger) peer(id fleet.InstanceID, now time.Time) *peer {
 	p, ok := l.peers[id]
 	if !ok {
-		p = &peer{id: id, noted: now, counts: make(map[*target]int)}
+		p = &peer{id: id, contact: membership.Contact{Noted: now}, counts: make(map[*target]int)}
 		l.peers[id] = p
 	}
 	return p
 }
 
-// reachable tells whether heartbeats pass both ways, or may yet: a peer is given
-// DeadPeer from when it became known.
-func (p *peer) reachable(params Params, now time.Time) bool {
-	if p.heard.IsZero() {
-		return now.Sub(p.noted) <= params.DeadPeer
-	}
-	if now.Sub(p.heard) > params.DeadPeer {
-		return false
-	}
-	anchor := p.anchor
-	if anchor.IsZero() {
-		anchor = p.noted
-	}
-	return now.Sub(anchor) <= 2*params.DeadPeer
-}
-
 // FillHeartbeat sets the ledger's fields of the next heartbeat to a peer, which must
 // be sent at once. A Leaving that the caller has set stays.
 func (l *Ledger) FillHeartbeat(to fleet.InstanceID, hb *wire.Heartbeat, now time.Time) {
@@ -132,7 +112,7 @@
 
 // lends tells whether this instance may lend its escrow now.
 func (l *Ledger) lends(now time.Time) bool {
-	return !l.restarting(now) && l.fresh(now)
+	return !l.Restarting(now) && l.fresh(now)
 }
 
 // ReceiveHeartbeat takes a heartbeat from a peer. One that is late, repeated or of a
@@ -145,11 +125,11 @@
 		return
 	}
 	p.received = hb.Seq
-	p.heard = now
+	p.contact.Heard = now
 	p.leaving = hb.Leaving
-	lapsed := !within(p.anchor, l.params.LoanTime, now)
-	if anchor.After(p.anchor) {
-		p.anchor = anchor
+	lapsed := !membership.Within(p.contact.Anchor, l.params.LoanTime, now)
+	if anchor.After(p.contact.Anchor) {
+		p.contact.Anchor = anchor
 	}
 	l.takeView(p, hb, lapsed, now)
 	l.takeLoan(p, hb)
@@ -201,8 +181,7 @@
 	l.entry.stateAll(p.id)
 	p.incarnation = next
 	p.received = 0
-	p.anchor = time.Time{}
-	p.noted = now
+	p.contact = membership.Contact{Noted: now}
 	p.lends = false
 	p.loanUntil = time.Time{}
 	p.views.restart(0, now)
@@ -226,26 +205,25 @@
 // confirm counts a heartbeat as a proof of touch, or as a dispute if it is from a
 // peer of the same data centre with an unknown list.
 func (l *Ledger) confirm(p *peer, view membership.View, now time.Time) {
-	if p.dataCentre == l.dataCentre {
-		list := l.decode(view).list
-		if list == nil {
-			l.disputed = now
-			return
-		}
-		if list == l.list() && within(p.anchor, l.params.CutOff, now) {
-			l.suspended = false
-		}
+	if p.dataCentre != l.dataCentre {
+		l.touch.Touch(p.contact.Anchor)
+		return
 	}
-	if p.anchor.After(l.confirmed) {
-		l.confirmed = p.anchor
+	switch l.decode(view).list {
+	case nil:
+		l.touch.Dispute(now)
+	case l.lists.Current():
+		l.touch.Agree(p.contact.Anchor, now)
+	default:
+		l.touch.Touch(p.contact.Anchor)
 	}
 }
 
 // takeLoan extends the loan of the peer's escrow.
 func (l *Ledger) takeLoan(p *peer, hb *wire.Heartbeat) {
 	p.lends = hb.Lends
-	if hb.Lends && !p.anchor.IsZero() {
-		p.loanUntil = p.anchor.Add(l.params.LoanTime)
+	if hb.Lends && !p.contact.Anchor.IsZero() {
+		p.loanUntil = p.contact.Anchor.Add(l.params.LoanTime)
 	}
 }
 
@@ -263,7 +241,7 @@
 		t.add(count, now)
 	}
 	p.counts = next
-	p.stated = p.anchor
+	p.stated = p.contact.Anchor
 	reflected := uint64(0)
 	if hb.EchoIncarnation == l.incarnation {
 		reflected = hb.GrantSeq
@@ -303,7 +281,7 @@
 
 // checkLost moves the account of an unreachable entry to the lost work.
 func (l *Ledger) checkLost(p *peer, now time.Time) {
-	if p.lost || p.id == l.self || p.reachable(l.params, now) {
+	if p.lost || p.id == l.self || p.contact.Reachable(l.params.DeadPeer, now) {
 		return
 	}
 	p.lost = true
--- a/internal/limit/report.go
+++ b/internal/limit/report.go
@@ -63,6 +63,7 @@
 	if r.State != fleet.TargetReady {
 		s.coldAt = r.Completed
 	}
+	s.coldAt = min(s.coldAt, r.Completed)
 	if !taken.Before(s.broken) {
 		s.broken = time.Time{}
 	}
--- a/internal/limit/target.go
+++ b/internal/limit/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/membership"
 )
 
 // Sizes of the records kept for each target.
@@ -33,7 +34,7 @@
 
 	// order is the rendezvous order under the current list, former under others.
 	order  []fleet.InstanceID
-	former map[*snapshot][]fleet.InstanceID
+	former map[*membership.List][]fleet.InstanceID
 
 	// known is the work granted by this instance or named by reachable entries.
 	known int
--- a/internal/limit/types.go
+++ b/internal/limit/types.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/membership"
 )
 
 // Errors of ReceiveGrant. A refused grant still counts as received.
@@ -18,9 +19,9 @@
 	ErrStaleIncarnation = errors.New("limit: grant of a former incarnation")
 )
 
-// OwnerOrder names, for a data centre without a live instance, the data centres
-// whose instances own its targets; the first with a live instance is taken.
-type OwnerOrder map[fleet.DataCentreID][]fleet.DataCentreID
+// OwnerOrder names whose instances own the targets of a data centre that has no live
+// instance.
+type OwnerOrder = membership.OwnerOrder
 
 // Target is one target with its limits, in concurrent requests. A target that was
 // removed or is out of service has Limit 0.
--- a/internal/limit/lists.go
+++ b/internal/limit/views.go
@@ -8,66 +8,6 @@
 	"medlarwind.dev/medlarwind/internal/membership"
 )
 
-// snapshot is the live instances by data centre under one version of the list.
-type snapshot struct {
-	members map[fleet.DataCentreID][]fleet.InstanceID
-	views   map[fleet.DataCentreID]membership.View
-	order   OwnerOrder
-	// until is when this version was replaced; zero while it is the current one.
-	until time.Time
-}
-
-// newSnapshot keeps the live instances of a list.
-func newSnapshot(instances []fleet.ListedInstance, order OwnerOrder) *snapshot {
-	s := &snapshot{
-		members: make(map[fleet.DataCentreID][]fleet.InstanceID),
-		views:   make(map[fleet.DataCentreID]membership.View),
-		order:   order,
-	}
-	for _, instance := range instances {
-		if instance.State == fleet.StateLive {
-			s.members[instance.DataCentre] = append(s.members[instance.DataCentre], instance.ID)
-		}
-	}
-	for dataCentre, members := range s.members {
-		slices.Sort(members)
-		s.views[dataCentre] = membership.NewView(members)
-	}
-	return s
-}
-
-// holders returns the instances among which the limits of a data centre's targets
-// are divided.
-func (s *snapshot) holders(dataCentre fleet.DataCentreID) []fleet.InstanceID {
-	if members := s.members[dataCentre]; len(members) > 0 {
-		return members
-	}
-	for _, next := range s.order[dataCentre] {
-		if members := s.members[next]; len(members) > 0 {
-			return members
-		}
-	}
-	return nil
-}
-
-// equal tells whether both versions give the same live instances and owner order.
-func (s *snapshot) equal(other *snapshot) bool {
-	if len(s.views) != len(other.views) || len(s.order) != len(other.order) {
-		return false
-	}
-	for dataCentre, view := range s.views {
-		if other.views[dataCentre] != view {
-			return false
-		}
-	}
-	for dataCentre, next := range s.order {
-		if !slices.Equal(next, other.order[dataCentre]) {
-			return false
-		}
-	}
-	return true
-}
-
 // part returns the escrow of the holder with the given rank, from 0, when limit is
 // divided over n holders: the remainder goes to the first ranks.
 func part(limit, rank, n int) int {
@@ -119,7 +59,7 @@
 // decodedView is what a view says, under one of the known lists. The list is nil
 // if it is not known.
 type decodedView struct {
-	list    *snapshot
+	list    *membership.List
 	skipped []fleet.InstanceID
 	// known says that skipped was found too.
 	known bool
@@ -132,12 +72,12 @@
 		return found
 	}
 	found := decodedView{}
-	for _, list := range l.lists {
-		if !view.SameList(list.views[l.dataCentre]) {
+	for _, list := range l.lists.All() {
+		if !view.SameList(list.View(l.dataCentre)) {
 			continue
 		}
 		found.list = list
-		found.skipped, found.known = view.Skipped(list.members[l.dataCentre], l.skipped)
+		found.skipped, found.known = view.Skipped(list.Members(l.dataCentre), l.skipped)
 	}
 	if len(l.decoded) >= maxDecodedViews {
 		clear(l.decoded)
@@ -160,23 +100,20 @@
 }
 
 // ranked returns the holders of a target under a list, in rendezvous order.
-func (l *Ledger) ranked(t *target, list *snapshot) []fleet.InstanceID {
-	if list == l.list() {
+func (l *Ledger) ranked(t *target, list *membership.List) []fleet.InstanceID {
+	if list == l.lists.Current() {
 		if t.order == nil {
-			t.order = membership.Rank(string(t.ID), list.holders(t.DataCentre))
+			t.order = membership.Rank(string(t.ID), list.Holders(t.DataCentre))
 		}
 		return t.order
 	}
 	if t.former == nil {
-		t.former = make(map[*snapshot][]fleet.InstanceID)
+		t.former = make(map[*membership.List][]fleet.InstanceID)
 	}
 	order, ok := t.former[list]
 	if !ok {
-		order = membership.Rank(string(t.ID), list.holders(t.DataCentre))
+		order = membership.Rank(string(t.ID), list.Holders(t.DataCentre))
 		t.former[list] = order
 	}
 	return order
 }
-
-// list returns the current list.
-func (l *Ledger) list() *snapshot { return l.lists[len(l.lists)-1] }
--- /dev/null
+++ b/internal/membership/list.go
@@ -0,0 +1,120 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+)
+
+// OwnerOrder names, for a data centre without a live instance, the data centres
+// whose instances own its targets; the first with a live instance is taken.
+type OwnerOrder map[fleet.DataCentreID][]fleet.DataCentreID
+
+// List is the live instances by data centre under one version of the platform's
+// list. It does not change.
+type List struct {
+	members map[fleet.DataCentreID][]fleet.InstanceID
+	views   map[fleet.DataCentreID]View
+	order   OwnerOrder
+}
+
+// NewList keeps the live instances.
+func NewList(instances []fleet.ListedInstance, order OwnerOrder) *List {
+	l := &List{
+		members: make(map[fleet.DataCentreID][]fleet.InstanceID),
+		views:   make(map[fleet.DataCentreID]View),
+		order:   order,
+	}
+	for _, instance := range instances {
+		if instance.State == fleet.StateLive {
+			l.members[instance.DataCentre] = append(l.members[instance.DataCentre], instance.ID)
+		}
+	}
+	for dataCentre, members := range l.members {
+		slices.Sort(members)
+		l.views[dataCentre] = NewView(members)
+	}
+	return l
+}
+
+// Members returns the live instances of a data centre, sorted.
+func (l *List) Members(dataCentre fleet.DataCentreID) []fleet.InstanceID {
+	return l.members[dataCentre]
+}
+
+// View returns the view of a data centre's instances with nobody skipped.
+func (l *List) View(dataCentre fleet.DataCentreID) View { return l.views[dataCentre] }
+
+// Holders returns the instances among which the limits of a data centre's targets
+// are divided.
+func (l *List) Holders(dataCentre fleet.DataCentreID) []fleet.InstanceID {
+	if members := l.members[dataCentre]; len(members) > 0 {
+		return members
+	}
+	for _, next := range l.order[dataCentre] {
+		if members := l.members[next]; len(members) > 0 {
+			return members
+		}
+	}
+	return nil
+}
+
+// Equal tells whether both give the same live instances and owner order.
+func (l *List) Equal(other *List) bool {
+	if len(l.members) != len(other.members) || len(l.order) != len(other.order) {
+		return false
+	}
+	for dataCentre, members := range l.members {
+		if !slices.Equal(members, other.members[dataCentre]) {
+			return false
+		}
+	}
+	for dataCentre, next := range l.order {
+		if !slices.Equal(next, other.order[dataCentre]) {
+			return false
+		}
+	}
+	return true
+}
+
+// Lists are the current list and those it replaced within the hold-down. What an
+// instance may use is the least that any of them gives it, so that a loss counts at
+// once and a gain only after the hold-down. It is not safe for concurrent use.
+type Lists struct {
+	holdDown time.Duration
+	all      []*List
+	replaced []time.Time
+}
+
+// NewLists begins with an empty list, from which every member is a gain.
+func NewLists(holdDown time.Duration) Lists {
+	return Lists{holdDown: holdDown, all: []*List{NewList(nil, nil)}}
+}
+
+// Current returns the current list.
+func (l *Lists) Current() *List { return l.all[len(l.all)-1] }
+
+// All returns the lists within the hold-down, oldest first; the last is current.
+func (l *Lists) All() []*List { return l.all }
+
+// Replace makes next the current list. It returns false if nothing changed.
+func (l *Lists) Replace(next *List, now time.Time) bool {
+	if l.Current().Equal(next) {
+		return false
+	}
+	l.all = append(l.all, next)
+	l.replaced = append(l.replaced, now)
+	return true
+}
+
+// Prune forgets the lists that have left the hold-down and tells whether any did.
+func (l *Lists) Prune(now time.Time) bool {
+	old := 0
+	for old < len(l.replaced) && now.Sub(l.replaced[old]) > l.holdDown {
+		old++
+	}
+	l.all = slices.Delete(l.all, 0, old)
+	l.replaced = slices.Delete(l.replaced, 0, old)
+	return old > 0
+}
