peer: hostile strangers cannot use up the handshakes of listed peers

Cause: 64 idle connections from anywhere kept a returning peer out for as long as they were renewed; a TLS configuration that asks for no client certificate made an accepted connection panic. Change: listed addresses have handshake slots of their own; a connection without a certificate is refused.

--- a/internal/observe/histogram.go
+++ b/internal/observe/histogram.go
@@ -20,7 +20,7 @@
 
 // Histogram counts durations, to two significant digits, since the start and in the
 // last minute. It is an expvar.Var. It is safe for concurrent use; Record takes
-// constant time, and a Histogram some 150 KB.
+// constant time, and a Histogram some 160 KB.
 type Histogram struct {
 	now func() time.Time
 
--- a/internal/peer/accept.go
+++ b/internal/peer/accept.go
@@ -67,30 +67,57 @@
 
 // accept starts the handshake of an accepted connection.
 func (t *Transport) accept(conn net.Conn) {
+	slots := t.handshakeSlots(conn.RemoteAddr())
 	select {
-	case t.handshakes <- struct{}{}:
+	case slots <- struct{}{}:
 	default:
 		t.logRefused(conn, failuref(KindQueueFull, "%d handshakes", MaxHandshakes))
 		_ = conn.Close()
 		return
 	}
 	if !t.begin() {
-		<-t.handshakes
+		<-slots
 		_ = conn.Close()
 		return
 	}
-	go func() {
-		defer t.running.Done()
-		defer func() { <-t.handshakes }()
-		ctx, cancel := context.WithTimeout(t.ctx, t.options.Silence)
-		defer cancel()
-		l, err := t.secure(ctx, conn, "")
-		if err != nil {
-			t.logRefused(conn, err)
-			return
+	go t.handshake(conn, slots)
+}
+
+// handshake is the goroutine of an accepted connection until the peer's hello.
+func (t *Transport) handshake(conn net.Conn, slots <-chan struct{}) {
+	defer t.running.Done()
+	defer func() { <-slots }()
+	ctx, cancel := context.WithTimeout(t.ctx, t.options.Silence)
+	defer cancel()
+	l, err := t.secure(ctx, conn, "")
+	if err != nil {
+		t.logRefused(conn, err)
+		return
+	}
+	l.waitOpened()
+}
+
+// handshakeSlots returns the bound that holds for connections from addr. Listed
+// peers have one of their own, so that others cannot keep them out.
+func (t *Transport) handshakeSlots(addr net.Addr) chan struct{} {
+	host := hostOf(addr.String())
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for _, w := range t.wanted {
+		if hostOf(w.addr) == host {
+			return t.peerHandshakes
 		}
-		l.waitOpened()
-	}()
+	}
+	return t.otherHandshakes
+}
+
+// hostOf returns the IP address of an IP:port.
+func hostOf(addr string) string {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return addr
+	}
+	return host
 }
 
 // begin counts a goroutine; false after Close.
@@ -117,8 +144,12 @@
 		t.countStranger(meter)
 		return nil, tlsFailure(err)
 	}
-	certificate := secured.ConnectionState().PeerCertificates[0]
-	return t.start(secured, meter, dialed, certificate)
+	chain := secured.ConnectionState().PeerCertificates
+	if len(chain) == 0 {
+		_ = conn.Close()
+		return nil, failuref(KindTLS, "no certificate")
+	}
+	return t.start(secured, meter, dialed, chain[0])
 }
 
 func (t *Transport) wrapTLS(conn net.Conn, dialed fleet.InstanceID) *tls.Conn {
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -40,6 +40,20 @@
 	})
 }
 
+func TestDecoderLeavesNothingBehind(t *testing.T) {
+	e, err := newEncoder(compressionLevel)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const declared = 4000
+	_, _ = e.appendFrame(nil, make([]byte, 3<<20))
+	frame := append(appendLengths(nil, declared, e.compressed.Len()), e.compressed.Bytes()...)
+	d := newDecoder(bytes.NewReader(frame), declared)
+	if got, err := d.next(); KindOf(err) != KindMalformed {
+		t.Errorf("%d bytes of a frame with 3 MiB, %v", len(got), err)
+	}
+}
+
 func TestShape(t *testing.T) {
 	cases := map[string]bool{
 		`{"a":[1,2,3]}`:                             true,
--- a/internal/peer/doc.go
+++ b/internal/peer/doc.go
@@ -20,7 +20,8 @@
 //
 //   - Serve, one for each listener, accepts. It never waits for a peer.
 //   - Handshake, one for each accepted connection, until TLS is up. At most
-//     MaxHandshakes run; a connection beyond that is closed at once.
+//     MaxHandshakes run for listed peers' addresses and as many for all others; a
+//     connection beyond that is closed at once.
 //   - Read, one for each connection (started by jsonrpc2), owns the decompressor,
 //     decodes messages and calls the Handler.
 //   - Write, one for each connection, owns the compressor and is the only one that
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -198,9 +198,6 @@
 }
 
 func (l *link) handleHello(request *jsonrpc2.Request) error {
-	if l.dialed != "" || l.ready {
-		return failuref(KindMethod, "unexpected hello")
-	}
 	var hello wire.Hello
 	if err := decode(*request.Params, &hello); err != nil {
 		return err
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -24,7 +24,8 @@
 	// StandbyDelay is how long the instance with the larger id waits for the other
 	// to dial.
 	StandbyDelay = time.Second
-	// MaxHandshakes bounds the connections that have not proved who they are.
+	// MaxHandshakes bounds the connections that have not proved who they are, from
+	// listed peers' IP addresses and from all others each.
 	MaxHandshakes = 64
 	// MaxUnansweredCalls bounds the calls to one peer that wait for a reply.
 	MaxUnansweredCalls = 4
@@ -78,7 +79,7 @@
 	Seed uint64
 	// Region gives the region of a data centre, for Counters.
 	Region func(fleet.DataCentreID) fleet.RegionID
-	// Now is the clock, time.Now by default.
+	// Now is the clock, time.Now by default. Deadlines of connections follow from it.
 	Now func() time.Time
 }
 
@@ -119,10 +120,12 @@
 type Transport struct {
 	options Options
 	// running counts redial and write goroutines and handshakes.
-	running    sync.WaitGroup
-	ctx        context.Context
-	cancel     context.CancelFunc
-	handshakes chan struct{}
+	running sync.WaitGroup
+	ctx     context.Context
+	cancel  context.CancelFunc
+	// peerHandshakes and otherHandshakes have a slot for each handshake.
+	peerHandshakes  chan struct{}
+	otherHandshakes chan struct{}
 
 	mu        sync.RWMutex
 	closed    bool
@@ -138,14 +141,15 @@
 func New(o Options) *Transport {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Transport{
-		options:    o.withDefaults(),
-		ctx:        ctx,
-		cancel:     cancel,
-		handshakes: make(chan struct{}, MaxHandshakes),
-		listeners:  make(map[net.Listener]struct{}),
-		open:       make(map[*link]struct{}),
-		remotes:    make(map[fleet.InstanceID]*remote),
-		wanted:     make(map[fleet.InstanceID]*wanted),
+		options:         o.withDefaults(),
+		ctx:             ctx,
+		cancel:          cancel,
+		peerHandshakes:  make(chan struct{}, MaxHandshakes),
+		otherHandshakes: make(chan struct{}, MaxHandshakes),
+		listeners:       make(map[net.Listener]struct{}),
+		open:            make(map[*link]struct{}),
+		remotes:         make(map[fleet.InstanceID]*remote),
+		wanted:          make(map[fleet.InstanceID]*wanted),
 	}
 }
 
