--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -6,6 +6,7 @@
 	"compress/flate"
 	"encoding/binary"
 	"io"
+	"net"
 
 	"github.com/pkg/errors"
 )
@@ -27,6 +28,9 @@
 	expansionBase = 64
 )
 
+// tlsAlertOp is the Op of the net.OpError by which crypto/tls tells of an alert.
+const tlsAlertOp = "remote error"
+
 // syncMarker ends each sync flush of compress/flate; it is not sent.
 var syncMarker = []byte{0x00, 0x00, 0xff, 0xff}
 
@@ -192,14 +196,16 @@
 	return n, nil
 }
 
-// timeout is implemented by errors of package net.
-type timeout interface{ Timeout() bool }
-
 // readFailure classifies an error of the connection.
 func readFailure(err error) error {
-	var t timeout
-	if errors.As(err, &t) && t.Timeout() {
+	var operation *net.OpError
+	var network net.Error
+	switch {
+	case errors.As(err, &network) && network.Timeout():
 		return failure(KindSilent, err)
+	case errors.As(err, &operation) && operation.Op == tlsAlertOp:
+		return failure(KindTLS, err)
+	default:
+		return failure(KindDisconnected, err)
 	}
-	return failure(KindDisconnected, err)
 }
--- a/internal/peer/ephemeral.go
+++ b/internal/peer/ephemeral.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
+	"encoding/pem"
 	"math/big"
 	"time"
 
@@ -46,16 +47,30 @@
 
 // Issue returns a TLS configuration, like LoadTLS, for one instance.
 func (ca *EphemeralCA) Issue(id fleet.InstanceID) (*tls.Config, error) {
+	certPEM, keyPEM, caPEM, err := ca.IssuePEM(id)
+	if err != nil {
+		return nil, err
+	}
+	return LoadTLS(certPEM, keyPEM, caPEM)
+}
+
+// IssuePEM returns the arguments of LoadTLS for one instance.
+func (ca *EphemeralCA) IssuePEM(id fleet.InstanceID) (certPEM, keyPEM, caPEM []byte, err error) {
 	template := certificateTemplate(string(id))
 	template.KeyUsage = x509.KeyUsageDigitalSignature
 	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
 	key, der, err := sign(template, ca)
 	if err != nil {
-		return nil, err
+		return nil, nil, nil, err
+	}
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return nil, nil, nil, failure(KindTLS, err)
 	}
-	authorities := x509.NewCertPool()
-	authorities.AddCert(ca.certificate)
-	return newTLSConfig(tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, authorities), nil
+	certPEM = pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+	keyPEM = pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER})
+	caPEM = pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: ca.certificate.Raw})
+	return certPEM, keyPEM, caPEM, nil
 }
 
 func certificateTemplate(name string) *x509.Certificate {
--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -55,10 +55,14 @@
 
 // Error implements error.
 func (e *Error) Error() string {
-	if e.Cause == nil {
-		return fmt.Sprintf("peer %q: %s", e.Peer, e.Kind)
+	text := string(e.Kind)
+	if e.Peer != "" {
+		text = fmt.Sprintf("peer %q: %s", e.Peer, text)
 	}
-	return fmt.Sprintf("peer %q: %s: %v", e.Peer, e.Kind, e.Cause)
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
 }
 
 // Unwrap returns the cause.
@@ -73,6 +77,24 @@
 	return ""
 }
 
+// withPeer returns err with the peer's id.
+func withPeer(err error, id fleet.InstanceID) error {
+	var e *Error
+	if !errors.As(err, &e) {
+		return &Error{Kind: KindDisconnected, Peer: id, Cause: err}
+	}
+	return &Error{Kind: e.Kind, Peer: id, Cause: e.Cause}
+}
+
+// causeOf returns what a log line says besides the kind.
+func causeOf(err error) error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Cause
+	}
+	return err
+}
+
 func failure(kind Kind, cause error) *Error {
 	return &Error{Kind: kind, Cause: cause}
 }
--- a/internal/peer/registry.go
+++ b/internal/peer/registry.go
@@ -130,7 +130,7 @@
 	r.delivery.Lock()
 	defer r.delivery.Unlock()
 	if t.leave(r, l) && !l.dropped {
-		t.options.Handler.PeerGone(l.hello, l.failureCause())
+		t.options.Handler.PeerGone(l.hello, withPeer(l.failureCause(), l.hello.Instance))
 	}
 	l.dropped = true
 }
--- a/internal/peer/tls.go
+++ b/internal/peer/tls.go
@@ -4,6 +4,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"slices"
+	"time"
 
 	"medlarwind.dev/medlarwind/internal/fleet"
 )
@@ -21,11 +22,7 @@
 	if !authorities.AppendCertsFromPEM(caPEM) {
 		return nil, failuref(KindTLS, "no certificate authority in the PEM text")
 	}
-	return newTLSConfig(certificate, authorities), nil
-}
-
-func newTLSConfig(certificate tls.Certificate, authorities *x509.CertPool) *tls.Config {
-	return &tls.Config{
+	config := &tls.Config{
 		MinVersion:             tls.VersionTLS13,
 		Certificates:           []tls.Certificate{certificate},
 		RootCAs:                authorities,
@@ -33,21 +30,24 @@
 		ClientAuth:             tls.RequireAndVerifyClientCert,
 		SessionTicketsDisabled: true,
 	}
+	return config, nil
 }
 
 // CheckIdentity returns an error of KindIdentity unless the configuration's own
 // certificate names the instance.
 func CheckIdentity(c *tls.Config, id fleet.InstanceID) error {
-	certificate, err := x509.ParseCertificate(c.Certificates[0].Certificate[0])
-	if err != nil {
-		return failure(KindTLS, err)
-	}
-	if !names(certificate, id) {
+	if !names(c.Certificates[0].Leaf, id) {
 		return failuref(KindIdentity, "own certificate does not name %q", id)
 	}
 	return nil
 }
 
+// Expiry returns when the configuration's own certificate expires. Connections that
+// exist then stay; no new ones can be made.
+func Expiry(c *tls.Config) time.Time {
+	return c.Certificates[0].Leaf.NotAfter
+}
+
 // names reports whether a certificate names the instance, as a DNS name or as its
 // common name. Wildcards are not expanded.
 func names(c *x509.Certificate, id fleet.InstanceID) bool {
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -119,6 +119,8 @@
 // Transport carries messages to and from peers. It is safe for concurrent use.
 type Transport struct {
 	options Options
+	// strangerLog is the log for what those without a hello cause.
+	strangerLog zerolog.Logger
 	// running counts redial and write goroutines and handshakes.
 	running sync.WaitGroup
 	ctx     context.Context
@@ -142,6 +144,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Transport{
 		options:         o.withDefaults(),
+		strangerLog:     o.Log.Sample(&zerolog.BurstSampler{Burst: strangerLines, Period: strangerPeriod}),
 		ctx:             ctx,
 		cancel:          cancel,
 		peerHandshakes:  make(chan struct{}, MaxHandshakes),
