Measure fairness, utilisation and control traffic of a whole fleet

Cause: the goals for the fairness gap, utilisation, control traffic and service during the change of a data centre had no measurement. Change: an experiment in virtual time from a seed with real instances, stand-in engines in three regions and 15 customers with uneven load, and the types of its results.

--- /dev/null
+++ b/internal/experiment/load_test.go
@@ -0,0 +1,194 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwind.dev/medlarwind/client"
+	medlarwindv1 "medlarwind.dev/medlarwind/gen/medlarwind/v1"
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/localfleet"
+	"medlarwind.dev/medlarwind/internal/standin"
+)
+
+// overload is the load of the large customers as a multiple of the capacity.
+const overload = 1.8
+
+// Load of the small customers: requests under way at once and time between them.
+const (
+	smallCallers = 2
+	smallPause   = 400 * time.Millisecond
+)
+
+// record is one request as its caller saw it. arrived is filled in after the run
+// from what engines saw.
+type record struct {
+	customer int
+	prompt   string
+	sent     time.Time
+	arrived  time.Time
+	ended    time.Time
+	first    time.Duration
+	tokens   int64
+	whole    bool
+	refused  bool
+}
+
+// records collects requests, and the service of each customer so far.
+type records struct {
+	mu      sync.Mutex
+	all     []*record
+	service []atomic.Int64
+}
+
+// startLoad begins all callers; they end with ctx.
+func (w *world) startLoad(ctx context.Context, group *sync.WaitGroup) {
+	w.records.service = make([]atomic.Int64, len(w.customers))
+	capacity := float64(engines*engineLimit) / tokenTime.Seconds()
+	for i, c := range w.customers {
+		clients := make([]*client.Client, len(c.homes))
+		for j, home := range c.homes {
+			clients[j] = w.client(home, c)
+		}
+		rng := rand.New(rand.NewPCG(w.scenario.seed, uint64(i)+100))
+		if c.large {
+			rate := overload * capacity / 3 / c.meanTokens()
+			group.Go(func() { w.openLoop(ctx, group, i, clients, rng, rate) })
+			continue
+		}
+		for range smallCallers {
+			own := rand.New(rand.NewPCG(rng.Uint64(), 0))
+			group.Go(func() { w.closedLoop(ctx, i, clients, own) })
+		}
+	}
+}
+
+// client returns a caller near a data centre. Large customers do not try again, so
+// that their arrivals stay as drawn.
+func (w *world) client(home int, c customer) *client.Client {
+	options := client.Options{Secret: c.Secret(), Dial: w.hosts.Dialer(clientHost(home))}
+	if c.large {
+		options.MaxTries = 1
+	}
+	for _, m := range w.membersOf(home) {
+		options.Seeds = append(options.Seeds, m.CallerAddr)
+	}
+	made := client.New(options)
+	w.clients = append(w.clients, made)
+	return made
+}
+
+func (w *world) membersOf(centre int) []*localfleet.Member {
+	var members []*localfleet.Member
+	for _, m := range w.fleet.Members {
+		if m.DataCentre == centreID(centre) {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+// openLoop sends requests at random times whatever becomes of them.
+func (w *world) openLoop(ctx context.Context, group *sync.WaitGroup, i int, clients []*client.Client, rng *rand.Rand, rate float64) {
+	for n := 0; ; n++ {
+		pause := time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		if !sleep(ctx, pause) {
+			return
+		}
+		prompt := w.prompt(i, rng)
+		c := clients[rng.IntN(len(clients))]
+		group.Go(func() { w.send(ctx, i, c, prompt) })
+	}
+}
+
+// closedLoop sends a request a while after the one before has ended.
+func (w *world) closedLoop(ctx context.Context, i int, clients []*client.Client, rng *rand.Rand) {
+	for {
+		pause := time.Duration(rng.ExpFloat64() * float64(smallPause))
+		if !sleep(ctx, pause) {
+			return
+		}
+		w.send(ctx, i, clients[rng.IntN(len(clients))], w.prompt(i, rng))
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// prompt draws a request; long and short ones have prompts of one length.
+func (w *world) prompt(i int, rng *rand.Rand) string {
+	mark := shortMark
+	if d := w.customers[i].dossiers; d > 0 && rng.IntN(d) == 0 {
+		mark = longMark
+	}
+	return fmt.Sprintf("%s of %-8s %016x: say what the veneer is worth", mark, w.customers[i].ID, rng.Uint64())
+}
+
+// Cost of a token, as in the rules that localfleet writes.
+const (
+	inputWeight   = 1
+	outputWeight  = 4
+	bytesPerToken = 4
+)
+
+func (w *world) send(ctx context.Context, i int, c *client.Client, prompt string) {
+	r := &record{customer: i, prompt: prompt, sent: time.Now()}
+	w.records.mu.Lock()
+	w.records.all = append(w.records.all, r)
+	w.records.mu.Unlock()
+	service := &w.records.service[i]
+	started := false
+	request := &medlarwindv1.GenerateRequest{Model: "appraise", Prompt: prompt, MaxTokens: maxTokens}
+	answer, err := c.Generate(ctx, request, func(data []byte) {
+		if !started {
+			started = true
+			r.first = time.Since(r.sent)
+			service.Add(int64(len(prompt)/bytesPerToken+1) * inputWeight)
+		}
+		service.Add(int64(len(data)) / bytesPerToken * outputWeight)
+	})
+	r.ended = time.Now()
+	var failed *client.RequestError
+	switch {
+	case err == nil:
+		r.whole = true
+		r.tokens = answer.OutputTokens
+		if string(answer.Data) != string(standin.Answer(prompt, outputTokens(prompt, 0))) {
+			w.t.Errorf("%s: not the answer to this prompt", prompt)
+		}
+	case errors.As(err, &failed) && failed.Kind == client.NotRun:
+		r.refused = true
+	}
+}
+
+// join fills in when each request reached an engine.
+func (w *world) join() map[fleet.DataCentreID][]time.Time {
+	byPrompt := make(map[string]*record, len(w.records.all))
+	for _, r := range w.records.all {
+		byPrompt[r.prompt] = r
+	}
+	arrivals := make(map[fleet.DataCentreID][]time.Time)
+	for _, e := range w.fleet.Engines {
+		for _, a := range e.Arrivals() {
+			arrivals[e.DataCentre] = append(arrivals[e.DataCentre], a.At)
+			if r := byPrompt[a.Prompt]; r != nil && r.arrived.IsZero() {
+				r.arrived = a.At
+			}
+		}
+	}
+	return arrivals
+}
