--- a/internal/experiment/world_test.go
+++ b/internal/experiment/world_test.go
@@ -245,7 +245,7 @@
 func (w *world) controlCounters() map[fleet.InstanceID]peer.Counters {
 	all := make(map[fleet.InstanceID]peer.Counters)
 	for _, m := range w.fleet.Members {
-		all[m.ID] = m.Instance.Counters()
+		all[m.ID] = m.Running().Counters()
 	}
 	return all
 }
