--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -47,11 +47,11 @@
 func (s *Server) Call(ctx context.Context, req *connect.Request[medlarwindv1.CallRequest]) (*connect.Response[medlarwindv1.CallResponse], error) {
 	customer, outcome := s.authenticate(req.Header())
 	if outcome != nil {
-		return nil, connectError(outcome)
+		return nil, connectError(s.beforeCall(req.Msg.CallId, outcome))
 	}
 	c, outcome := s.newCall(customer, req.Msg)
 	if outcome != nil {
-		return nil, connectError(outcome)
+		return nil, connectError(s.beforeCall(req.Msg.CallId, outcome))
 	}
 	var body []byte
 	if c.rule.Once {
@@ -68,6 +68,21 @@
 	}), nil
 }
 
+// beforeCall is the outcome of a call that was refused before its id was looked up.
+// The refusal says "not run" only if the call cannot have run under its id before.
+func (s *Server) beforeCall(callID string, outcome *OutcomeError) *OutcomeError {
+	id, err := parseCallID(callID)
+	if err != nil {
+		return outcome
+	}
+	s.onceMu.Lock()
+	defer s.onceMu.Unlock()
+	if !s.once.unused(id) {
+		outcome.Kind = Unknown
+	}
+	return outcome
+}
+
 func (s *Server) newCall(customer fleet.CustomerID, m *medlarwindv1.CallRequest) (*plainCall, *OutcomeError) {
 	if len(m.Body) > MaxPromptBytes {
 		return nil, refuse(ReasonBadRequest, 0)
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -119,6 +119,13 @@
 	return id, true
 }
 
+// unused reports whether a call cannot have run under an id: it was issued here and
+// is not running or done.
+func (o *onceRegister) unused(id callID) bool {
+	call, held := o.calls[id]
+	return held && call.state == callIssued
+}
+
 // begin claims an id for running. When start is true the caller of begin must run
 // the call and then end it; otherwise the returned run is going on or over.
 func (o *onceRegister) begin(id callID, customer fleet.CustomerID, content [sha256.Size]byte, now time.Time) (run *onceRun, start bool, outcome *OutcomeError) {
