--- a/internal/limit/property_test.go
+++ b/internal/limit/property_test.go
@@ -138,14 +138,15 @@
 func drawSim(t *rapid.T) *sim {
 	inside := rapid.IntRange(2, 5).Draw(t, "inside")
 	s := newSim(rapid.Uint64().Draw(t, "seed"), inside, simTargets)
-	s.params.ReportLag = rapid.SampledFrom([]time.Duration{simStep, 2 * time.Second}).Draw(t, "lag")
-	s.begin()
+	lag := rapid.SampledFrom([]time.Duration{simStep, 2 * time.Second}).Draw(t, "lag")
+	loan := rapid.SampledFrom([]time.Duration{2 * time.Second, 5 * time.Second}).Draw(t, "loan")
+	s.begin(loan, lag)
 	return s
 }
 
 // play runs a plan of faults after a quiet beginning.
 func (s *sim) play(plan []simFault) {
-	s.run(10 * time.Second)
+	s.run(2 * s.params.HoldDown)
 	for _, f := range plan {
 		s.run(f.after)
 		s.apply(f)
@@ -226,7 +227,7 @@
 	second := time.Second
 	isolated := []simFault{
 		{kind: faultIsolate, lasts: 20 * second},
-		{kind: faultList, other: 1, after: 7 * second},
+		{kind: faultList, other: 1, after: 12 * second},
 	}
 	paused := []simFault{
 		{kind: faultPause, node: 0, lasts: 7 * second},
@@ -248,12 +249,10 @@
 	for _, variant := range variants {
 		t.Run(variant.name, func(t *testing.T) {
 			for seed := range uint64(maxRuns) {
-				s := newSim(seed, 2, simTargets)
-				s.params.ReportLag = simStep
-				variant.change(s)
-				s.begin()
-				s.play(variant.plan)
-				if s.violation != "" {
+				if s := directed(seed, variant.plan, func(*sim) {}); s.violation != "" {
+					t.Fatalf("unbroken, run %d: %s", seed, s.violation)
+				}
+				if s := directed(seed, variant.plan, variant.change); s.violation != "" {
 					t.Logf("run %d: %s", seed, s.violation)
 					return
 				}
@@ -262,3 +261,12 @@
 		})
 	}
 }
+
+// directed runs a given plan.
+func directed(seed uint64, plan []simFault, change func(*sim)) *sim {
+	s := newSim(seed, 2+int(seed%3), simTargets)
+	change(s)
+	s.begin(5*time.Second, simStep)
+	s.play(plan)
+	return s
+}
--- a/internal/limit/sim_test.go
+++ b/internal/limit/sim_test.go
@@ -139,7 +139,10 @@
 }
 
 // begin starts all instances.
-func (s *sim) begin() {
+func (s *sim) begin(loan, lag time.Duration) {
+	s.params.LoanTime = loan
+	s.params.ReportLag = lag
+	s.params.HoldDown = s.params.MinHoldDown()
 	for _, n := range s.nodes {
 		s.restart(n)
 	}
