limit: drain targets whose uncertain work no report resolves

Cause: under steady load a report is compared with known work that changes while heartbeats are under way, so that uncertain work stayed counted and its units idle.

--- a/internal/limit/entry.go
+++ b/internal/limit/entry.go
@@ -23,6 +23,12 @@
 	stated bool
 }
 
+// abandonedPermit is counted until a time at which the target must have noticed.
+type abandonedPermit struct {
+	serial uint64
+	until  time.Time
+}
+
 // work is this instance's work on one target as an entry.
 type work struct {
 	permits map[uint64]*heldPermit
@@ -40,6 +46,8 @@
 	// open are the permits of each owner that are not stated, by rising sequence.
 	open map[fleet.InstanceID][]*heldPermit
 	work map[fleet.TargetID]*work
+	// abandoned are permits that wait for their targets to notice, oldest first.
+	abandoned []abandonedPermit
 	// told names the targets whose work is told to each instance.
 	told map[fleet.InstanceID]map[fleet.TargetID]struct{}
 }
--- a/internal/limit/grants.go
+++ b/internal/limit/grants.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"slices"
 	"time"
 
 	"medlarwind.dev/medlarwind/internal/fleet"
@@ -101,13 +102,34 @@
 	return l.entry.use(p.serial, now)
 }
 
-// Done ends a permit: it is returned unused or its work has ended. Only the first
-// call for a permit has an effect.
+// Done ends a permit: it is returned unused, or the target has said that the work
+// has ended. Only the first call for a permit has an effect.
 func (l *Ledger) Done(p *Permit, now time.Time) {
 	l.advance(now)
 	l.release(p.serial, now)
 }
 
+// Abandon ends a permit whose connection broke or was closed while the target may
+// still work on the request: it stays counted for ReportLag, within which the target
+// must notice.
+func (l *Ledger) Abandon(p *Permit, now time.Time) {
+	l.advance(now)
+	l.entry.abandoned = append(l.entry.abandoned, abandonedPermit{serial: p.serial, until: now.Add(l.params.ReportLag + l.params.Margin)})
+}
+
+// dropAbandoned releases the permits that were abandoned long enough ago.
+func (l *Ledger) dropAbandoned(now time.Time) {
+	over := 0
+	for _, a := range l.entry.abandoned {
+		if now.Before(a.until) {
+			break
+		}
+		l.release(a.serial, now)
+		over++
+	}
+	l.entry.abandoned = slices.Delete(l.entry.abandoned, 0, over)
+}
+
 // release takes a permit out of the accounts, if it is there.
 func (l *Ledger) release(serial uint64, now time.Time) {
 	permit := l.entry.release(serial)
--- a/internal/limit/holding.go
+++ b/internal/limit/holding.go
@@ -153,7 +153,7 @@
 // available returns the usable units that no work may occupy.
 func (l *Ledger) available(t *target, now time.Time) int {
 	l.hold(t, now)
-	if t.load.asked.IsZero() {
+	if t.load.asked.IsZero() || t.draining(now) {
 		return 0
 	}
 	return max(0, t.held-t.known-t.uncertain()-t.foreign)
--- a/internal/limit/ledger.go
+++ b/internal/limit/ledger.go
@@ -196,6 +196,7 @@
 		l.checkLost(p, now)
 	}
 	l.dropExpired(now)
+	l.dropAbandoned(now)
 	l.updateView(now)
 	for id := range l.entry.work {
 		l.believe(id, now)
--- a/internal/limit/property_test.go
+++ b/internal/limit/property_test.go
@@ -134,16 +134,6 @@
 	{ID: "many", DataCentre: "d", Limit: 16, ColdLimit: 2},
 }
 
-// drawSim draws a fleet.
-func drawSim(t *rapid.T) *sim {
-	inside := rapid.IntRange(2, 5).Draw(t, "inside")
-	s := newSim(rapid.Uint64().Draw(t, "seed"), inside, simTargets)
-	lag := rapid.SampledFrom([]time.Duration{simStep, 2 * time.Second}).Draw(t, "lag")
-	loan := rapid.SampledFrom([]time.Duration{2 * time.Second, 5 * time.Second}).Draw(t, "loan")
-	s.begin(loan, lag)
-	return s
-}
-
 // play runs a plan of faults after a quiet beginning.
 func (s *sim) play(plan []simFault) {
 	s.run(2 * s.params.HoldDown)
@@ -156,7 +146,11 @@
 
 // drawAndPlay draws a fleet and a plan of faults, and runs it.
 func drawAndPlay(t *rapid.T) *sim {
-	s := drawSim(t)
+	inside := rapid.IntRange(2, 5).Draw(t, "inside")
+	lag := rapid.SampledFrom([]time.Duration{simStep, 2 * time.Second}).Draw(t, "lag")
+	loan := rapid.SampledFrom([]time.Duration{2 * time.Second, 5 * time.Second}).Draw(t, "loan")
+	s := newSim(rapid.Uint64().Draw(t, "seed"), inside, simTargets)
+	s.begin(loan, lag)
 	s.play(rapid.SliceOfN(rapid.Custom(drawFault), 1, 30).Draw(t, "faults"))
 	return s
 }
@@ -224,19 +218,10 @@
 
 // TestBrokenVariantsExceedLimit shows that the model finds each broken variant.
 func TestBrokenVariantsExceedLimit(t *testing.T) {
-	second := time.Second
-	isolated := []simFault{
-		{kind: faultIsolate, lasts: 20 * second},
-		{kind: faultList, other: 1, after: 12 * second},
-	}
-	paused := []simFault{
-		{kind: faultPause, node: 0, lasts: 7 * second},
-		{kind: faultPause, node: 1, lasts: 7 * second, after: second},
-	}
-	noisy := []simFault{
-		{kind: faultNoise, node: 3, lasts: 20 * second},
-		{kind: faultIsolate, lasts: 20 * second, after: 3 * second},
-	}
+	const second = time.Second
+	isolated := []simFault{{kind: faultIsolate, lasts: 20 * second}, {kind: faultList, other: 1, after: 12 * second}}
+	paused := []simFault{{kind: faultPause, lasts: 7 * second}, {kind: faultPause, node: 1, lasts: 7 * second, after: second}}
+	noisy := []simFault{{kind: faultNoise, node: 3, lasts: 20 * second}, {kind: faultIsolate, lasts: 20 * second, after: 3 * second}}
 	variants := []struct {
 		name   string
 		plan   []simFault
--- a/internal/limit/report.go
+++ b/internal/limit/report.go
@@ -52,6 +52,7 @@
 	}
 	t.readings = append(t.readings, next)
 	l.settle(t, received)
+	t.considerDrain(received)
 }
 
 // take records the state. A changed boot id starts the warm-up afresh.
--- a/internal/limit/sim_test.go
+++ b/internal/limit/sim_test.go
@@ -36,6 +36,7 @@
 	permit      Permit
 	arrives     time.Time
 	ends        time.Time
+	abandons    bool
 }
 
 // simTarget is the truth about one target.
@@ -103,12 +104,11 @@
 	slow       time.Duration
 	noisyUntil time.Time
 	quiet      bool
-	// idle says that owners grant nothing, and hold is the chance that an entry waits
-	// with a permit in one step.
-	idle      bool
-	hold      float64
-	violation string
-	starts    int
+	// idle says that owners grant nothing, which comes and goes unless the load is
+	// steady; hold is the chance that an entry waits with a permit in one step.
+	idle, steady bool
+	hold         float64
+	violation    string
 }
 
 func newSim(seed uint64, inside int, targets []Target) *sim {
@@ -187,7 +187,7 @@
 // step moves the model on by simStep.
 func (s *sim) step() {
 	s.now = s.now.Add(simStep)
-	if s.now.Sub(s.start)%simBurst == 0 {
+	if !s.steady && s.now.Sub(s.start)%simBurst == 0 {
 		s.idle = s.rng.IntN(3) == 0
 	}
 	for _, t := range s.targets {
@@ -214,7 +214,7 @@
 			return false
 		}
 		t.completed++
-		if w.entry.incarnation == w.incarnation {
+		if w.entry.incarnation == w.incarnation && !w.abandons {
 			w.entry.ended = append(w.entry.ended, w)
 		}
 		return true
@@ -301,6 +301,7 @@
 		n.ledger.Done(&w.permit, now)
 	}
 	n.ended = nil
+	s.abandon(n, now)
 	if s.due(n, simRead) && !s.now.Before(s.readsDown) {
 		s.read(n)
 	}
@@ -324,6 +325,19 @@
 	s.use(n, now)
 }
 
+// abandon closes connections; the target notices within ReportLag.
+func (s *sim) abandon(n *simNode, now time.Time) {
+	for _, t := range s.targets {
+		for _, w := range t.running {
+			if w.entry == n && w.incarnation == n.incarnation && !w.abandons && s.rng.IntN(400) == 0 {
+				w.abandons = true
+				w.ends = s.now.Add(time.Duration(s.rng.Int64N(int64(s.params.ReportLag))))
+				n.ledger.Abandon(&w.permit, now)
+			}
+		}
+	}
+}
+
 // read gives a node the newest version that has reached its reader.
 func (s *sim) read(n *simNode) {
 	for i, list := range s.lists {
@@ -388,7 +402,6 @@
 			n.ledger.Done(&permit, now)
 			return true
 		}
-		s.starts++
 		arrives := s.now.Add(time.Duration(s.rng.Int64N(int64(simMaxDial))))
 		length := time.Duration(s.rng.ExpFloat64() * float64(4*time.Second))
 		if s.quiet {
--- a/internal/limit/target.go
+++ b/internal/limit/target.go
@@ -63,7 +63,8 @@
 	samples map[*peer][]stateSample
 	ended   []endedWork
 
-	load loadState
+	drain drain
+	load  loadState
 	// readings are the latest reports, oldest first.
 	readings []reading
 }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -142,11 +142,3 @@
 		t.Errorf("Holders = %v, want c", got)
 	}
 }
-
-func BenchmarkOwner(b *testing.B) {
-	ids := instances(18)
-	b.ReportAllocs()
-	for b.Loop() {
-		Owner("target", ids)
-	}
-}
