observe: document the reasons that are written, and drop the others

Cause: the instance logs package entry's reasons for refusals and ends, so the page named words that no line has, and constants that nothing used. Conclusion: no change in what is logged.

--- a/internal/observe/decisions.go
+++ b/internal/observe/decisions.go
@@ -21,45 +21,16 @@
 	return &Decisions{log: log}
 }
 
-// Reason says why a decision was made, in a short fixed word.
+// Reason says why a decision was made, in a short fixed word. Reasons of refusals and
+// of ends are those of package entry.
 type Reason string
 
-// Reasons of refusals.
+// Reasons of grants, starts and retries.
 const (
-	ReasonQueueFull       Reason = "queue_full"
-	ReasonFleetFull       Reason = "fleet_full"
-	ReasonUnknownWorkload Reason = "unknown_workload"
-	ReasonUnknownCustomer Reason = "unknown_customer"
-	ReasonNoTarget        Reason = "no_target"
-	ReasonLeaving         Reason = "leaving"
-	ReasonNotReady        Reason = "not_ready"
-	ReasonTimeout         Reason = "timeout"
-	ReasonCancelled       Reason = "cancelled"
-	ReasonCallID          Reason = "call_id"
-	ReasonQuarantined     Reason = "quarantined"
-	ReasonInvalid         Reason = "invalid"
-)
-
-// Reasons of placements.
-const (
-	ReasonLeastService   Reason = "least_service"
-	ReasonOnlyWaiting    Reason = "only_waiting"
-	ReasonPrefixAffinity Reason = "prefix_affinity"
-	ReasonLeastLoaded    Reason = "least_loaded"
-	ReasonOldest         Reason = "oldest"
-	ReasonSuspectAlone   Reason = "suspect_alone"
-	ReasonRegionFull     Reason = "region_full"
-)
-
-// Reasons of retries and of unknown outcomes.
-const (
-	ReasonDialFailed      Reason = "dial_failed"
-	ReasonTargetRefused   Reason = "target_refused"
-	ReasonConnectionLost  Reason = "connection_lost"
-	ReasonTargetRestarted Reason = "target_restarted"
-	ReasonPermitExpired   Reason = "permit_expired"
-	ReasonSilent          Reason = "silent"
-	ReasonForeignCallID   Reason = "foreign_call_id"
+	ReasonLeastService  Reason = "least_service"
+	ReasonSuspectAlone  Reason = "suspect_alone"
+	ReasonOldest        Reason = "oldest"
+	ReasonPermitExpired Reason = "permit_expired"
 )
 
 // Outcome says what became of a request.
--- a/internal/observe/events_fleet.go
+++ b/internal/observe/events_fleet.go
@@ -45,14 +45,6 @@
 	Error error
 }
 
-// Reasons of refused configurations.
-const (
-	ReasonInvalidRules   Reason = "invalid_rules"
-	ReasonOlderVersion   Reason = "older_version"
-	ReasonDigestConflict Reason = "digest_conflict"
-	ReasonWrongDigest    Reason = "wrong_digest"
-)
-
 // ConfigRefused logs a ConfigRefused.
 func (d *Decisions) ConfigRefused(c *ConfigRefused) {
 	e := d.event("config_refused").Uint64("version", c.Version).Str("digest", c.Digest)
@@ -74,12 +66,8 @@
 
 // Reasons of changes of targets.
 const (
-	ReasonReported    Reason = "reported"
-	ReasonNewBoot     Reason = "new_boot"
-	ReasonStaleReport Reason = "stale_report"
-	ReasonListed      Reason = "listed"
-	ReasonTakenOut    Reason = "taken_out"
-	ReasonWarmedUp    Reason = "warmed_up"
+	ReasonReported Reason = "reported"
+	ReasonNewBoot  Reason = "new_boot"
 )
 
 // TargetState logs a TargetState.
--- a/internal/observe/metrics_test.go
+++ b/internal/observe/metrics_test.go
@@ -25,7 +25,7 @@
 		group.Go(func() {
 			m.AddService(`c"1`, 3)
 			m.Started()
-			m.Refused(ReasonQueueFull)
+			m.Refused("queue_full")
 			m.Finished(OutcomeOK)
 			m.Unknown()
 			m.CrossRegion(2, 1)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -67,6 +67,16 @@
 	return l.cause
 }
 
+// drain ends the connection once what is queued was sent, at once before the hello.
+func (l *link) drain() {
+	select {
+	case <-l.opened:
+		l.outbox.drain()
+	default:
+		l.cut(failure(KindClosed, nil))
+	}
+}
+
 // writeLoop is the writing goroutine. It ends with the connection.
 func (l *link) writeLoop() {
 	defer l.t.running.Done()
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -9,9 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/jsonrpc2"
 
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/wire"
@@ -171,61 +169,6 @@
 	return l != nil && l.outbox.putGrant(g)
 }
 
-// FetchConfig asks a peer for its configuration and waits for the reply.
-func (t *Transport) FetchConfig(ctx context.Context, to fleet.InstanceID, r *wire.ConfigRequest) (*wire.ConfigReply, error) {
-	l := t.linkTo(to)
-	if l == nil {
-		return nil, &Error{Kind: KindNotConnected, Peer: to}
-	}
-	result := new(wire.ConfigReply)
-	if err := l.call(ctx, wire.MethodConfig, r, result); err != nil {
-		return nil, &Error{Kind: callKind(err), Peer: to, Cause: err}
-	}
-	return result, nil
-}
-
-// call queues a call, waits until it is sent and then for its reply.
-func (l *link) call(ctx context.Context, method string, params, result any) error {
-	if l.unanswered.Add(1) > MaxUnansweredCalls {
-		l.unanswered.Add(-1)
-		return failuref(KindQueueFull, "%d calls without reply", MaxUnansweredCalls)
-	}
-	c := newCall(method, params)
-	if !l.outbox.putControl(c) {
-		l.unanswered.Add(-1)
-		return failure(KindQueueFull, nil)
-	}
-	select {
-	case sent := <-c.sent:
-		if sent.err != nil {
-			l.unanswered.Add(-1)
-			return sent.err
-		}
-		return sent.waiter.Wait(ctx, result)
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-l.rpc.DisconnectNotify():
-		return jsonrpc2.ErrClosed
-	}
-}
-
-// callKind classifies an error of a call.
-func callKind(err error) Kind {
-	var remoteError *jsonrpc2.Error
-	switch {
-	case KindOf(err) != "":
-		return KindOf(err)
-	case errors.As(err, &remoteError):
-		return KindRemote
-	case errors.Is(err, jsonrpc2.ErrClosed):
-		return KindDisconnected
-	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
-		return KindSilent
-	default:
-		return KindMalformed
-	}
-}
-
 // Connected returns the hellos of the connected peers in the order of their ids.
 func (t *Transport) Connected() []wire.Hello {
 	t.mu.RLock()
@@ -276,16 +219,6 @@
 	}
 }
 
-// drain ends the connection once what is queued was sent, at once before the hello.
-func (l *link) drain() {
-	select {
-	case <-l.opened:
-		l.outbox.drain()
-	default:
-		l.cut(failure(KindClosed, nil))
-	}
-}
-
 func (t *Transport) cutAll(cause error) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
