Measure the core of one instance at the design size

Cause: nothing measured the core's loop as a whole; the benchmarks of its parts cannot show what walks all targets, customers or peers on each event.

Change: BenchmarkCore runs seconds of one core in virtual time between fake peers that echo, lend, demand and run what they are granted, and reports processor time of the thread for each kind of event; BenchmarkBuildHeartbeat builds heartbeats.

--- /dev/null
+++ b/internal/instance/bench_test.go
@@ -0,0 +1,388 @@
+package instance
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+	"unsafe"
+
+	"github.com/rs/zerolog"
+
+	"medlarwind.dev/medlarwind/internal/config"
+	"medlarwind.dev/medlarwind/internal/dispatch"
+	"medlarwind.dev/medlarwind/internal/entry"
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/limit"
+	"medlarwind.dev/medlarwind/internal/membership"
+	"medlarwind.dev/medlarwind/internal/wire"
+)
+
+// fleetSize is the size of the fleet around the measured core.
+type fleetSize struct {
+	instances, centres, regions, customers, targets, models int
+	// backlogged is the customers with waiting requests in the core's data centre,
+	// requests the starts in a second at one entry, and changed the service counters
+	// in one heartbeat.
+	backlogged, requests, changed int
+}
+
+var fleetSizes = map[string]fleetSize{
+	"today":  {instances: 6, centres: 3, regions: 3, customers: 15, targets: 23, models: 2, backlogged: 4, requests: 4, changed: 3},
+	"design": {instances: 380, centres: 21, regions: 8, customers: 15_000, targets: 12_000, models: 7, backlogged: 1500, requests: 37, changed: 30},
+}
+
+const (
+	benchSelf   fleet.InstanceID = "i000"
+	benchSlots                   = 8
+	benchSlice                   = tickInterval
+	chargesEach                  = 15 // 236 tokens of output in steps of chargeStep
+)
+
+// benchPeer stands for one peer: it echoes, lends, and runs what it is granted.
+type benchPeer struct {
+	hello   wire.Hello
+	seq     uint64
+	echo    uint64
+	view    uint64
+	demand  []wire.Demand
+	owned   fleet.TargetID
+	grants  uint64
+	told    uint64
+	running []benchRun
+}
+
+type benchRun struct {
+	target fleet.TargetID
+	until  time.Time
+}
+
+// benchCore drives one core in virtual time. It is the core's transport, poller and
+// watcher.
+type benchCore struct {
+	*core
+	size    fleetSize
+	clock   time.Time
+	peers   []*benchPeer
+	byID    map[fleet.InstanceID]*benchPeer
+	near    int
+	polls   []poll
+	waiters []*waiter
+	rng     *rand.Rand
+	spent   map[string]time.Duration
+	times   map[string]int
+}
+
+func (w *benchCore) SendHeartbeat(to fleet.InstanceID, hb *wire.Heartbeat) bool {
+	w.byID[to].echo = hb.Seq
+	w.times["sent"]++
+	return true
+}
+
+func (w *benchCore) SendGrant(to fleet.InstanceID, g *wire.Grant) bool {
+	p := w.byID[to]
+	p.grants = g.Seq
+	hold := time.Duration(float64(time.Second) * float64(w.size.targets*benchSlots) / float64(w.size.instances*w.size.requests))
+	p.running = append(p.running, benchRun{target: g.Target, until: w.clock.Add(hold)})
+	w.times["granted"]++
+	return true
+}
+
+func (w *benchCore) SetPeers([]fleet.ListedInstance) {}
+func (w *benchCore) Observe(config.Observation)      {}
+func (w *benchCore) SetList(fleet.List)              {}
+func (w *benchCore) ask(p poll)                      { w.polls = append(w.polls, p) }
+
+func benchCentre(n int, s fleetSize) fleet.DataCentreID {
+	return fleet.DataCentreID(fmt.Sprintf("dc-%02d", n%s.centres))
+}
+
+func benchModel(n int, s fleetSize) fleet.ModelID {
+	return fleet.ModelID(fmt.Sprintf("model-%d", n%s.models))
+}
+
+func benchRules(s fleetSize) []byte {
+	var out strings.Builder
+	for i := range s.centres {
+		fmt.Fprintf(&out, "datacentre dc-%02d region region-%d in # Lin, operations\n", i, i%s.regions)
+	}
+	for i := range s.models {
+		fmt.Fprintf(&out, "model model-%d input 1 output 4 # Wu, inspection\n", i)
+	}
+	for i := range s.customers {
+		key := sha256.Sum256(fmt.Appendf(nil, "secret %d", i))
+		fmt.Fprintf(&out, "customer mill-%05d share %d queue 64 key sha256:%x # Chen, auction floor\n", i, 1+i%9, key)
+	}
+	for i := range s.targets {
+		fmt.Fprintf(&out, "target e%05d datacentre dc-%02d serves %s limit %d cold 1 fencing checked sender ignored # Wu, inspection\n",
+			i, i%s.centres, benchModel(i/s.centres, s), benchSlots)
+	}
+	return []byte(out.String())
+}
+
+func benchList(s fleetSize) fleet.List {
+	list := fleet.List{Version: 1}
+	for i := range s.instances {
+		list.Instances = append(list.Instances, fleet.ListedInstance{ID: fleet.InstanceID(fmt.Sprintf("i%03d", i)),
+			DataCentre: benchCentre(i, s), CallerAddr: fmt.Sprintf("10.0.%d.%d:7100", i/250, i%250),
+			PeerAddr: fmt.Sprintf("10.0.%d.%d:7200", i/250, i%250), State: fleet.StateLive})
+	}
+	for i := range s.targets {
+		list.Targets = append(list.Targets, fleet.ListedTarget{ID: fleet.TargetID(fmt.Sprintf("e%05d", i)),
+			DataCentre: benchCentre(i, s), Addr: fmt.Sprintf("10.%d.%d.%d:8000", 1+i/62500, i/250%250, i%250), State: fleet.StateLive})
+	}
+	return list
+}
+
+// newBenchCore returns a core in steady state: it owns its targets with all units,
+// knows every peer, and has backlogged customers as an entry and as an owner.
+func newBenchCore(b *testing.B, s fleetSize) *benchCore {
+	w := &benchCore{size: s, clock: time.Now(), byID: map[fleet.InstanceID]*benchPeer{}, rng: rand.New(rand.NewPCG(1, 2)),
+		spent: map[string]time.Duration{}, times: map[string]int{}}
+	store := config.NewStore()
+	if _, err := store.Offer(1, benchRules(s), config.SourceService); err != nil {
+		b.Fatal(err)
+	}
+	d := &directory{self: benchSelf, centre: benchCentre(0, s), lifetime: time.Second, store: store}
+	w.core = newCore(coreOptions{self: benchSelf, incarnation: 1, centre: d.centre, heartbeat: 250 * time.Millisecond,
+		limits: limit.DefaultParams(), queue: dispatch.QueueParams{}, rng: w.rng}, zerolog.Nop(), d, w.clock)
+	w.transport, w.poller, w.watcher = w, w, w
+	w.wake = time.NewTimer(time.Hour)
+	b.Cleanup(func() { w.wake.Stop() })
+	list := benchList(s)
+	w.addPeers(list)
+	configEvent{snapshot: store.Current()}.apply(w.core, w.clock)
+	listEvent{list: list}.apply(w.core, w.clock)
+	askedEvent{}.apply(w.core, w.clock)
+	for _, p := range w.peers {
+		peerEvent{from: p.hello, connected: true}.apply(w.core, w.clock)
+	}
+	for i := range max(1, s.backlogged/(w.near+1)) {
+		for range 5 {
+			w.admit(i)
+		}
+	}
+	for range 20 {
+		w.second()
+	}
+	clear(w.spent)
+	clear(w.times)
+	return w
+}
+
+// addPeers makes the peers, those of the core's data centre first.
+func (w *benchCore) addPeers(list fleet.List) {
+	members := map[fleet.DataCentreID][]fleet.InstanceID{}
+	for _, l := range list.Instances {
+		members[l.DataCentre] = append(members[l.DataCentre], l.ID)
+	}
+	var far []*benchPeer
+	for i, l := range list.Instances[1:] {
+		hello := wire.Hello{Protocol: wire.Protocol, Instance: l.ID, Incarnation: fleet.Incarnation(i + 2), DataCentre: l.DataCentre}
+		p := &benchPeer{hello: hello, view: uint64(membership.NewView(members[l.DataCentre]))}
+		w.byID[l.ID] = p
+		if l.DataCentre == benchCentre(0, w.size) {
+			w.peers = append(w.peers, p)
+		} else {
+			far = append(far, p)
+		}
+	}
+	w.near = len(w.peers)
+	w.peers = append(w.peers, far...)
+	for _, t := range list.Targets {
+		if owner, _ := membership.Owner(string(t.ID), members[t.DataCentre]); owner != benchSelf {
+			w.byID[owner].owned = t.ID
+		}
+	}
+	for i := range w.size.backlogged {
+		p := w.peers[i%w.near]
+		p.demand = append(p.demand, wire.Demand{Customer: w.customer(i), Workload: w.workload(i), Waiting: 5, Estimate: 900})
+	}
+}
+
+func (w *benchCore) customer(i int) fleet.CustomerID {
+	return fleet.CustomerID(fmt.Sprintf("mill-%05d", i))
+}
+
+func (w *benchCore) workload(i int) fleet.Workload {
+	return fleet.Workload{Model: benchModel(i, w.size)}
+}
+
+// apply runs one event as the core's loop does.
+func (w *benchCore) apply(e event) {
+	e.apply(w.core, w.clock)
+	w.decide(w.clock)
+}
+
+func (w *benchCore) admit(i int) {
+	work := entry.Work{RequestID: "r", Customer: w.customer(i), Workload: w.workload(i), PromptTokens: 900,
+		Fingerprint: w.rng.Uint64(), Deadline: w.clock.Add(time.Hour), Attempt: 1}
+	waiting := &waiter{work: work, reply: make(chan admitted, 1)}
+	w.waiters = append(w.waiters, waiting)
+	w.apply(admitEvent{waiting})
+}
+
+// measure adds the thread's processor time of n repetitions under a name.
+func (w *benchCore) measure(name string, n int, run func()) {
+	before := threadTime()
+	run()
+	w.spent[name] += threadTime() - before
+	w.times[name] += n
+}
+
+// threadTime returns the processor time of the calling thread.
+func threadTime() time.Duration {
+	const threadClock = 3 // CLOCK_THREAD_CPUTIME_ID
+	var t syscall.Timespec
+	_, _, _ = syscall.RawSyscall(syscall.SYS_CLOCK_GETTIME, threadClock, uintptr(unsafe.Pointer(&t)), 0)
+	return time.Duration(t.Nano())
+}
+
+// second runs one second of the instance.
+func (w *benchCore) second() {
+	slices := int(time.Second / benchSlice)
+	for slice := range slices {
+		w.clock = w.clock.Add(benchSlice)
+		w.measure("tick", 1, func() { w.tick(w.clock); w.decide(w.clock) })
+		for i, p := range w.peers {
+			if (i+slice)%5 == 0 {
+				beat := heartbeatEvent{from: p.hello, beat: w.beat(p)}
+				w.measure("received", 1, func() { w.apply(beat) })
+			}
+		}
+		w.report()
+		w.requests((w.size.requests*(slice+1))/slices - (w.size.requests*slice)/slices)
+	}
+	w.measure("list", 1, func() { w.apply(listEvent{list: w.list}) })
+}
+
+// beat is a peer's next heartbeat.
+func (w *benchCore) beat(p *benchPeer) *wire.Heartbeat {
+	p.seq++
+	hb := &wire.Heartbeat{Incarnation: p.hello.Incarnation, Seq: p.seq, EchoSeq: p.echo, EchoIncarnation: w.options.incarnation,
+		View: p.view, Lends: true, ConfigVersion: 1, ConfigDigest: w.snapshot.Digest, Demand: p.demand, GrantSeq: p.grants}
+	counts := map[fleet.TargetID]int{}
+	kept := p.running[:0]
+	for _, r := range p.running {
+		if r.until.After(w.clock) {
+			kept = append(kept, r)
+			counts[r.target]++
+		}
+	}
+	p.running = kept
+	for t, n := range counts {
+		hb.Running = append(hb.Running, wire.Running{Target: t, Count: n})
+	}
+	for i := range w.size.models {
+		hb.Spare = append(hb.Spare, wire.Spare{Workload: w.workload(i)})
+	}
+	for range w.size.changed {
+		total := fleet.Cost(w.clock.UnixMilli() / 10)
+		hb.Service = append(hb.Service, wire.Service{Incarnation: hb.Incarnation, Customer: w.customer(w.rng.IntN(w.size.customers)), Total: total})
+	}
+	return hb
+}
+
+// report answers the load polls.
+func (w *benchCore) report() {
+	polls := w.polls
+	w.polls = nil
+	for _, p := range polls {
+		e := reportEvent{target: p.target, asked: w.clock, received: w.clock, report: fleet.LoadReport{BootID: "b", State: fleet.TargetReady, Completed: 100}}
+		w.measure("report", 1, func() { w.apply(e) })
+	}
+}
+
+// requests runs n requests: granted by a peer, begun, charged, ended, and another one
+// admitted for the same customer. What the core granted itself runs besides.
+func (w *benchCore) requests(n int) {
+	waiters := w.waiters
+	w.waiters = nil
+	for _, waiting := range waiters {
+		select {
+		case a := <-waiting.reply:
+			w.measure("request", 1, func() { w.run(a.lease, waiting) })
+		default:
+			w.waiters = append(w.waiters, waiting)
+		}
+	}
+	for range n {
+		p := w.peers[w.rng.IntN(w.near)]
+		work := &w.waiters[w.rng.IntN(len(w.waiters))].work
+		p.told++
+		g := &wire.Grant{Incarnation: p.hello.Incarnation, Seq: p.told, EchoIncarnation: w.options.incarnation, EchoSeq: p.echo,
+			Customer: work.Customer, Workload: work.Workload, Target: p.owned, BootID: "b"}
+		w.measure("request", 1, func() {
+			w.apply(grantEvent{from: p.hello, grant: g})
+			w.runGranted()
+		})
+	}
+}
+
+func (w *benchCore) runGranted() {
+	for i, waiting := range w.waiters {
+		select {
+		case a := <-waiting.reply:
+			w.waiters = append(w.waiters[:i], w.waiters[i+1:]...)
+			w.run(a.lease, waiting)
+			return
+		default:
+		}
+	}
+}
+
+func (w *benchCore) run(l *lease, waiting *waiter) {
+	usable := make(chan bool, 1)
+	w.apply(beginEvent{lease: l, reply: usable})
+	for i := range chargesEach {
+		w.apply(chargeEvent{lease: l, input: 900, output: int64(i+1) * chargeStep})
+	}
+	w.apply(endEvent{lease: l, kind: entry.EndFinished, input: 900, output: chargesEach * chargeStep})
+	var customer int
+	fmt.Sscanf(string(waiting.work.Customer), "mill-%d", &customer)
+	w.admit(customer)
+}
+
+// BenchmarkCore runs seconds of one instance's core without its connections, and
+// reports processor time for each event and in all: the decisions for requests, the
+// ticks, heartbeats received and built, load reports, and reads of the same list.
+func BenchmarkCore(b *testing.B) {
+	for name, size := range fleetSizes {
+		b.Run(name, func(b *testing.B) {
+			runtime.LockOSThread()
+			defer runtime.UnlockOSThread()
+			w := newBenchCore(b, size)
+			for b.Loop() {
+				w.second()
+			}
+			seconds := float64(b.N)
+			total := time.Duration(0)
+			for phase, spent := range w.spent {
+				total += spent
+				b.ReportMetric(float64(spent)/float64(max(1, w.times[phase]))/1e3, phase+"-µs")
+			}
+			b.ReportMetric(float64(w.times["sent"])/seconds, "sent/s")
+			b.ReportMetric(float64(w.times["granted"])/seconds, "granted/s")
+			b.ReportMetric(float64(w.times["request"])/seconds, "requests/s")
+			b.ReportMetric(total.Seconds()*100/seconds, "%core")
+		})
+	}
+}
+
+// BenchmarkBuildHeartbeat builds one heartbeat for each peer; the figure is for one.
+func BenchmarkBuildHeartbeat(b *testing.B) {
+	for name, size := range fleetSizes {
+		b.Run(name, func(b *testing.B) {
+			w := newBenchCore(b, size)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				p := w.peers[i%len(w.peers)]
+				w.sendHeartbeat(p.hello.Instance, w.core.peers[p.hello.Instance], w.clock)
+			}
+		})
+	}
+}
