--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -96,6 +96,8 @@
 	// owned ones that an entry told of, each with the time.
 	broken      map[fleet.TargetID]time.Time
 	heardBroken map[fleet.TargetID]time.Time
+	brokenBoots map[fleet.TargetID][]brokenBoot
+	resolvePoll time.Time
 	peers       map[fleet.InstanceID]*peerState
 	waiting     map[uint64]*waiter
 	parked      []*waiter
@@ -142,6 +144,7 @@
 		suspended:   make(map[fleet.TargetID]time.Time),
 		broken:      make(map[fleet.TargetID]time.Time),
 		heardBroken: make(map[fleet.TargetID]time.Time),
+		brokenBoots: make(map[fleet.TargetID][]brokenBoot),
 		peers:       make(map[fleet.InstanceID]*peerState),
 		waiting:     make(map[uint64]*waiter),
 		leases:      make(map[*lease]struct{}),
@@ -198,6 +201,7 @@
 // tick looks at clocks: deadlines of waiting requests, parked suspects and upkeep.
 func (c *core) tick(now time.Time) {
 	c.expireWaiting(now)
+	c.pollBrokenBoots(now)
 	c.recheckParked(now)
 	c.ownedChanged = true
 	c.demandChanged = c.demandChanged || c.queue.Len() > 0
@@ -220,18 +224,26 @@
 	c.noteDraining(observe.DrainBegun, now)
 }
 
-// apply ends the acceptance of new work and hands back what still waits.
+// apply ends the acceptance of new work and hands back what still waits, but for
+// requests that may have run already: those are finished here.
 func (e closeEvent) apply(c *core, now time.Time) {
 	c.closed = true
 	c.noteDraining(observe.DrainClosed, now)
 	for _, w := range c.waiting {
-		c.queue.Remove(w.id)
-		c.refuse(w, c.drainOutcome(w), now)
+		if !w.work.Ran {
+			c.queue.Remove(w.id)
+			c.refuse(w, c.drainOutcome(w), now)
+		}
 	}
-	for _, w := range c.parked {
+	parked := c.parked
+	c.parked = nil
+	for _, w := range parked {
+		if w.work.Ran {
+			c.parked = append(c.parked, w)
+			continue
+		}
 		c.refuse(w, c.drainOutcome(w), now)
 	}
-	c.parked = nil
 	c.demandChanged = true
 	close(e.done)
 }
--- a/internal/limit/epoch.go
+++ b/internal/limit/epoch.go
@@ -1,11 +1,15 @@
 package limit
 
-import "time"
+import (
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/membership"
+)
 
 // ownerEpoch counts changes of what the owners of all targets follow from.
 type ownerEpoch struct {
 	count   uint64
-	list    *snapshot
+	list    *membership.List
 	leaving bool
 }
 
@@ -15,11 +19,12 @@
 func (l *Ledger) OwnerEpoch(now time.Time) uint64 {
 	l.advance(now)
 	e := &l.epoch
-	changed := e.list != l.list() || e.leaving != l.leaving
-	e.list = l.list()
+	list := l.lists.Current()
+	changed := e.list != list || e.leaving != l.leaving
+	e.list = list
 	e.leaving = l.leaving
-	for _, p := range l.peers {
-		skipped := p.leaving || !p.reachable(l.params, now)
+	for id, p := range l.peers {
+		skipped := l.skips(id, now)
 		changed = changed || p.skipped != skipped
 		p.skipped = skipped
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -15,7 +15,7 @@
 // fleet and MaxTargets·k in a fleet partitioned into k parts, if the failure is
 // told to the caller only after the suspicion has reached the instances of its
 // part. A caller that sends n copies before the first crash can take down n - 1
-// more.
+// more, and as many again, since each entry whose run broke tries it once alone.
 //
 // The state of a fingerprint is a counter that merges by maximum. An odd crash
 // count means one crash since the last clearing, an even one two; a crash after a
@@ -25,11 +25,10 @@
 
 import (
 	"cmp"
-	"encoding/binary"
-	"hash/fnv"
 	"time"
 
 	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/membership"
 	"medlarwind.dev/medlarwind/internal/wire"
 )
 
@@ -250,6 +249,17 @@
 // Check says what to do with a request that is about to be queued or started.
 // O(targets with running work), for a suspect O(running work).
 func (t *Tracker) Check(fp uint64, now time.Time) Verdict {
+	verdict := t.CheckHere(fp, now)
+	if (verdict == RunAlone || verdict == Wait && !t.unresolved(fp)) && t.Holder(fp) != t.self {
+		return Redirect
+	}
+	return verdict
+}
+
+// CheckHere is Check for a request whose own run broke at this entry: it is tried
+// again here, whichever instance is the holder, since its caller would otherwise
+// lose it. O(running work) for a suspect.
+func (t *Tracker) CheckHere(fp uint64, now time.Time) Verdict {
 	s := t.suspects[fp]
 	switch {
 	case t.unresolved(fp):
@@ -258,8 +268,6 @@
 		return Run
 	case s.refused():
 		return Refuse
-	case t.Holder(fp) != t.self:
-		return Redirect
 	case t.suspectRuns():
 		return Wait
 	}
@@ -299,7 +307,7 @@
 	var holder fleet.InstanceID
 	most := uint64(0)
 	for _, id := range t.visible {
-		w := weight(fp, id)
+		w := membership.Score(fp, membership.Hash(string(id)))
 		if holder == "" || w > most || (w == most && id < holder) {
 			holder, most = id, w
 		}
@@ -307,15 +315,6 @@
 	return holder
 }
 
-func weight(fp uint64, id fleet.InstanceID) uint64 {
-	h := fnv.New64a()
-	var b [8]byte
-	binary.BigEndian.PutUint64(b[:], fp)
-	_, _ = h.Write([]byte(id))
-	_, _ = h.Write(b[:])
-	return h.Sum64()
-}
-
 // advance sets a fingerprint's state and makes room if there are too many.
 func (t *Tracker) advance(fp uint64, s suspect) {
 	if _, ok := t.suspects[fp]; !ok && len(t.suspects) >= t.params.MaxSuspects {
