Test that an owner changes only with the epoch

Each step of the random fault runs now compares the owners of all targets with those derived under the same OwnerEpoch. With the peers left out of the epoch the test fails: an owner changed from one instance to the next within one epoch. go test -count=1 ./internal/limit passes otherwise, 5 s.

--- a/internal/limit/sim_test.go
+++ b/internal/limit/sim_test.go
@@ -68,6 +68,7 @@
 	phase       time.Duration
 	listLag     time.Duration
 	seen        int
+	derived     simOwners
 	unused      []Permit
 	ended       []*simWork
 }
@@ -165,6 +166,7 @@
 func (s *sim) restart(n *simNode) {
 	n.incarnation = fleet.Incarnation(s.rng.Uint64() | 1)
 	n.ledger = New(n.id, n.incarnation, s.params, s.clock(n))
+	n.derived = simOwners{}
 	n.unused, n.ended = nil, nil
 	n.listLag = time.Duration(s.rng.Int64N(int64(simListLag)))
 	for _, t := range s.targets {
@@ -298,6 +300,7 @@
 		n.ledger.Done(&w.permit, now)
 	}
 	n.ended = nil
+	s.checkEpoch(n, now)
 	if s.due(n, simRead) && !s.now.Before(s.readsDown) {
 		s.read(n)
 	}
