Plan demand over the owners of its workload only

Cause: each request, start and tick built a view of all 379 owners, searched all of them for each waiting customer, and compared every peer with every assignment.

Ruled out: planning at most once in 5 ms, which caps the rate but not the cost, and delays a request that comes alone.

Change: Spreader keeps the owners, grouped by workload and place, and takes spare starts as heartbeats bring them; a plan reads them once for each workload. TestSpread sets the owners first, without spare starts, then those, and makes another plan before the one that it checks.

--- a/internal/dispatch/owner_test.go
+++ b/internal/dispatch/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -226,6 +227,15 @@
 	}
 }
 
+// blank returns the owners with nothing to spare yet.
+func blank(owners []OwnerView) []OwnerView {
+	out := slices.Clone(owners)
+	for i := range out {
+		out[i].Workloads = []wire.Spare{{Workload: out[i].Workloads[0].Workload}}
+	}
+	return out
+}
+
 // TestSpread checks that each request is registered with at most Copies owners of
 // the data centre and one further away, that none is told of more than wait, that
 // all requests are covered, and that far owners are asked only when near ones
@@ -250,7 +260,13 @@
 		}
 		d := waiting("x", rapid.IntRange(1, 20).Draw(t, "waiting"), 1, rapid.Int64Range(0, 1000).Draw(t, "wait"))
 		var told [3]int
-		for i, a := range NewSpreader("self", p).Plan([]wire.Demand{d}, owners, 1) {
+		s := NewSpreader("self", p)
+		s.SetOwners(blank(owners))
+		for _, v := range owners {
+			s.SetSpare(v.ID, v.Workloads)
+		}
+		s.Plan([]wire.Demand{d, waiting("y", 3, 1, 1000)}, 0)
+		for i, a := range s.Plan([]wire.Demand{d}, 1) {
 			for _, ad := range a.Demand {
 				told[owners[i].Place] += ad.Waiting
 				if ad.Waiting > d.Waiting {
--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -30,16 +30,6 @@
 	Workloads []wire.Spare
 }
 
-// spare returns the owner's spare starts for a workload and whether it serves it.
-func (v *OwnerView) spare(w fleet.Workload) (int, bool) {
-	for _, s := range v.Workloads {
-		if s.Workload == w {
-			return s.Count, true
-		}
-	}
-	return 0, false
-}
-
 // SpreadParams are the constants of Spread. Zero fields take the defaults.
 type SpreadParams struct {
 	// Copies is the number of owners of the data centre with which each waiting
@@ -75,15 +65,19 @@
 	Demand []wire.Demand
 }
 
-// Spreader plans with which owners an entry registers its demand. It keeps only
-// scratch memory.
+// Spreader plans with which owners an entry registers its demand. It keeps the
+// owners and scratch memory.
 type Spreader struct {
-	params  SpreadParams
-	self    fleet.InstanceID
-	seed    maphash.Seed
-	near    []candidate
-	region  []candidate
-	distant []candidate
+	params SpreadParams
+	self   fleet.InstanceID
+	seed   maphash.Seed
+	owners []OwnerView
+	index  map[fleet.InstanceID]int
+	groups map[fleet.Workload]*group
+	plan   []Assignment
+	// plans counts the calls of Plan.
+	plans uint64
+	near  []candidate
 }
 
 // candidate is an owner that serves the workload at hand.
@@ -94,68 +88,157 @@
 	rank     uint64
 }
 
+// group is the owners that serve one workload, by place; those elsewhere are sorted
+// by distance.
+type group struct {
+	near, region, distant []candidate
+	// planned is the plan for which the spare starts were read.
+	planned uint64
+	// regionFree and distantFree are those with starts to spare.
+	regionFree, distantFree []candidate
+}
+
 // NewSpreader returns a planner for an entry.
 func NewSpreader(self fleet.InstanceID, p SpreadParams) *Spreader {
 	return &Spreader{params: p.withDefaults(), self: self, seed: maphash.MakeSeed()}
 }
 
-// Plan returns one assignment for each owner, in the order of owners. Each waiting
-// request is registered with at most Copies owners of the entry's data centre.
-// When no owner there has a start to spare and the oldest request has waited
-// RegionAfter, or none serves the workload, spare starts of the region's other
-// owners are asked for as well, each request at most once; likewise those of other
-// regions after ElsewhereAfter, nearest first. round changes which owners are
-// asked when there are fewer requests than owners; raise it about once a second.
-// O(demands · owners).
-func (s *Spreader) Plan(ds []wire.Demand, owners []OwnerView, round uint64) []Assignment {
-	plan := make([]Assignment, len(owners))
+// SetOwners replaces the owners. The Spreader keeps the slice and the workloads.
+// O(owners · workloads).
+func (s *Spreader) SetOwners(owners []OwnerView) {
+	s.owners = owners
+	s.index = make(map[fleet.InstanceID]int, len(owners))
+	s.groups = map[fleet.Workload]*group{}
+	s.plan = make([]Assignment, len(owners))
 	for i := range owners {
-		plan[i].Owner = owners[i].ID
-	}
-	for _, d := range ds {
-		s.classify(d, owners, round)
-		s.spreadNear(plan, d)
-		if !s.exhausted(s.near, d, s.params.RegionAfter) {
-			continue
+		s.index[owners[i].ID] = i
+		s.plan[i].Owner = owners[i].ID
+		for _, w := range owners[i].Workloads {
+			s.group(w.Workload).add(candidate{index: i, distance: owners[i].Distance}, owners[i].Place)
 		}
-		s.spreadFar(plan, d, s.region)
-		if s.exhausted(s.region, d, s.params.ElsewhereAfter) {
-			s.spreadFar(plan, d, s.distant)
+	}
+	nearest := func(a, b candidate) int { return cmp.Compare(a.distance, b.distance) }
+	for _, g := range s.groups {
+		slices.SortStableFunc(g.region, nearest)
+		slices.SortStableFunc(g.distant, nearest)
+	}
+}
+
+func (s *Spreader) group(w fleet.Workload) *group {
+	g, ok := s.groups[w]
+	if !ok {
+		g = &group{}
+		s.groups[w] = g
+	}
+	return g
+}
+
+func (g *group) add(c candidate, place Place) {
+	switch place {
+	case PlaceDataCentre:
+		g.near = append(g.near, c)
+	case PlaceRegion:
+		g.region = append(g.region, c)
+	default:
+		g.distant = append(g.distant, c)
+	}
+}
+
+// SetSpare takes the spare starts that an owner told last; a workload that is missing
+// has none. It has no effect for an instance that owns nothing. O(workloads²).
+func (s *Spreader) SetSpare(owner fleet.InstanceID, told []wire.Spare) {
+	i, ok := s.index[owner]
+	if !ok {
+		return
+	}
+	workloads := s.owners[i].Workloads
+	for n := range workloads {
+		workloads[n].Count = spareOf(told, workloads[n].Workload)
+	}
+}
+
+func spareOf(told []wire.Spare, w fleet.Workload) int {
+	for _, t := range told {
+		if t.Workload == w {
+			return t.Count
 		}
 	}
-	return plan
+	return 0
 }
 
-// classify sorts the owners that serve the demand's workload by place.
-func (s *Spreader) classify(d wire.Demand, owners []OwnerView, round uint64) {
-	s.near, s.region, s.distant = s.near[:0], s.region[:0], s.distant[:0]
-	for i := range owners {
-		spare, serves := owners[i].spare(d.Workload)
-		if !serves {
-			continue
+// Plan returns one assignment for each owner, in the order of the owners; the next
+// call uses its memory again. Each waiting request is registered with at most Copies
+// owners of the entry's data centre. When no owner there has a start to spare and the
+// oldest request has waited RegionAfter, or none serves the workload, spare starts of
+// the region's other owners are asked for as well, each request at most once;
+// likewise those of other regions after ElsewhereAfter, nearest first. round changes
+// which owners are asked when there are fewer requests than owners; raise it about
+// once a second. O(owners of the demands' workloads + demands · owners near).
+func (s *Spreader) Plan(ds []wire.Demand, round uint64) []Assignment {
+	s.plans++
+	for i := range s.plan {
+		s.plan[i].Demand = s.plan[i].Demand[:0]
+	}
+	for _, d := range ds {
+		if g, served := s.groups[d.Workload]; served {
+			s.planOne(g, d, round)
 		}
-		c := candidate{index: i, spare: spare, distance: owners[i].Distance}
-		switch owners[i].Place {
-		case PlaceDataCentre:
-			c.rank = s.rank(d, owners[i].ID, round)
-			s.near = append(s.near, c)
-		case PlaceRegion:
-			s.region = append(s.region, c)
-		default:
-			s.distant = append(s.distant, c)
+	}
+	return s.plan
+}
+
+func (s *Spreader) planOne(g *group, d wire.Demand, round uint64) {
+	if g.planned != s.plans {
+		g.planned = s.plans
+		s.readSpare(g, d.Workload)
+	}
+	s.rankNear(g, d, round)
+	s.spreadNear(s.plan, d)
+	if !s.exhausted(len(g.near), s.nearFree(), d, s.params.RegionAfter) {
+		return
+	}
+	s.spreadFar(s.plan, d, g.regionFree)
+	if s.exhausted(len(g.region), len(g.regionFree) > 0, d, s.params.ElsewhereAfter) {
+		s.spreadFar(s.plan, d, g.distantFree)
+	}
+}
+
+// readSpare takes the owners' spare starts into their candidates.
+func (s *Spreader) readSpare(g *group, w fleet.Workload) {
+	for i := range g.near {
+		g.near[i].spare = spareOf(s.owners[g.near[i].index].Workloads, w)
+	}
+	g.regionFree = s.appendFree(g.regionFree[:0], g.region, w)
+	g.distantFree = s.appendFree(g.distantFree[:0], g.distant, w)
+}
+
+func (s *Spreader) appendFree(free, cs []candidate, w fleet.Workload) []candidate {
+	for _, c := range cs {
+		if c.spare = spareOf(s.owners[c.index].Workloads, w); c.spare > 0 {
+			free = append(free, c)
 		}
 	}
+	return free
+}
+
+// rankNear sorts the owners of the data centre for one demand.
+func (s *Spreader) rankNear(g *group, d wire.Demand, round uint64) {
+	s.near = append(s.near[:0], g.near...)
+	for i := range s.near {
+		s.near[i].rank = s.rank(d, s.owners[s.near[i].index].ID, round)
+	}
 	slices.SortFunc(s.near, func(a, b candidate) int {
 		if (a.spare > 0) == (b.spare > 0) {
 			return cmp.Compare(a.rank, b.rank)
 		}
 		return cmp.Compare(b.spare, a.spare)
 	})
-	nearest := func(a, b candidate) int { return cmp.Compare(a.distance, b.distance) }
-	slices.SortStableFunc(s.region, nearest)
-	slices.SortStableFunc(s.distant, nearest)
 }
 
+// nearFree tells whether an owner of the data centre has a start to spare; those
+// come first.
+func (s *Spreader) nearFree() bool { return len(s.near) > 0 && s.near[0].spare > 0 }
+
 // rank is the rendezvous weight of an owner for this entry's demand.
 func (s *Spreader) rank(d wire.Demand, owner fleet.InstanceID, round uint64) uint64 {
 	return maphash.Comparable(s.seed, struct {
@@ -166,16 +249,14 @@
 	}{d.Customer, d.Workload, s.self, owner, round})
 }
 
-// exhausted reports whether none of cs can take the demand now and it has waited
-// long enough to ask further away.
-func (s *Spreader) exhausted(cs []candidate, d wire.Demand, after time.Duration) bool {
-	for _, c := range cs {
-		if c.spare > 0 {
-			return false
-		}
+// exhausted reports whether none of n owners can take the demand now and it has
+// waited long enough to ask further away.
+func (s *Spreader) exhausted(n int, free bool, d wire.Demand, after time.Duration) bool {
+	if free {
+		return false
 	}
 	waited := time.Duration(d.WaitMillis) * time.Millisecond
-	return len(cs) == 0 || waited >= after
+	return n == 0 || waited >= after
 }
 
 // spreadNear divides the waiting requests, Copies times each, over the owners of
@@ -203,9 +284,6 @@
 		if left == 0 || asked == s.params.FarOwners {
 			return
 		}
-		if c.spare <= 0 {
-			continue
-		}
 		share := min(left, c.spare)
 		assign(plan, c.index, d, share)
 		left -= share
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -99,9 +99,11 @@
 	brokenBoots map[fleet.TargetID][]brokenBoot
 	resolvePoll time.Time
 	peers       map[fleet.InstanceID]*peerState
-	waiting     map[uint64]*waiter
-	parked      []*waiter
-	leases      map[*lease]struct{}
+	// registered is the demand of the last plan, by peer.
+	registered map[fleet.InstanceID][]wire.Demand
+	waiting    map[uint64]*waiter
+	parked     []*waiter
+	leases     map[*lease]struct{}
 
 	lastID        uint64
 	selfGrant     uint64
--- a/internal/instance/heartbeat.go
+++ b/internal/instance/heartbeat.go
@@ -1,11 +1,9 @@
 package instance
 
 import (
-	"slices"
 	"time"
 
 	"medlarwind.dev/medlarwind/internal/config"
-	"medlarwind.dev/medlarwind/internal/dispatch"
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/wire"
 )
@@ -130,6 +128,7 @@
 	}
 	p.received = hb.Seq
 	p.spare = hb.Spare
+	c.spreader.SetSpare(e.from.Instance, hb.Spare)
 	c.noteLeaving(p, hb.Leaving)
 	id := e.from.Instance
 	c.ledger.ReceiveHeartbeat(id, hb, now)
@@ -221,70 +220,3 @@
 	}
 	c.quarantine.SetVisible(visible)
 }
-
-// planDemand registers what waits here with owners.
-func (c *core) planDemand(now time.Time) {
-	if !c.demandChanged {
-		return
-	}
-	c.demandChanged = false
-	views := c.ownerViews(now)
-	shared := c.spreader.Plan(c.queue.Demand(now), views, c.spreadRound)
-	alone := c.queue.DemandAlone(now)
-	c.registerSelf(shared, alone, now)
-	for id, p := range c.peers {
-		demand := c.demandFor(id, shared, alone)
-		if !slices.Equal(demand, p.demand) {
-			p.demand = demand
-			p.dirty = true
-		}
-	}
-}
-
-func (c *core) registerSelf(shared []dispatch.Assignment, alone []wire.Demand, now time.Time) {
-	for _, a := range shared {
-		if a.Owner == c.options.self {
-			c.owner.SetDemand(c.options.self, a.Demand, c.selfGrant, now)
-		}
-	}
-	c.owner.SetAloneDemand(c.options.self, alone, now)
-}
-
-// demandFor returns a copy of a peer's part, since a plan's memory is used again.
-func (c *core) demandFor(id fleet.InstanceID, shared []dispatch.Assignment, alone []wire.Demand) []wire.Demand {
-	var demand []wire.Demand
-	for _, a := range shared {
-		if a.Owner == id {
-			demand = append(demand, a.Demand...)
-		}
-	}
-	for _, d := range alone {
-		if c.aloneOwner(d.Workload) == id {
-			d.Alone = true
-			demand = append(demand, d)
-		}
-	}
-	return demand
-}
-
-// aloneOwner is the peer that is asked for a target of a suspect's own when this
-// instance owns none that serves it.
-func (c *core) aloneOwner(workload fleet.Workload) fleet.InstanceID {
-	best := fleet.InstanceID("")
-	for _, v := range c.owners.views {
-		if !viewServes(v, workload) {
-			continue
-		}
-		if v.Owner == c.options.self {
-			return ""
-		}
-		if best == "" {
-			best = v.Owner
-		}
-	}
-	return best
-}
-
-func viewServes(v ownedBy, workload fleet.Workload) bool {
-	return slices.Contains(v.Workloads, workload)
-}
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -71,40 +71,6 @@
 	c.noteTarget(e, before, after)
 }
 
-// ownerViews joins the owners with the spare starts that they last told.
-func (c *core) ownerViews(now time.Time) []dispatch.OwnerView {
-	views := make([]dispatch.OwnerView, 0, len(c.owners.views))
-	for _, v := range c.owners.views {
-		spare := c.spareOf(v.Owner, now)
-		view := dispatch.OwnerView{ID: v.Owner}
-		view.Place, view.Distance = c.placeOf(v.Owner)
-		for _, w := range v.Workloads {
-			view.Workloads = append(view.Workloads, wire.Spare{Workload: w, Count: spareCount(spare, w)})
-		}
-		views = append(views, view)
-	}
-	return views
-}
-
-func (c *core) spareOf(owner fleet.InstanceID, now time.Time) []wire.Spare {
-	if owner == c.options.self {
-		return c.owner.Spare(starts{c}, now)
-	}
-	if p := c.peers[owner]; p != nil {
-		return p.spare
-	}
-	return nil
-}
-
-func spareCount(spare []wire.Spare, w fleet.Workload) int {
-	for _, s := range spare {
-		if s.Workload == w {
-			return s.Count
-		}
-	}
-	return 0
-}
-
 func (c *core) placeOf(owner fleet.InstanceID) (dispatch.Place, time.Duration) {
 	centre := c.options.centre
 	if p := c.peers[owner]; p != nil {
--- a/internal/instance/owners.go
+++ b/internal/instance/owners.go
@@ -5,7 +5,9 @@
 	"slices"
 	"time"
 
+	"medlarwind.dev/medlarwind/internal/dispatch"
 	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/wire"
 )
 
 // ownedBy is an owner with the workloads of its targets.
@@ -46,6 +48,34 @@
 	}
 	slices.Sort(c.owners.owned)
 	slices.SortFunc(c.owners.views, func(a, b ownedBy) int { return cmp.Compare(a.Owner, b.Owner) })
+	c.spreader.SetOwners(c.ownerViews())
+}
+
+// ownerViews joins the owners with their places and the spare starts that they last
+// told.
+func (c *core) ownerViews() []dispatch.OwnerView {
+	views := make([]dispatch.OwnerView, 0, len(c.owners.views))
+	for _, v := range c.owners.views {
+		view := dispatch.OwnerView{ID: v.Owner}
+		view.Place, view.Distance = c.placeOf(v.Owner)
+		for _, w := range v.Workloads {
+			view.Workloads = append(view.Workloads, wire.Spare{Workload: w, Count: c.spareCount(v.Owner, w)})
+		}
+		views = append(views, view)
+	}
+	return views
+}
+
+func (c *core) spareCount(owner fleet.InstanceID, w fleet.Workload) int {
+	p := c.peers[owner]
+	if p == nil {
+		return 0
+	}
+	i := slices.IndexFunc(p.spare, func(s wire.Spare) bool { return s.Workload == w })
+	if i < 0 {
+		return 0
+	}
+	return p.spare[i].Count
 }
 
 // add joins the workloads of one target to its owner's.
