Look at peers only when a heartbeat is due

Cause: after each event the core looked at every peer for a due heartbeat; at the design size that is 379 peers some 2,300 times a second.

Ruled out: a heap of due times, since one comparison is enough while a scan at each due time costs less than the heartbeats that it sends.

Change: the core keeps the earliest time at which any heartbeat may be due; marking a peer moves it forward. The benchmark also takes the expected spread of backlogged customers (design); all of them in one data centre are the size crowded.

--- a/internal/instance/bench_test.go
+++ b/internal/instance/bench_test.go
@@ -32,8 +32,11 @@
 }
 
 var fleetSizes = map[string]fleetSize{
-	"today":  {instances: 6, centres: 3, regions: 3, customers: 15, targets: 23, models: 2, backlogged: 4, requests: 4, changed: 3},
-	"design": {instances: 380, centres: 21, regions: 8, customers: 15_000, targets: 12_000, models: 7, backlogged: 1500, requests: 37, changed: 30},
+	"today": {instances: 6, centres: 3, regions: 3, customers: 15, targets: 23, models: 2, backlogged: 4, requests: 4, changed: 3},
+	// The backlogged customers spread over all data centres, each at three entries.
+	"design": {instances: 380, centres: 21, regions: 8, customers: 15_000, targets: 12_000, models: 7, backlogged: 214, requests: 37, changed: 30},
+	// All backlogged customers in one data centre.
+	"crowded": {instances: 380, centres: 21, regions: 8, customers: 15_000, targets: 12_000, models: 7, backlogged: 1500, requests: 37, changed: 30},
 }
 
 const (
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -115,7 +115,9 @@
 	closed        bool
 	slowTick      time.Time
 	spreadRound   uint64
-	wake          *time.Timer
+	// nextBeat is when a heartbeat may be due next, and wakeAt for when wake is set.
+	nextBeat, wakeAt time.Time
+	wake             *time.Timer
 }
 
 // targetInfo joins the rules and the list for one target.
--- a/internal/instance/demand.go
+++ b/internal/instance/demand.go
@@ -67,7 +67,7 @@
 		return
 	}
 	p.demand = demand
-	p.dirty = true
+	c.mark(p)
 }
 
 // aloneOwner is the peer that is asked for a target of a suspect's own when this
--- a/internal/instance/heartbeat.go
+++ b/internal/instance/heartbeat.go
@@ -39,7 +39,7 @@
 // markPeer makes a peer's next heartbeat due at once.
 func (c *core) markPeer(id fleet.InstanceID) {
 	if p := c.peers[id]; p != nil {
-		p.dirty = true
+		c.mark(p)
 		return
 	}
 	if id == c.options.self {
@@ -49,10 +49,16 @@
 
 func (c *core) markAllPeers() {
 	for _, p := range c.peers {
-		p.dirty = true
+		c.mark(p)
 	}
 }
 
+// mark makes a peer's next heartbeat due as soon as the gap allows.
+func (c *core) mark(p *peerState) {
+	p.dirty = true
+	c.nextBeat = earlier(c.nextBeat, c.heartbeatDue(p))
+}
+
 // spreadSuspects queues new suspects for every peer.
 func (c *core) spreadSuspects() {
 	changed := c.quarantine.Changed()
@@ -62,12 +68,23 @@
 	for _, p := range c.peers {
 		p.suspects = append(p.suspects, changed...)
 		p.suspectsSeq = 0
-		p.dirty = true
+		c.mark(p)
 	}
 }
 
-// sendHeartbeats sends what is due and sets the timer for what is due next.
+// sendHeartbeats sends what is due and sets the timer for what is due next. O(1)
+// while nothing is due, else O(peers).
 func (c *core) sendHeartbeats(now time.Time) {
+	if !c.nextBeat.After(now) {
+		c.sendDue(now)
+	}
+	if c.wakeAt != c.nextBeat {
+		c.wakeAt = c.nextBeat
+		c.wake.Reset(c.nextBeat.Sub(now))
+	}
+}
+
+func (c *core) sendDue(now time.Time) {
 	next := now.Add(c.options.heartbeat)
 	for id, p := range c.peers {
 		if !p.connected {
@@ -79,8 +96,9 @@
 			continue
 		}
 		c.sendHeartbeat(id, p, now)
+		next = earlier(next, c.heartbeatDue(p))
 	}
-	c.wake.Reset(next.Sub(now))
+	c.nextBeat = next
 }
 
 func (c *core) heartbeatDue(p *peerState) time.Time {
@@ -151,7 +169,7 @@
 		p.hello = from
 		p.received = 0
 		p.suspects = c.quarantine.All()
-		p.dirty = true
+		c.mark(p)
 	}
 	return p
 }
@@ -204,7 +222,7 @@
 func (e peerEvent) apply(c *core, _ time.Time) {
 	p := c.peer(e.from)
 	p.connected = e.connected
-	p.dirty = true
+	c.mark(p)
 	c.ownedChanged = true
 	c.notePeer(p)
 	c.updateVisible()
