--- a/internal/instance/bench_test.go
+++ b/internal/instance/bench_test.go
@@ -389,3 +389,45 @@
 		})
 	}
 }
+
+// BenchmarkMemory reports the heap of one core without connections in steady state,
+// with its configuration and list, after a collection.
+func BenchmarkMemory(b *testing.B) {
+	for name, size := range fleetSizes {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				before := heapAfterCollection()
+				w := newBenchCore(b, size)
+				b.ReportMetric(float64(heapAfterCollection()-before)/(1<<20), "heap-MiB")
+				runtime.KeepAlive(w)
+			}
+		})
+	}
+}
+
+func heapAfterCollection() int64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// BenchmarkTakeChange applies one version of the rules, or one version of the list,
+// which the core does not know yet.
+func BenchmarkTakeChange(b *testing.B) {
+	for name, size := range fleetSizes {
+		w := newBenchCore(b, size)
+		b.Run(name+"/rules", func(b *testing.B) {
+			for b.Loop() {
+				w.apply(configEvent{snapshot: w.snapshot})
+			}
+		})
+		b.Run(name+"/list", func(b *testing.B) {
+			for b.Loop() {
+				list := w.list
+				list.Version++
+				w.apply(listEvent{list: list})
+			}
+		})
+	}
+}
--- a/internal/target/bench_test.go
+++ b/internal/target/bench_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -66,3 +68,55 @@
 		}
 	}
 }
+
+// meteredConn counts the bytes of a connection.
+type meteredConn struct {
+	net.Conn
+	sent, received *atomic.Int64
+}
+
+func (c meteredConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+func (c meteredConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkLoad is one load poll over TCP, the engine's part included, with its bytes
+// in the connection.
+func BenchmarkLoad(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	e := standin.NewEngine(standin.EngineOptions{Name: "dc-03-e00417"})
+	defer standin.Serve(l, e)()
+	defer e.Close()
+	var sent, received atomic.Int64
+	c := NewClient(func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		return meteredConn{conn, &sent, &received}, err
+	}, Options{})
+	defer c.Close()
+	b.ReportAllocs()
+	before := processorTime()
+	for b.Loop() {
+		if _, err := c.Load(context.Background(), l.Addr().String()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(processorTime()-before)/float64(b.N)/1e3, "cpu-µs/op")
+	b.ReportMetric(float64(sent.Load())/float64(b.N), "sent-B/op")
+	b.ReportMetric(float64(received.Load())/float64(b.N), "received-B/op")
+}
+
+func processorTime() int64 {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return usage.Utime.Nano() + usage.Stime.Nano()
+}
