--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -226,3 +226,70 @@
 		})
 	}
 }
+
+// BenchmarkMessageBytes reports the frame bytes of successive heartbeats without
+// demand that carry the counters of some of 15,000 customers, and of grants.
+func BenchmarkMessageBytes(b *testing.B) {
+	for _, changed := range []int{0, 4, 16, 64, 256} {
+		b.Run(fmt.Sprintf("heartbeat/changed=%d", changed), func(b *testing.B) {
+			rnd := rand.New(rand.NewPCG(1, 2))
+			hb := wire.Heartbeat{Incarnation: fleet.Incarnation(rnd.Uint64()), EchoIncarnation: fleet.Incarnation(rnd.Uint64()), View: rnd.Uint64(), Lends: true}
+			frameBytes(b, wire.MethodHeartbeat, func() any {
+				hb.Seq, hb.EchoSeq, hb.Service = hb.Seq+1, hb.EchoSeq+1, nil
+				for range changed {
+					id := fleet.CustomerID(fmt.Sprintf("mill-%05d", rnd.IntN(15_000)))
+					hb.Service = append(hb.Service, wire.Service{Incarnation: hb.Incarnation, Customer: id, Total: fleet.Cost(1_000_000 + rnd.IntN(1_000_000))})
+				}
+				return hb
+			})
+		})
+	}
+	for _, digest := range []string{"", "9f8a4c0d77e1b2a39f8a4c0d77e1b2a3"} {
+		b.Run(fmt.Sprintf("heartbeat/digest=%v", digest != ""), func(b *testing.B) {
+			rnd := rand.New(rand.NewPCG(1, 2))
+			hb := wire.Heartbeat{Incarnation: fleet.Incarnation(rnd.Uint64()), EchoIncarnation: fleet.Incarnation(rnd.Uint64()), View: rnd.Uint64(), Lends: true, ConfigDigest: digest}
+			frameBytes(b, wire.MethodHeartbeat, func() any {
+				hb.Seq, hb.EchoSeq = hb.Seq+1, hb.EchoSeq+1
+				if digest != "" {
+					hb.ConfigVersion = 41
+				}
+				return hb
+			})
+		})
+	}
+	b.Run("grant", func(b *testing.B) {
+		rnd := rand.New(rand.NewPCG(1, 2))
+		g := wire.Grant{Incarnation: fleet.Incarnation(rnd.Uint64()), EchoIncarnation: fleet.Incarnation(rnd.Uint64()), Workload: fleet.Workload{Model: "appraise"}, BootID: "e00417-1"}
+		frameBytes(b, wire.MethodGrant, func() any {
+			g.Seq, g.EchoSeq = g.Seq+1, g.EchoSeq+1
+			g.Customer = fleet.CustomerID(fmt.Sprintf("mill-%05d", rnd.IntN(15_000)))
+			g.Target = fleet.TargetID(fmt.Sprintf("dc-03-e%05d", rnd.IntN(32)*380))
+			return g
+		})
+	})
+}
+
+// frameBytes sends successive messages on one connection's codec.
+func frameBytes(b *testing.B, method string, next func() any) {
+	e, err := newEncoder(compressionLevel)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var frame []byte
+	total := 0
+	for b.Loop() {
+		request := &jsonrpc2.Request{Method: method, Notif: true}
+		if err := request.SetParams(next()); err != nil {
+			b.Fatal(err)
+		}
+		text, err := json.Marshal(request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if frame, err = e.appendFrame(frame[:0], text); err != nil {
+			b.Fatal(err)
+		}
+		total += len(frame)
+	}
+	b.ReportMetric(float64(total)/float64(b.N), "wire-B/op")
+}
