Slow down heartbeats between data centres of a wide fleet

Cause: a heartbeat to each of 379 peers every 500 ms is 758 a second each way.

Ruled out: relays, which need a second path for every field; leaving version and digest out, which saves 0.14 bytes since connections compress with their history; the same in small fleets, where an instance may be alone in its data centre and lives by its far peers' heartbeats while the platform is down, and 5 peers cost little.

Change: with more than 32 live instances listed, a peer in another data centre with no demand, grants or work in common is sent a heartbeat every 2 to 2.2 s, and counts as unreachable after 7 s (limit.Params.FarDeadPeer). What has changed is sent as before, but for a new configuration, which is told at once only in the data centre, since each has readers of its own.

--- a/internal/instance/bench_test.go
+++ b/internal/instance/bench_test.go
@@ -43,7 +43,8 @@
 	benchSelf   fleet.InstanceID = "i000"
 	benchSlots                   = 8
 	benchSlice                   = tickInterval
-	chargesEach                  = 15 // 236 tokens of output in steps of chargeStep
+	benchBeat                    = 500 * time.Millisecond // the default setting
+	chargesEach                  = 15                     // 236 tokens of output in steps of chargeStep
 )
 
 // benchPeer stands for one peer: it echoes, lends, and runs what it is granted.
@@ -70,6 +71,7 @@
 	*core
 	size    fleetSize
 	clock   time.Time
+	slices  int
 	peers   []*benchPeer
 	byID    map[fleet.InstanceID]*benchPeer
 	near    int
@@ -143,7 +145,7 @@
 
 // newBenchCore returns a core in steady state: it owns its targets with all units,
 // knows every peer, and has backlogged customers as an entry and as an owner.
-func newBenchCore(b *testing.B, s fleetSize) *benchCore {
+func newBenchCore(b testing.TB, s fleetSize) *benchCore {
 	w := &benchCore{size: s, clock: time.Now(), byID: map[fleet.InstanceID]*benchPeer{}, rng: rand.New(rand.NewPCG(1, 2)),
 		spent: map[string]time.Duration{}, times: map[string]int{}}
 	store := config.NewStore()
@@ -151,7 +153,7 @@
 		b.Fatal(err)
 	}
 	d := &directory{self: benchSelf, centre: benchCentre(0, s), lifetime: time.Second, store: store}
-	w.core = newCore(coreOptions{self: benchSelf, incarnation: 1, centre: d.centre, heartbeat: 250 * time.Millisecond,
+	w.core = newCore(coreOptions{self: benchSelf, incarnation: 1, centre: d.centre, heartbeat: benchBeat,
 		limits: limit.DefaultParams(), queue: dispatch.QueueParams{}, rng: w.rng}, zerolog.Nop(), d, w.clock)
 	w.transport, w.poller, w.watcher = w, w, w
 	w.wake = time.NewTimer(time.Hour)
@@ -251,8 +253,9 @@
 	for slice := range slices {
 		w.clock = w.clock.Add(benchSlice)
 		w.measure("tick", 1, func() { w.tick(w.clock); w.decide(w.clock) })
+		w.slices++
 		for i, p := range w.peers {
-			if (i+slice)%5 == 0 {
+			if (i+w.slices)%int(w.pause(i)/benchSlice) == 0 {
 				beat := heartbeatEvent{from: p.hello, beat: w.beat(p)}
 				w.measure("received", 1, func() { w.apply(beat) })
 			}
@@ -263,6 +266,14 @@
 	w.measure("list", 1, func() { w.apply(listEvent{list: w.list}) })
 }
 
+// pause is the time between two heartbeats of a peer.
+func (w *benchCore) pause(peer int) time.Duration {
+	if w.wide && peer >= w.near {
+		return farInterval
+	}
+	return benchBeat
+}
+
 // beat is a peer's next heartbeat.
 func (w *benchCore) beat(p *benchPeer) *wire.Heartbeat {
 	p.seq++
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -111,10 +111,12 @@
 	ownedChanged  bool
 	settled       bool
 	draining      bool
-	drainBegun    time.Time
-	closed        bool
-	slowTick      time.Time
-	spreadRound   uint64
+	// wide says that heartbeats between data centres are slowed down.
+	wide        bool
+	drainBegun  time.Time
+	closed      bool
+	slowTick    time.Time
+	spreadRound uint64
 	// nextBeat is when a heartbeat may be due next, and wakeAt for when wake is set.
 	nextBeat, wakeAt time.Time
 	wake             *time.Timer
--- a/internal/instance/heartbeat.go
+++ b/internal/instance/heartbeat.go
@@ -14,6 +14,10 @@
 	// this data centre and in another one, when something changed.
 	nearGap = 5 * time.Millisecond
 	farGap  = 50 * time.Millisecond
+	// farInterval and farJitter bound the time between two heartbeats to a peer in
+	// another data centre of a wide fleet with which there is no work in common.
+	farInterval = 2 * time.Second
+	farJitter   = 200 * time.Millisecond
 	// maxServiceEntries bounds the service counters in one heartbeat.
 	maxServiceEntries = 512
 )
@@ -32,8 +36,13 @@
 	// suspects wait until the peer has received the heartbeat suspectsSeq.
 	suspects    []wire.Suspect
 	suspectsSeq uint64
-	dirty       bool
-	sent        time.Time
+	// asks and runs say that the peer's last heartbeat had demand or running work for
+	// this instance, and serves that the last one to it had running work.
+	asks, runs, serves bool
+	// pause is the time to the next heartbeat when there is no work in common.
+	pause time.Duration
+	dirty bool
+	sent  time.Time
 }
 
 // markPeer makes a peer's next heartbeat due at once.
@@ -53,6 +62,16 @@
 	}
 }
 
+// markConfig tells peers of a new configuration: in a wide fleet those of the data
+// centre, since each data centre has readers of its own.
+func (c *core) markConfig() {
+	for _, p := range c.peers {
+		if !c.wide || p.listed.DataCentre == c.options.centre {
+			c.mark(p)
+		}
+	}
+}
+
 // mark makes a peer's next heartbeat due as soon as the gap allows.
 func (c *core) mark(p *peerState) {
 	p.dirty = true
@@ -103,7 +122,7 @@
 
 func (c *core) heartbeatDue(p *peerState) time.Time {
 	if !p.dirty {
-		return p.sent.Add(c.options.heartbeat)
+		return p.sent.Add(c.interval(p))
 	}
 	if p.listed.DataCentre == c.options.centre {
 		return p.sent.Add(nearGap)
@@ -111,6 +130,19 @@
 	return p.sent.Add(farGap)
 }
 
+// interval is the time between two heartbeats to a peer without a change.
+func (c *core) interval(p *peerState) time.Duration {
+	if !c.wide || p.listed.DataCentre == c.options.centre || p.busy() {
+		return c.options.heartbeat
+	}
+	return p.pause
+}
+
+// busy reports whether there are demand, grants or work in common.
+func (p *peerState) busy() bool {
+	return len(p.demand) > 0 || p.asks || p.runs || p.serves
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -135,6 +167,10 @@
 	}
 	p.dirty = false
 	p.sent = now
+	p.serves = len(hb.Running) > 0
+	if c.wide {
+		p.pause = farInterval + time.Duration(c.options.rng.Int64N(int64(farJitter)))
+	}
 	c.transport.SendHeartbeat(id, hb)
 }
 
@@ -147,6 +183,9 @@
 	p.received = hb.Seq
 	p.spare = hb.Spare
 	c.spreader.SetSpare(e.from.Instance, hb.Spare)
+	p.asks = len(hb.Demand) > 0
+	p.runs = len(hb.Running) > 0
+	c.nextBeat = earlier(c.nextBeat, c.heartbeatDue(p))
 	c.noteLeaving(p, hb.Leaving)
 	id := e.from.Instance
 	c.ledger.ReceiveHeartbeat(id, hb, now)
--- a/internal/instance/view.go
+++ b/internal/instance/view.go
@@ -42,6 +42,7 @@
 		p.listed = listed
 	}
 	c.forgetUnlisted()
+	c.wide = membership.Wide(c.list.Instances)
 	c.transport.SetPeers(others)
 	c.watcher.SetList(c.list)
 	c.publishEntries()
@@ -85,7 +86,7 @@
 	c.ledger.SetMembers(c.list.Instances, c.ownerOrder(), now)
 	c.updateTargets(now)
 	c.publishEntries()
-	c.markAllPeers()
+	c.markConfig()
 }
 
 func (askedEvent) apply(c *core, _ time.Time) {
--- a/internal/limit/ledger.go
+++ b/internal/limit/ledger.go
@@ -178,7 +178,15 @@
 		return l.leaving
 	}
 	p, ok := l.peers[id]
-	return !ok || p.leaving || !p.contact.Reachable(l.params.DeadPeer, now)
+	return !ok || p.leaving || !p.contact.Reachable(l.deadPeer(p), now)
+}
+
+// deadPeer returns the silence after which a peer is taken to be unreachable.
+func (l *Ledger) deadPeer(p *peer) time.Duration {
+	if p.dataCentre != l.dataCentre && l.lists.Current().Wide() {
+		return max(l.params.DeadPeer, l.params.FarDeadPeer)
+	}
+	return l.params.DeadPeer
 }
 
 // advance does the housekeeping that is due. It takes O(peers) at most once in
--- a/internal/limit/params.go
+++ b/internal/limit/params.go
@@ -18,6 +18,9 @@
 	Margin time.Duration
 	// DeadPeer is the silence after which a peer is taken to be unreachable.
 	DeadPeer time.Duration
+	// FarDeadPeer is the same for a peer in another data centre of a wide fleet, if it
+	// is longer than DeadPeer.
+	FarDeadPeer time.Duration
 	// CutOff is how long escrow stays usable after the list was last confirmed by
 	// the platform or by a peer with the same list.
 	CutOff time.Duration
@@ -26,12 +29,13 @@
 // DefaultParams returns the durations for a fleet with heartbeats every 250 ms.
 func DefaultParams() Params {
 	p := Params{
-		LoanTime:   2 * time.Second,
-		PermitTime: time.Second,
-		ReportLag:  2 * time.Second,
-		Margin:     250 * time.Millisecond,
-		DeadPeer:   1500 * time.Millisecond,
-		CutOff:     3 * time.Second,
+		LoanTime:    2 * time.Second,
+		PermitTime:  time.Second,
+		ReportLag:   2 * time.Second,
+		Margin:      250 * time.Millisecond,
+		DeadPeer:    1500 * time.Millisecond,
+		FarDeadPeer: 7 * time.Second,
+		CutOff:      3 * time.Second,
 	}
 	p.HoldDown = p.MinHoldDown()
 	return p
--- a/internal/limit/peers.go
+++ b/internal/limit/peers.go
@@ -283,7 +283,7 @@
 
 // checkLost moves the account of an unreachable entry to the lost work.
 func (l *Ledger) checkLost(p *peer, now time.Time) {
-	if p.lost || p.id == l.self || p.contact.Reachable(l.params.DeadPeer, now) {
+	if p.lost || p.id == l.self || p.contact.Reachable(l.deadPeer(p), now) {
 		return
 	}
 	p.lost = true
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -17,6 +17,7 @@
 	members map[fleet.DataCentreID][]fleet.InstanceID
 	views   map[fleet.DataCentreID]View
 	order   OwnerOrder
+	wide    bool
 }
 
 // NewList keeps the live instances.
@@ -25,6 +26,7 @@
 		members: make(map[fleet.DataCentreID][]fleet.InstanceID),
 		views:   make(map[fleet.DataCentreID]View),
 		order:   order,
+		wide:    Wide(instances),
 	}
 	for _, instance := range instances {
 		if instance.State == fleet.StateLive {
@@ -43,6 +45,9 @@
 	return l.members[dataCentre]
 }
 
+// Wide reports whether heartbeats between data centres are slowed down.
+func (l *List) Wide() bool { return l.wide }
+
 // View returns the view of a data centre's instances with nobody skipped.
 func (l *List) View(dataCentre fleet.DataCentreID) View { return l.views[dataCentre] }
 
--- /dev/null
+++ b/internal/membership/wide.go
@@ -0,0 +1,19 @@
+package membership
+
+import "medlarwind.dev/medlarwind/internal/fleet"
+
+// wideFleet is the number of live instances above which peers in other data centres
+// are heard less often, unless there is work in common.
+const wideFleet = 32
+
+// Wide reports whether a list has so many live instances that heartbeats between
+// data centres are slowed down.
+func Wide(instances []fleet.ListedInstance) bool {
+	live := 0
+	for _, instance := range instances {
+		if instance.State == fleet.StateLive {
+			live++
+		}
+	}
+	return live > wideFleet
+}
