Let the age of waiting requests grow without a heartbeat

Cause: the age of the oldest request is part of the demand, so that each plan, at least one in 50 ms with a backlog, made a heartbeat due to every owner that was asked. An owner turns the age into a time of arrival and needs no news of it.

Change: demand that differs only by a greater age marks no peer; the next heartbeat carries it.

Conclusion: counts of waiting requests mark the rest.

--- a/internal/instance/demand.go
+++ b/internal/instance/demand.go
@@ -63,11 +63,22 @@
 
 func (c *core) register(id fleet.InstanceID, demand []wire.Demand) {
 	p := c.peers[id]
-	if p == nil || slices.Equal(demand, p.demand) {
+	if p == nil {
 		return
 	}
+	changed := !slices.EqualFunc(demand, p.demand, sameDemand)
 	p.demand = demand
-	c.mark(p)
+	if changed {
+		c.mark(p)
+	}
+}
+
+// sameDemand reports whether an owner that knows one would decide by the other as
+// well: it lets the age of the oldest request grow by itself.
+func sameDemand(a, b wire.Demand) bool {
+	older := a.WaitMillis >= b.WaitMillis
+	a.WaitMillis = b.WaitMillis
+	return a == b && older
 }
 
 // aloneOwner is the peer that is asked for a target of a suspect's own when this
