--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -86,8 +86,9 @@
 	snapshot *config.Snapshot
 	list     fleet.List
 	targets  map[fleet.TargetID]targetInfo
-	views    []ownedBy
-	polled   map[fleet.TargetID]time.Time
+	// owners is what follows from the targets' owners.
+	owners owners
+	polled map[fleet.TargetID]time.Time
 	// suspended holds owned targets that get no work until a load report asked for
 	// after the given time.
 	suspended map[fleet.TargetID]time.Time
@@ -98,9 +99,11 @@
 	brokenBoots map[fleet.TargetID][]brokenBoot
 	resolvePoll time.Time
 	peers       map[fleet.InstanceID]*peerState
-	waiting     map[uint64]*waiter
-	parked      []*waiter
-	leases      map[*lease]struct{}
+	// registered is the demand of the last plan, by peer.
+	registered map[fleet.InstanceID][]wire.Demand
+	waiting    map[uint64]*waiter
+	parked     []*waiter
+	leases     map[*lease]struct{}
 
 	lastID        uint64
 	selfGrant     uint64
@@ -108,11 +111,15 @@
 	ownedChanged  bool
 	settled       bool
 	draining      bool
-	drainBegun    time.Time
-	closed        bool
-	slowTick      time.Time
-	spreadRound   uint64
-	wake          *time.Timer
+	// wide says that heartbeats between data centres are slowed down.
+	wide        bool
+	drainBegun  time.Time
+	closed      bool
+	slowTick    time.Time
+	spreadRound uint64
+	// nextBeat is when a heartbeat may be due next, and wakeAt for when wake is set.
+	nextBeat, wakeAt time.Time
+	wake             *time.Timer
 }
 
 // targetInfo joins the rules and the list for one target.
