--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -56,7 +56,8 @@
 				TokenTime:  *token,
 			})
 			defer engine.Close()
-			return serveStandin(ctx, *addr, engine, stdout)
+			report := func() any { return EngineReport{Peak: engine.Peak(), Arrivals: engine.Arrivals()} }
+			return serveStandin(ctx, *addr, withReport(engine, report), stdout)
 		},
 	}
 }
@@ -64,13 +65,17 @@
 func standinServiceCommand(stdout, stderr io.Writer) *ffcli.Command {
 	flags := newFlags("medlarwind standin service", stderr)
 	addr := flags.String("addr", "", "IP:PORT to serve on")
+	delay := flags.Duration("delay", 0, "time that a call takes")
 	return &ffcli.Command{
 		Name:       "service",
 		ShortUsage: "medlarwind standin service -addr IP:PORT",
 		ShortHelp:  "run a plain service stand-in",
 		FlagSet:    flags,
 		Exec: func(ctx context.Context, _ []string) error {
-			return serveStandin(ctx, *addr, standin.NewService(), stdout)
+			service := standin.NewService()
+			service.SetDelay(*delay)
+			report := func() any { return ServiceReport{Runs: service.AllRuns()} }
+			return serveStandin(ctx, *addr, withReport(service, report), stdout)
 		},
 	}
 }
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -71,6 +72,12 @@
 	return n
 }
 
+// AllRuns returns how often the call with each id ran.
+func (s *Service) AllRuns() (runs map[string]int) {
+	s.locked(func() { runs = maps.Clone(s.runs) })
+	return runs
+}
+
 // Arrivals returns how many requests for calls began to arrive, whole or not.
 func (s *Service) Arrivals() (n int) {
 	s.locked(func() { n = s.arrivals })
