--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -47,11 +47,11 @@
 func (s *Server) Call(ctx context.Context, req *connect.Request[medlarwindv1.CallRequest]) (*connect.Response[medlarwindv1.CallResponse], error) {
 	customer, outcome := s.authenticate(req.Header())
 	if outcome != nil {
-		return nil, connectError(outcome)
+		return nil, connectError(s.beforeCall(req.Msg.CallId, outcome))
 	}
 	c, outcome := s.newCall(customer, req.Msg)
 	if outcome != nil {
-		return nil, connectError(outcome)
+		return nil, connectError(s.beforeCall(req.Msg.CallId, outcome))
 	}
 	var body []byte
 	if c.rule.Once {
@@ -68,6 +68,21 @@
 	}), nil
 }
 
+// beforeCall is the outcome of a call that was refused before its id was looked up.
+// The refusal says "not run" only if the call cannot have run under its id before.
+func (s *Server) beforeCall(callID string, outcome *OutcomeError) *OutcomeError {
+	id, err := parseCallID(callID)
+	if err != nil {
+		return outcome
+	}
+	s.onceMu.Lock()
+	defer s.onceMu.Unlock()
+	if !s.once.unused(id) {
+		outcome.Kind = Unknown
+	}
+	return outcome
+}
+
 func (s *Server) newCall(customer fleet.CustomerID, m *medlarwindv1.CallRequest) (*plainCall, *OutcomeError) {
 	if len(m.Body) > MaxPromptBytes {
 		return nil, refuse(ReasonBadRequest, 0)
@@ -171,25 +186,24 @@
 // run starts the call on a target, again only where that is proven safe: a call
 // that did not run may start again; one that may have run only if it is repeatable.
 func (c *plainCall) run(ctx context.Context) ([]byte, *OutcomeError) {
-	ran := false
 	pause := unsentPause
 	for attempt := 1; ; attempt++ {
 		c.work.Attempt = attempt
 		lease, outcome := c.server.admission.Admit(ctx, &c.work)
 		if outcome != nil {
-			return nil, c.final(outcome, ran)
+			return nil, c.final(outcome)
 		}
 		body, outcome := c.attempt(ctx, lease)
 		if outcome == nil {
 			return body, nil
 		}
-		ran = ran || outcome.Kind != NotRun
+		c.work.Ran = c.work.Ran || outcome.Kind != NotRun
 		if outcome.Kind == NotRun && waitUnsent(ctx, &pause, c.work.Deadline) {
 			attempt--
 			continue
 		}
 		if ctx.Err() != nil || attempt >= maxAttempts || !c.retryable(outcome) {
-			return nil, c.final(outcome, ran)
+			return nil, c.final(outcome)
 		}
 	}
 }
@@ -206,8 +220,8 @@
 }
 
 // final keeps "not run" honest after an earlier attempt may have run.
-func (c *plainCall) final(outcome *OutcomeError, ran bool) *OutcomeError {
-	if !ran || outcome.Kind != NotRun {
+func (c *plainCall) final(outcome *OutcomeError) *OutcomeError {
+	if !c.work.Ran || outcome.Kind != NotRun {
 		return outcome
 	}
 	changed := *outcome
--- a/internal/instance/view.go
+++ b/internal/instance/view.go
@@ -41,6 +41,8 @@
 		}
 		p.listed = listed
 	}
+	c.forgetUnlisted()
+	c.wide = membership.Wide(c.list.Instances)
 	c.transport.SetPeers(others)
 	c.watcher.SetList(c.list)
 	c.publishEntries()
@@ -49,6 +51,23 @@
 		Int("instances", len(c.list.Instances)).Int("targets", len(c.list.Targets)).Msg("")
 }
 
+// forgetUnlisted drops the states of instances that the list no longer names and
+// that are not connected.
+func (c *core) forgetUnlisted() {
+	listed := make(map[fleet.InstanceID]bool, len(c.list.Instances))
+	for _, l := range c.list.Instances {
+		listed[l.ID] = true
+	}
+	for id, p := range c.peers {
+		if listed[id] || p.connected {
+			continue
+		}
+		delete(c.peers, id)
+		c.accounts.RemovePeer(id)
+		c.owner.RemoveEntry(id)
+	}
+}
+
 func (e configEvent) apply(c *core, now time.Time) {
 	c.noteConfig(e.snapshot)
 	c.snapshot = e.snapshot
@@ -67,7 +86,7 @@
 	c.ledger.SetMembers(c.list.Instances, c.ownerOrder(), now)
 	c.updateTargets(now)
 	c.publishEntries()
-	c.markAllPeers()
+	c.markConfig()
 }
 
 func (askedEvent) apply(c *core, _ time.Time) {
@@ -94,6 +113,7 @@
 		limits = append(limits, ledgerTarget(rule, info.out))
 	}
 	c.ledger.SetTargets(limits, now)
+	c.owners.stale = true
 	c.ownedChanged = true
 	c.demandChanged = true
 }
--- a/internal/limit/report.go
+++ b/internal/limit/report.go
@@ -52,6 +52,7 @@
 	}
 	t.readings = append(t.readings, next)
 	l.settle(t, received)
+	t.considerDrain(received)
 }
 
 // take records the state. A changed boot id starts the warm-up afresh.
@@ -63,6 +64,7 @@
 	if r.State != fleet.TargetReady {
 		s.coldAt = r.Completed
 	}
+	s.coldAt = min(s.coldAt, r.Completed)
 	if !taken.Before(s.broken) {
 		s.broken = time.Time{}
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -67,6 +67,16 @@
 	return l.cause
 }
 
+// drain ends the connection once what is queued was sent, at once before the hello.
+func (l *link) drain() {
+	select {
+	case <-l.opened:
+		l.outbox.drain()
+	default:
+		l.cut(failure(KindClosed, nil))
+	}
+}
+
 // writeLoop is the writing goroutine. It ends with the connection.
 func (l *link) writeLoop() {
 	defer l.t.running.Done()
@@ -198,9 +208,6 @@
 }
 
 func (l *link) handleHello(request *jsonrpc2.Request) error {
-	if l.dialed != "" || l.ready {
-		return failuref(KindMethod, "unexpected hello")
-	}
 	var hello wire.Hello
 	if err := decode(*request.Params, &hello); err != nil {
 		return err
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -9,9 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/jsonrpc2"
 
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/wire"
@@ -24,7 +22,8 @@
 	// StandbyDelay is how long the instance with the larger id waits for the other
 	// to dial.
 	StandbyDelay = time.Second
-	// MaxHandshakes bounds the connections that have not proved who they are.
+	// MaxHandshakes bounds the connections that have not proved who they are, from
+	// listed peers' IP addresses and from all others each.
 	MaxHandshakes = 64
 	// MaxUnansweredCalls bounds the calls to one peer that wait for a reply.
 	MaxUnansweredCalls = 4
@@ -78,7 +77,7 @@
 	Seed uint64
 	// Region gives the region of a data centre, for Counters.
 	Region func(fleet.DataCentreID) fleet.RegionID
-	// Now is the clock, time.Now by default.
+	// Now is the clock, time.Now by default. Deadlines of connections follow from it.
 	Now func() time.Time
 }
 
@@ -118,11 +117,15 @@
 // Transport carries messages to and from peers. It is safe for concurrent use.
 type Transport struct {
 	options Options
+	// strangerLog is the log for what those without a hello cause.
+	strangerLog zerolog.Logger
 	// running counts redial and write goroutines and handshakes.
-	running    sync.WaitGroup
-	ctx        context.Context
-	cancel     context.CancelFunc
-	handshakes chan struct{}
+	running sync.WaitGroup
+	ctx     context.Context
+	cancel  context.CancelFunc
+	// peerHandshakes and otherHandshakes have a slot for each handshake.
+	peerHandshakes  chan struct{}
+	otherHandshakes chan struct{}
 
 	mu        sync.RWMutex
 	closed    bool
@@ -138,14 +141,16 @@
 func New(o Options) *Transport {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Transport{
-		options:    o.withDefaults(),
-		ctx:        ctx,
-		cancel:     cancel,
-		handshakes: make(chan struct{}, MaxHandshakes),
-		listeners:  make(map[net.Listener]struct{}),
-		open:       make(map[*link]struct{}),
-		remotes:    make(map[fleet.InstanceID]*remote),
-		wanted:     make(map[fleet.InstanceID]*wanted),
+		options:         o.withDefaults(),
+		strangerLog:     o.Log.Sample(&zerolog.BurstSampler{Burst: strangerLines, Period: strangerPeriod}),
+		ctx:             ctx,
+		cancel:          cancel,
+		peerHandshakes:  make(chan struct{}, MaxHandshakes),
+		otherHandshakes: make(chan struct{}, MaxHandshakes),
+		listeners:       make(map[net.Listener]struct{}),
+		open:            make(map[*link]struct{}),
+		remotes:         make(map[fleet.InstanceID]*remote),
+		wanted:          make(map[fleet.InstanceID]*wanted),
 	}
 }
 
@@ -164,61 +169,6 @@
 	return l != nil && l.outbox.putGrant(g)
 }
 
-// FetchConfig asks a peer for its configuration and waits for the reply.
-func (t *Transport) FetchConfig(ctx context.Context, to fleet.InstanceID, r *wire.ConfigRequest) (*wire.ConfigReply, error) {
-	l := t.linkTo(to)
-	if l == nil {
-		return nil, &Error{Kind: KindNotConnected, Peer: to}
-	}
-	result := new(wire.ConfigReply)
-	if err := l.call(ctx, wire.MethodConfig, r, result); err != nil {
-		return nil, &Error{Kind: callKind(err), Peer: to, Cause: err}
-	}
-	return result, nil
-}
-
-// call queues a call, waits until it is sent and then for its reply.
-func (l *link) call(ctx context.Context, method string, params, result any) error {
-	if l.unanswered.Add(1) > MaxUnansweredCalls {
-		l.unanswered.Add(-1)
-		return failuref(KindQueueFull, "%d calls without reply", MaxUnansweredCalls)
-	}
-	c := newCall(method, params)
-	if !l.outbox.putControl(c) {
-		l.unanswered.Add(-1)
-		return failure(KindQueueFull, nil)
-	}
-	select {
-	case sent := <-c.sent:
-		if sent.err != nil {
-			l.unanswered.Add(-1)
-			return sent.err
-		}
-		return sent.waiter.Wait(ctx, result)
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-l.rpc.DisconnectNotify():
-		return jsonrpc2.ErrClosed
-	}
-}
-
-// callKind classifies an error of a call.
-func callKind(err error) Kind {
-	var remoteError *jsonrpc2.Error
-	switch {
-	case KindOf(err) != "":
-		return KindOf(err)
-	case errors.As(err, &remoteError):
-		return KindRemote
-	case errors.Is(err, jsonrpc2.ErrClosed):
-		return KindDisconnected
-	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
-		return KindSilent
-	default:
-		return KindMalformed
-	}
-}
-
 // Connected returns the hellos of the connected peers in the order of their ids.
 func (t *Transport) Connected() []wire.Hello {
 	t.mu.RLock()
@@ -269,16 +219,6 @@
 	}
 }
 
-// drain ends the connection once what is queued was sent, at once before the hello.
-func (l *link) drain() {
-	select {
-	case <-l.opened:
-		l.outbox.drain()
-	default:
-		l.cut(failure(KindClosed, nil))
-	}
-}
-
 func (t *Transport) cutAll(cause error) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
