Name instances that do not answer last to callers

Cause: an instance that was stopped by SIGSTOP was still named first to callers by its peers; TestCallersAreNotSentToSilentInstance showed it with real processes. Change: a peer that is not connected, or whose heartbeats stopped for the dead-peer time-out, is named after all others: it may still answer callers, since only the link between the two instances may be cut. The core takes over the transport's connected peers every second, since an event that says so can be lost. Ruled out: leaving it out, which would drop reachable entries in a partition.

--- a/internal/instance/bench_test.go
+++ b/internal/instance/bench_test.go
@@ -97,6 +97,14 @@
 	return true
 }
 
+func (w *benchCore) Connected() []wire.Hello {
+	hellos := make([]wire.Hello, len(w.peers))
+	for i, p := range w.peers {
+		hellos[i] = p.hello
+	}
+	return hellos
+}
+
 func (w *benchCore) SetPeers([]fleet.ListedInstance) {}
 func (w *benchCore) Observe(config.Observation)      {}
 func (w *benchCore) SetList(fleet.List)              {}
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -36,6 +36,7 @@
 	SendHeartbeat(to fleet.InstanceID, hb *wire.Heartbeat) bool
 	SendGrant(to fleet.InstanceID, g *wire.Grant) bool
 	SetPeers(peers []fleet.ListedInstance)
+	Connected() []wire.Hello
 }
 
 // loadPoller asks a target for its load; it never blocks.
@@ -207,6 +208,7 @@
 // tick looks at clocks: deadlines of waiting requests, parked suspects and upkeep.
 func (c *core) tick(now time.Time) {
 	c.expireWaiting(now)
+	c.noticeSilence(now)
 	c.pollBrokenBoots(now)
 	c.recheckParked(now)
 	c.ownedChanged = true
@@ -216,6 +218,7 @@
 	}
 	c.slowTick = now
 	c.spreadRound++
+	c.reconcilePeers()
 	c.owner.Tick()
 	c.quarantine.Expire(now)
 }
--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -15,6 +15,9 @@
 // is kept to this small, stable subset, so that its flood reaches no other entry.
 const locateWidth = 3
 
+// distances is the number of values of directory.distance.
+const distances = 3
+
 // directory answers callers' look-ups from immutable snapshots, which the core
 // publishes. It is safe for concurrent use.
 type directory struct {
@@ -24,7 +27,7 @@
 	lifetime time.Duration
 	store    *config.Store
 	keys     atomic.Pointer[keyIndex]
-	entries  atomic.Pointer[[]fleet.ListedInstance]
+	entries  atomic.Pointer[entryList]
 }
 
 var _ entry.Directory = (*directory)(nil)
@@ -47,8 +50,15 @@
 	d.keys.Store(index)
 }
 
+// entryList is the instances that callers may be sent to. Those in unheard do not
+// answer this instance; they may still answer callers, so they are named last.
+type entryList struct {
+	listed  []fleet.ListedInstance
+	unheard map[fleet.InstanceID]bool
+}
+
 // publishEntries sets the instances that callers may be sent to.
-func (d *directory) publishEntries(entries []fleet.ListedInstance) {
+func (d *directory) publishEntries(entries entryList) {
 	d.entries.Store(&entries)
 }
 
@@ -89,13 +99,14 @@
 func (d *directory) SelfAddress() string { return d.address }
 
 // Locate implements entry.Directory: instances of this data centre first, then of
-// its region, then the others, each group in the customer's rendezvous order.
+// its region, then the others, and last those that do not answer; each group in the
+// customer's rendezvous order.
 func (d *directory) Locate(customer fleet.CustomerID) ([]string, time.Duration) {
 	entries := d.entries.Load()
-	if entries == nil || len(*entries) == 0 {
+	if entries == nil || len(entries.listed) == 0 {
 		return []string{d.address}, d.lifetime
 	}
-	return rankEntries(customer, *entries, d.distance), d.lifetime
+	return rankEntries(customer, entries, d.distance), d.lifetime
 }
 
 // distance is 0 for this data centre, 1 for its region and 2 for other regions.
@@ -116,11 +127,14 @@
 
 // rankEntries returns at most locateWidth addresses. It is pure; the cost is linear
 // in the instances.
-func rankEntries(customer fleet.CustomerID, entries []fleet.ListedInstance, distance func(fleet.DataCentreID) int) []string {
-	byDistance := make([][]fleet.InstanceID, 3)
-	addresses := make(map[fleet.InstanceID]string, len(entries))
-	for _, e := range entries {
+func rankEntries(customer fleet.CustomerID, entries *entryList, distance func(fleet.DataCentreID) int) []string {
+	byDistance := make([][]fleet.InstanceID, distances+1)
+	addresses := make(map[fleet.InstanceID]string, len(entries.listed))
+	for _, e := range entries.listed {
 		d := distance(e.DataCentre)
+		if entries.unheard[e.ID] {
+			d = distances
+		}
 		byDistance[d] = append(byDistance[d], e.ID)
 		addresses[e.ID] = e.CallerAddr
 	}
--- a/internal/instance/heartbeat.go
+++ b/internal/instance/heartbeat.go
@@ -28,6 +28,10 @@
 	hello     wire.Hello
 	connected bool
 	leaving   bool
+	// heard is when the last heartbeat came; silent says that none came for the
+	// dead-peer time-out.
+	heard  time.Time
+	silent bool
 	spare     []wire.Spare
 	// received is the highest heartbeat sequence from hello's incarnation.
 	received uint64
@@ -181,6 +185,7 @@
 		return
 	}
 	p.received = hb.Seq
+	p.heard = now
 	p.spare = hb.Spare
 	c.spreader.SetSpare(e.from.Instance, hb.Spare)
 	p.asks = len(hb.Demand) > 0
@@ -259,12 +264,48 @@
 }
 
 func (e peerEvent) apply(c *core, _ time.Time) {
-	p := c.peer(e.from)
-	p.connected = e.connected
+	c.setConnected(e.from, e.connected)
+}
+
+func (c *core) setConnected(hello wire.Hello, connected bool) {
+	p := c.peer(hello)
+	if p.connected == connected {
+		return
+	}
+	p.connected = connected
 	c.mark(p)
 	c.ownedChanged = true
 	c.notePeer(p)
 	c.updateVisible()
+	c.publishEntries()
+}
+
+// noticeSilence names peers that do not answer last to callers.
+func (c *core) noticeSilence(now time.Time) {
+	changed := false
+	for _, p := range c.peers {
+		silent := now.Sub(p.heard) > c.options.limits.DeadPeer+p.pause
+		changed = changed || silent != p.silent
+		p.silent = silent
+	}
+	if changed {
+		c.publishEntries()
+	}
+}
+
+// reconcilePeers takes over which peers are connected, since an event that says so is
+// lost when the core's channel is full.
+func (c *core) reconcilePeers() {
+	connected := make(map[fleet.InstanceID]bool, len(c.peers))
+	for _, hello := range c.transport.Connected() {
+		connected[hello.Instance] = true
+		c.setConnected(hello, true)
+	}
+	for id, p := range c.peers {
+		if p.connected && !connected[id] {
+			c.setConnected(p.hello, false)
+		}
+	}
 }
 
 // updateVisible tells the quarantine which instances take part.
--- a/internal/instance/status.go
+++ b/internal/instance/status.go
@@ -53,6 +53,7 @@
 }
 
 func (e statusEvent) apply(c *core, now time.Time) {
+	c.noticeSilence(now)
 	s := Status{
 		Instance:    c.options.self,
 		Incarnation: c.options.incarnation.String(),
--- a/internal/instance/view.go
+++ b/internal/instance/view.go
@@ -174,10 +174,15 @@
 // publishEntries tells the directory which instances callers may be sent to: live
 // ones that are not stopping, in data centres that are in service.
 func (c *core) publishEntries() {
-	var entries []fleet.ListedInstance
+	entries := entryList{unheard: make(map[fleet.InstanceID]bool)}
 	for _, listed := range c.list.Instances {
-		if c.takesCallers(listed) {
-			entries = append(entries, listed)
+		if !c.takesCallers(listed) {
+			continue
+		}
+		entries.listed = append(entries.listed, listed)
+		p := c.peers[listed.ID]
+		if listed.ID != c.options.self && (p == nil || !p.connected || p.silent) {
+			entries.unheard[listed.ID] = true
 		}
 	}
 	c.directory.publishEntries(entries)
