--- a/internal/instance/heartbeat.go
+++ b/internal/instance/heartbeat.go
@@ -32,7 +32,7 @@
 	// dead-peer time-out.
 	heard  time.Time
 	silent bool
-	spare     []wire.Spare
+	spare  []wire.Spare
 	// received is the highest heartbeat sequence from hello's incarnation.
 	received uint64
 	// demand is what is registered with this peer as an owner.
