--- a/internal/limit/entry.go
+++ b/internal/limit/entry.go
@@ -1,8 +1,8 @@
 package limit
 
 import (
+	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"medlarwind.dev/medlarwind/internal/fleet"
@@ -18,11 +18,21 @@
 	expires time.Time
 	// used is when the work started; zero before.
 	used time.Time
+	// abandoned is when the work was abandoned; zero before.
+	abandoned time.Time
 	// stated says that the owner is told of it as running work. Until then the owner
 	// counts it as a pending grant.
 	stated bool
 }
 
+// end returns until when the work surely ran, if it is known to run until now.
+func (p *heldPermit) end(now time.Time) time.Time {
+	if p.abandoned.IsZero() {
+		return now
+	}
+	return p.abandoned
+}
+
 // abandonedPermit is counted until a time at which the target must have noticed.
 type abandonedPermit struct {
 	serial uint64
@@ -32,9 +42,8 @@
 // work is this instance's work on one target as an entry.
 type work struct {
 	permits map[uint64]*heldPermit
-	// granted counts the permits by owner, stated those among them that are stated.
+	// granted counts the permits by owner.
 	granted map[fleet.InstanceID]int
-	stated  map[fleet.InstanceID]int
 	// owner is whom this instance takes for the target's owner.
 	owner fleet.InstanceID
 }
@@ -73,7 +82,6 @@
 		w = &work{
 			permits: make(map[uint64]*heldPermit),
 			granted: make(map[fleet.InstanceID]int),
-			stated:  make(map[fleet.InstanceID]int),
 		}
 		e.work[permit.target] = w
 	}
@@ -103,13 +111,9 @@
 	delete(e.permits, serial)
 	w := e.work[permit.target]
 	delete(w.permits, serial)
-	if permit.stated {
-		w.stated[permit.owner]--
-	}
 	w.granted[permit.owner]--
 	if w.granted[permit.owner] == 0 {
 		delete(w.granted, permit.owner)
-		delete(w.stated, permit.owner)
 		if w.owner != permit.owner {
 			delete(e.told[permit.owner], permit.target)
 		}
@@ -134,7 +138,6 @@
 		case !held:
 		case !first.used.IsZero():
 			first.stated = true
-			e.work[first.target].stated[owner]++
 		case now.Before(first.expires):
 			e.open[owner] = open
 			return first.seq - 1, expired
@@ -151,10 +154,7 @@
 // them as pending grants.
 func (e *entry) stateAll(owner fleet.InstanceID) {
 	for _, permit := range e.open[owner] {
-		if _, held := e.permits[permit.serial]; held {
-			permit.stated = true
-			e.work[permit.target].stated[owner]++
-		}
+		permit.stated = true
 	}
 	delete(e.open, owner)
 }
@@ -202,19 +202,31 @@
 	}
 	hb.GrantSeq = seq
 	hb.Running = nil
-	for id := range l.entry.told[p.id] {
-		w := l.entry.work[id]
-		count := w.stated[p.id]
-		if w.owner == p.id {
-			count += len(w.permits) - w.granted[p.id]
+	for _, id := range slices.Sorted(maps.Keys(l.entry.told[p.id])) {
+		running, closing := l.entry.work[id].count(p.id)
+		if running+closing > 0 {
+			hb.Running = append(hb.Running, wire.Running{Target: id, Count: running})
+		}
+		if closing > 0 {
+			hb.Running = append(hb.Running, wire.Running{Target: id, Count: closing})
+		}
+	}
+}
+
+// count returns what an instance is told: the work that runs, or may start, and the
+// abandoned work that may have ended. The latter is told apart by a second entry.
+func (w *work) count(to fleet.InstanceID) (running, closing int) {
+	for _, permit := range w.permits {
+		if permit.owner == to && !permit.stated || permit.owner != to && w.owner != to {
+			continue
 		}
-		if count > 0 {
-			hb.Running = append(hb.Running, wire.Running{Target: id, Count: count})
+		if permit.abandoned.IsZero() {
+			running++
+		} else {
+			closing++
 		}
 	}
-	slices.SortFunc(hb.Running, func(a, b wire.Running) int {
-		return strings.Compare(string(a.Target), string(b.Target))
-	})
+	return running, closing
 }
 
 // dropExpired takes permits that were not used in time out of the accounts.
--- a/internal/limit/grants.go
+++ b/internal/limit/grants.go
@@ -114,7 +114,13 @@
 // must notice.
 func (l *Ledger) Abandon(p *Permit, now time.Time) {
 	l.advance(now)
-	l.entry.abandoned = append(l.entry.abandoned, abandonedPermit{serial: p.serial, until: now.Add(l.params.ReportLag + l.params.Margin)})
+	held, ok := l.entry.permits[p.serial]
+	if !ok || !held.abandoned.IsZero() {
+		return
+	}
+	held.abandoned = now
+	until := now.Add(l.params.ReportLag + l.params.Margin)
+	l.entry.abandoned = append(l.entry.abandoned, abandonedPermit{serial: p.serial, until: until})
 }
 
 // dropAbandoned releases the permits that were abandoned long enough ago.
@@ -139,6 +145,6 @@
 	t := l.target(permit.target)
 	t.add(-1, now)
 	if t.uncertain() > 0 && !permit.used.IsZero() {
-		t.ended = append(t.ended, endedWork{used: permit.used, ended: now})
+		t.ended = append(t.ended, endedWork{used: permit.used, ended: permit.end(now)})
 	}
 }
--- a/internal/limit/ledger.go
+++ b/internal/limit/ledger.go
@@ -62,8 +62,9 @@
 	return l
 }
 
-// SetMembers takes the platform's list. Call it after each successful read, also
-// of an unchanged list, because it confirms the list.
+// SetMembers takes the platform's list. Call it after each successful read, also of
+// an unchanged list, and only then, because it confirms the list. The read must not
+// be older than CutOff.
 func (l *Ledger) SetMembers(instances []fleet.ListedInstance, order OwnerOrder, now time.Time) {
 	l.advance(now)
 	for _, instance := range instances {
@@ -73,22 +74,46 @@
 		l.lists = membership.NewLists(l.params.HoldDown)
 	}
 	l.touch.Read(now)
-	if l.lists.Replace(membership.NewList(instances, order), now) {
-		l.listsChanged(now)
+	l.replaceList(membership.NewList(instances, order), now)
+}
+
+// SetOwnerOrder takes a new owner order for the current list. Unlike SetMembers it
+// does not confirm the list.
+func (l *Ledger) SetOwnerOrder(order OwnerOrder, now time.Time) {
+	l.advance(now)
+	l.replaceList(l.lists.Current().WithOrder(order), now)
+}
+
+// replaceList makes next the current list.
+func (l *Ledger) replaceList(next *membership.List, now time.Time) {
+	former := l.lists.Current()
+	if l.lists.Replace(next, now) {
+		l.listReplaced(former, now)
 	}
 }
 
-// listsChanged drops what was derived from the lists.
-func (l *Ledger) listsChanged(now time.Time) {
+// listReplaced drops what was derived from the list before the current one.
+func (l *Ledger) listReplaced(former *membership.List, now time.Time) {
 	clear(l.decoded)
 	for _, t := range l.targets {
-		t.order = nil
-		t.former = nil
 		t.holdUntil = time.Time{}
+		if !slices.Equal(former.Holders(t.DataCentre), l.lists.Current().Holders(t.DataCentre)) {
+			t.order = nil
+		}
 	}
 	l.updateView(now)
 }
 
+// listsPruned drops what was derived from lists that have left the hold-down.
+func (l *Ledger) listsPruned(now time.Time) {
+	l.settled = now
+	clear(l.decoded)
+	for _, t := range l.targets {
+		t.holdUntil = time.Time{}
+		t.former = nil
+	}
+}
+
 // notePeer records the data centre of a listed instance.
 func (l *Ledger) notePeer(instance fleet.ListedInstance, now time.Time) {
 	if instance.ID == l.self {
@@ -100,7 +125,7 @@
 }
 
 // SetTargets takes the targets and their limits. A target that is missing has
-// limit 0 from then on.
+// limit 0 from then on. It takes O(targets); call it when they change.
 func (l *Ledger) SetTargets(targets []Target, now time.Time) {
 	l.advance(now)
 	for _, t := range l.targets {
@@ -155,12 +180,13 @@
 	return "", false
 }
 
-// Owned returns the targets that this instance owns now, sorted.
+// Owned returns the targets that this instance owns now, sorted. It takes O(targets).
 func (l *Ledger) Owned(now time.Time) []fleet.TargetID {
 	l.advance(now)
 	var owned []fleet.TargetID
+	holds := make(map[fleet.DataCentreID]bool)
 	for id, t := range l.targets {
-		if t.Limit == 0 && t.known == 0 {
+		if t.Limit == 0 && t.known == 0 || !l.holdsIn(t.DataCentre, holds) {
 			continue
 		}
 		if owner, ok := l.owner(t, now); ok && owner == l.self {
@@ -171,6 +197,17 @@
 	return owned
 }
 
+// holdsIn tells whether this instance holds units of a data centre's targets, and
+// remembers the answer in known.
+func (l *Ledger) holdsIn(dataCentre fleet.DataCentreID, known map[fleet.DataCentreID]bool) bool {
+	holds, ok := known[dataCentre]
+	if !ok {
+		holds = slices.Contains(l.lists.Current().Holders(dataCentre), l.self)
+		known[dataCentre] = holds
+	}
+	return holds
+}
+
 // skips tells whether this instance passes over another one as an owner.
 func (l *Ledger) skips(id fleet.InstanceID, now time.Time) bool {
 	if id == l.self {
@@ -189,8 +226,7 @@
 	}
 	l.swept = now
 	if l.lists.Prune(now) {
-		l.settled = now
-		l.listsChanged(now)
+		l.listsPruned(now)
 	}
 	for _, p := range l.peers {
 		l.checkLost(p, now)
--- a/internal/limit/peers.go
+++ b/internal/limit/peers.go
@@ -227,12 +227,19 @@
 	}
 }
 
-// takeState replaces the peer's account as an entry by its new state.
+// takeState replaces the peer's account as an entry by its new state. Of several
+// entries for a target the first is work that surely runs unless it has ended by
+// itself; all of them are counted.
 func (l *Ledger) takeState(p *peer, hb *wire.Heartbeat, now time.Time) {
 	l.recover(p, now)
 	next := make(map[*target]int, len(hb.Running))
-	for _, running := range hb.Running {
-		next[l.target(running.Target)] += max(0, running.Count)
+	running := make(map[*target]int, len(hb.Running))
+	for _, r := range hb.Running {
+		t := l.target(r.Target)
+		if _, ok := next[t]; !ok {
+			running[t] = max(0, r.Count)
+		}
+		next[t] += max(0, r.Count)
 	}
 	for t, count := range p.counts {
 		t.add(-count, now)
@@ -246,13 +253,13 @@
 	if hb.EchoIncarnation == l.incarnation {
 		reflected = hb.GrantSeq
 	}
-	l.sampleState(p, reflected, now)
+	l.sampleState(p, running, reflected, now)
 	l.dropPending(p, reflected, now)
 }
 
 // sampleState keeps the state for the reading of reports on uncertain targets.
-func (l *Ledger) sampleState(p *peer, reflected uint64, now time.Time) {
-	for t, count := range p.counts {
+func (l *Ledger) sampleState(p *peer, running map[*target]int, reflected uint64, now time.Time) {
+	for t, count := range running {
 		if t.uncertain() == 0 {
 			continue
 		}
--- a/internal/limit/samples.go
+++ b/internal/limit/samples.go
@@ -79,7 +79,7 @@
 	count := 0
 	if w, ok := l.entry.work[t.ID]; ok {
 		for _, permit := range w.permits {
-			if !permit.used.IsZero() && !permit.used.After(from) {
+			if !permit.used.IsZero() && !permit.used.After(from) && !permit.end(to).Before(to) {
 				count++
 			}
 		}
--- /dev/null
+++ b/internal/limit/sim_node_test.go
@@ -0,0 +1,132 @@
+package limit
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/wire"
+)
+
+// stepNode does all duties of an instance that are due.
+func (s *sim) stepNode(n *simNode) {
+	now := s.clock(n)
+	for _, w := range n.ended {
+		n.ledger.Done(&w.permit, now)
+	}
+	n.ended = nil
+	s.abandon(n, now)
+	if s.due(n, simRead) && !s.now.Before(s.readsDown) {
+		s.read(n)
+	}
+	if s.due(n, simHeartbeat) {
+		for _, to := range s.nodes {
+			if to != n {
+				hb := &wire.Heartbeat{}
+				n.ledger.FillHeartbeat(to.id, hb, now)
+				s.send(simMessage{from: n, to: to, heartbeat: hb})
+			}
+		}
+	}
+	if s.due(n, simPoll) && !s.now.Before(s.noPoll[n]) {
+		for _, id := range n.ledger.Owned(now) {
+			s.poll(n, id)
+		}
+	}
+	if !s.quiet && !s.idle {
+		s.grant(n, now)
+	}
+	s.use(n, now)
+}
+
+// abandon closes connections; the target notices within ReportLag.
+func (s *sim) abandon(n *simNode, now time.Time) {
+	for _, t := range s.targets {
+		for _, w := range t.running {
+			if w.entry == n && w.incarnation == n.incarnation && !w.abandons && s.rng.IntN(400) == 0 {
+				w.abandons = true
+				w.ends = s.now.Add(time.Duration(s.rng.Int64N(int64(s.params.ReportLag))))
+				n.ledger.Abandon(&w.permit, now)
+			}
+		}
+	}
+}
+
+// read gives a node the newest version that has reached its reader.
+func (s *sim) read(n *simNode) {
+	for i, list := range s.lists {
+		if !list.at.Add(n.listLag).After(s.now) {
+			n.seen = max(n.seen, i)
+		}
+	}
+	var targets []Target
+	for _, t := range s.targets {
+		targets = append(targets, t.Target)
+	}
+	n.ledger.SetMembers(s.lists[n.seen].instances, nil, s.clock(n))
+	n.ledger.SetTargets(targets, s.clock(n))
+}
+
+// poll gives a node a report with figures up to ReportLag and an age old.
+func (s *sim) poll(n *simNode, id fleet.TargetID) {
+	t := s.targets[slices.IndexFunc(s.targets, func(t *simTarget) bool { return t.ID == id })]
+	age := time.Duration(s.rng.Int64N(int64(simMaxAge)))
+	old := age + time.Duration(s.rng.Int64N(int64(s.params.ReportLag)+1))
+	steps := min(int(old/simStep), int(s.now.Sub(t.booted)/simStep), len(t.history)-1)
+	figures := t.history[len(t.history)-1-steps]
+	report := fleet.LoadReport{
+		BootID: fmt.Sprint(t.boot), State: fleet.TargetReady, Completed: figures.completed,
+		Running: figures.running, AgeMillis: age.Milliseconds(),
+	}
+	if figures.cold {
+		report.State = fleet.TargetCold
+	}
+	if s.faults.emptyReports {
+		report.Running = 0
+	}
+	n.ledger.Report(id, report, s.clock(n), s.clock(n))
+}
+
+// grant gives out all that a node may grant, to entries at random.
+func (s *sim) grant(n *simNode, now time.Time) {
+	for _, t := range s.targets {
+		for n.ledger.Available(t.ID, now) > 0 {
+			to := s.nodes[s.rng.IntN(len(s.nodes))]
+			g, ok := n.ledger.Grant(t.ID, to.id, "c", fleet.Workload{Model: "m"}, now)
+			if !ok {
+				break
+			}
+			if to != n {
+				s.send(simMessage{from: n, to: to, grant: &g})
+			} else if permit, err := n.ledger.GrantSelf(&g, now); err == nil {
+				n.unused = append(n.unused, permit)
+			}
+		}
+	}
+}
+
+// use starts, returns or keeps each permit that a node holds.
+func (s *sim) use(n *simNode, now time.Time) {
+	n.unused = slices.DeleteFunc(n.unused, func(permit Permit) bool {
+		if s.rng.Float64() < s.hold && now.Before(permit.Expires) {
+			return false
+		}
+		usable := n.ledger.Usable(&permit, now) || s.faults.uncheckedUse
+		if !usable || s.rng.IntN(8) == 0 {
+			n.ledger.Done(&permit, now)
+			return true
+		}
+		arrives := s.now.Add(time.Duration(s.rng.Int64N(int64(simMaxDial))))
+		length := time.Duration(s.rng.ExpFloat64() * float64(4*time.Second))
+		if s.quiet {
+			length = 0
+		}
+		t := s.targets[slices.IndexFunc(s.targets, func(t *simTarget) bool { return t.ID == permit.Target })]
+		t.running = append(t.running, &simWork{
+			entry: n, incarnation: n.incarnation, permit: permit,
+			arrives: arrives, ends: arrives.Add(length),
+		})
+		return true
+	})
+}
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -38,6 +38,11 @@
 	return l
 }
 
+// WithOrder returns the same live instances with another owner order.
+func (l *List) WithOrder(order OwnerOrder) *List {
+	return &List{members: l.members, views: l.views, order: order}
+}
+
 // Members returns the live instances of a data centre, sorted.
 func (l *List) Members(dataCentre fleet.DataCentreID) []fleet.InstanceID {
 	return l.members[dataCentre]
--- a/internal/membership/rendezvous.go
+++ b/internal/membership/rendezvous.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"medlarwind.dev/medlarwind/internal/fleet"
 )
@@ -32,20 +31,41 @@
 	return mix(key ^ mix(member+goldenStep))
 }
 
+// scored is a member with its score for one key.
+type scored struct {
+	score  uint64
+	member fleet.InstanceID
+}
+
+// before tells whether s ranks before other; equal scores fall back to the names.
+func (s scored) before(other scored) bool {
+	if s.score != other.score {
+		return s.score > other.score
+	}
+	return s.member < other.member
+}
+
 // Rank returns the members in rendezvous order for key. Members keep their relative
 // order when another one joins or goes. It takes O(n log n) for n members.
 func Rank(key string, members []fleet.InstanceID) []fleet.InstanceID {
 	keyHash := Hash(key)
-	ranked := slices.Clone(members)
-	slices.SortFunc(ranked, func(a, b fleet.InstanceID) int {
-		if before(keyHash, a, b) {
+	all := make([]scored, len(members))
+	for i, member := range members {
+		all[i] = scored{score: Score(keyHash, Hash(string(member))), member: member}
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		switch {
+		case a.before(b):
 			return -1
-		}
-		if before(keyHash, b, a) {
+		case b.before(a):
 			return 1
 		}
 		return 0
 	})
+	ranked := make([]fleet.InstanceID, len(all))
+	for i := range all {
+		ranked[i] = all[i].member
+	}
 	return ranked
 }
 
@@ -56,13 +76,14 @@
 		return "", false
 	}
 	keyHash := Hash(key)
-	first := members[0]
+	first := scored{score: Score(keyHash, Hash(string(members[0]))), member: members[0]}
 	for _, member := range members[1:] {
-		if before(keyHash, member, first) {
-			first = member
+		next := scored{score: Score(keyHash, Hash(string(member))), member: member}
+		if next.before(first) {
+			first = next
 		}
 	}
-	return first, true
+	return first.member, true
 }
 
 // Digest returns a digest of a set of instances, whatever their order.
@@ -75,16 +96,6 @@
 	return h
 }
 
-// before tells whether a ranks before b; equal scores fall back to the names.
-func before(keyHash uint64, a, b fleet.InstanceID) bool {
-	scoreA := Score(keyHash, Hash(string(a)))
-	scoreB := Score(keyHash, Hash(string(b)))
-	if scoreA != scoreB {
-		return scoreA > scoreB
-	}
-	return strings.Compare(string(a), string(b)) < 0
-}
-
 // mix is the SplitMix64 finalizer.
 func mix(h uint64) uint64 {
 	h = (h ^ h>>30) * mixFirst
