--- a/client/call.go
+++ b/client/call.go
@@ -33,13 +33,16 @@
 }
 
 // CallID is the right to run one call that may not be repeated, at one instance.
+// Copies share what is known about its use, so an issued value and one built from
+// its texts must not both be used: the former would not know of the latter's uses.
+// One built from texts alone gets no "not run" from a dial that fails.
 type CallID struct {
 	ID      string
 	Address string
 
-	// unsent is true until a connection for the call was made; nil means that this
-	// is not known.
-	unsent *atomic.Bool
+	// sendings counts the uses of the id but for those that are proven to have sent
+	// nothing; nil means that it is not known.
+	sendings *atomic.Int64
 }
 
 // IssueCallID asks an instance for a call id. An id that was not used costs nothing.
@@ -60,36 +63,40 @@
 }
 
 func newCallID(issued *medlarwindv1.IssueCallIDResponse) CallID {
-	id := CallID{ID: issued.CallId, Address: issued.Address, unsent: new(atomic.Bool)}
-	id.unsent.Store(true)
-	return id
+	return CallID{ID: issued.CallId, Address: issued.Address, sendings: new(atomic.Int64)}
 }
 
 // CallOnce runs a call that may not be repeated. It can be called again with the
-// same id: the call runs at most once, and a kept answer is given again. "Not run"
-// speaks of the call, not of this sending of it: a dial that fails after an earlier
-// sending leaves the outcome unknown.
+// same id, also at once: the call runs at most once, and a kept answer is given
+// again. "Not run" speaks of the call, not of this sending of it: a dial that fails
+// after or during another sending leaves the outcome unknown.
 func (c *Client) CallOnce(ctx context.Context, id CallID, service, method string, body []byte) ([]byte, error) {
 	request := &medlarwindv1.CallRequest{Service: service, Method: method, Body: body, CallId: id.ID}
+	id.begin()
 	answer, err := c.callAt(ctx, id.Address, request)
 	var failed *RequestError
-	undialled := errors.As(err, &failed) && failed.Reason == reasonDial
-	if !undialled {
-		id.markSent()
+	if !errors.As(err, &failed) || failed.Reason != reasonDial {
 		return answer, err
 	}
-	if id.unsent == nil || !id.unsent.Load() {
+	if !id.undo() {
 		failed.Kind = Unknown
 	}
 	return nil, failed
 }
 
-func (id CallID) markSent() {
-	if id.unsent != nil {
-		id.unsent.Store(false)
+// begin counts a use of the id.
+func (id CallID) begin() {
+	if id.sendings != nil {
+		id.sendings.Add(1)
 	}
 }
 
+// undo takes back a use that sent nothing; false if another use may have sent the
+// call.
+func (id CallID) undo() bool {
+	return id.sendings != nil && id.sendings.Add(-1) == 0
+}
+
 // callAt sends a call on a connection of its own.
 func (c *Client) callAt(ctx context.Context, address string, r *medlarwindv1.CallRequest) ([]byte, error) {
 	response, err := c.router(c.single, address).Call(ctx, authorized(c, r))
