Let a look at the runs end before the sending that it judges

The two had the same time, so that the check took them as concurrent. The former client, which noted a use only after its answer, fails the test now.

--- a/internal/faults/history_test.go
+++ b/internal/faults/history_test.go
@@ -377,6 +377,7 @@
 		group.Go(func() { h.send(0, c, id, "lot 7", 10*time.Second) })
 		time.Sleep(500 * time.Millisecond)
 		h.look(id)
+		time.Sleep(time.Millisecond)
 		cutOff.Store(true)
 		h.send(1, c, id, "lot 7", 10*time.Second)
 		cutOff.Store(false)
