Tell owners of counts of waiting requests at most five times a second

Cause: each start and each admission changed the counts that are registered with up to ten owners, and marked them all: 290 heartbeats a second to 18 peers.

Ruled out: planning less often, which would also delay the first and the last request; leaving counts out, since an owner divides its free starts by them.

Change: the first and the last waiting request of a customer for a workload still go out at once; a changed count goes with the next heartbeat, at most 200 ms after the last. A grant is answered by a heartbeat as before, so the owner that grants knows.

--- a/internal/instance/demand.go
+++ b/internal/instance/demand.go
@@ -66,13 +66,24 @@
 	if p == nil {
 		return
 	}
-	changed := !slices.EqualFunc(demand, p.demand, sameDemand)
+	former := p.demand
 	p.demand = demand
-	if changed {
+	switch {
+	case !slices.EqualFunc(demand, former, sameWork):
 		c.mark(p)
+	case !slices.EqualFunc(demand, former, sameDemand):
+		p.stale = true
+		c.nextBeat = earlier(c.nextBeat, c.heartbeatDue(p))
 	}
 }
 
+// sameWork reports whether both are of one customer for one workload. An owner that
+// knows of some waiting requests grants them until it is told more, and each grant
+// is answered by a heartbeat; it must know at once of the first and the last.
+func sameWork(a, b wire.Demand) bool {
+	return a.Customer == b.Customer && a.Workload == b.Workload && a.Alone == b.Alone
+}
+
 // sameDemand reports whether an owner that knows one would decide by the other as
 // well: it lets the age of the oldest request grow by itself.
 func sameDemand(a, b wire.Demand) bool {
--- a/internal/instance/heartbeat.go
+++ b/internal/instance/heartbeat.go
@@ -14,6 +14,9 @@
 	// this data centre and in another one, when something changed.
 	nearGap = 5 * time.Millisecond
 	farGap  = 50 * time.Millisecond
+	// staleGap is the longest time from one heartbeat to the next when the counts of
+	// waiting requests changed.
+	staleGap = 200 * time.Millisecond
 	// farInterval and farJitter bound the time between two heartbeats to a peer in
 	// another data centre of a wide fleet with which there is no work in common.
 	farInterval = 2 * time.Second
@@ -41,6 +44,8 @@
 	asks, runs, serves bool
 	// pause is the time to the next heartbeat when there is no work in common.
 	pause time.Duration
+	// stale says that counts of waiting requests have changed, dirty that more has.
+	stale bool
 	dirty bool
 	sent  time.Time
 }
@@ -121,6 +126,9 @@
 }
 
 func (c *core) heartbeatDue(p *peerState) time.Time {
+	if !p.dirty && p.stale {
+		return p.sent.Add(min(staleGap, c.interval(p)))
+	}
 	if !p.dirty {
 		return p.sent.Add(c.interval(p))
 	}
@@ -166,6 +174,7 @@
 		p.suspectsSeq = hb.Seq
 	}
 	p.dirty = false
+	p.stale = false
 	p.sent = now
 	p.serves = len(hb.Running) > 0
 	if c.wide {
--- /dev/null
+++ b/internal/platform/bench_test.go
@@ -0,0 +1,53 @@
+package platform_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"syscall"
+	"testing"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/platform"
+	"medlarwind.dev/medlarwind/internal/standin"
+)
+
+// BenchmarkList reads the list over TCP, the stand-in's part included, with the
+// length of its text.
+func BenchmarkList(b *testing.B) {
+	for name, size := range map[string][2]int{"today": {7, 23}, "design": {380, 12_000}} {
+		b.Run(name, func(b *testing.B) {
+			list := fleet.List{Version: 1}
+			for i := range size[0] {
+				list.Instances = append(list.Instances, fleet.ListedInstance{ID: fleet.InstanceID(fmt.Sprintf("dc-%02d-i%03d", i%21, i)), DataCentre: fleet.DataCentreID(fmt.Sprintf("dc-%02d", i%21)),
+					CallerAddr: fmt.Sprintf("10.0.%d.%d:7100", i/250, i%250), PeerAddr: fmt.Sprintf("10.0.%d.%d:7200", i/250, i%250), State: fleet.StateLive})
+			}
+			for i := range size[1] {
+				list.Targets = append(list.Targets, fleet.ListedTarget{ID: fleet.TargetID(fmt.Sprintf("dc-%02d-e%05d", i%21, i)), DataCentre: fleet.DataCentreID(fmt.Sprintf("dc-%02d", i%21)),
+					Addr: fmt.Sprintf("10.1.%d.%d:8000", i/250, i%250), State: fleet.StateLive})
+			}
+			text, _ := json.Marshal(list)
+			p := standin.NewPlatform(standin.PlatformOptions{})
+			p.SetList(list, 0)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer standin.Serve(l, p)()
+			c := platform.NewClient(l.Addr().String(), (&net.Dialer{}).DialContext)
+			defer c.Close()
+			var before, after syscall.Rusage
+			_ = syscall.Getrusage(syscall.RUSAGE_SELF, &before)
+			for b.Loop() {
+				if _, err := c.List(context.Background()); err != nil {
+					b.Fatal(err)
+				}
+			}
+			_ = syscall.Getrusage(syscall.RUSAGE_SELF, &after)
+			spent := after.Utime.Nano() + after.Stime.Nano() - before.Utime.Nano() - before.Stime.Nano()
+			b.ReportMetric(float64(spent)/float64(b.N)/1e3, "cpu-µs/op")
+			b.ReportMetric(float64(len(text)), "text-B")
+		})
+	}
+}
