Keep abandoned work counted until its target may have noticed

Cause: a slot counted as free as soon as a connection broke or a caller went away, while the target may still have been working for its report's lag. Change: work that broke or was abandoned is ended by limit.Ledger.Abandon; a cancel that the target took ends it at once. The test that breaks a once-call at each byte waits for the slot in between, since the next call may otherwise go to another service and pass the break.

--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -69,8 +69,11 @@
 	EndFailed
 	// EndBroken means that the connection broke with the work running.
 	EndBroken
-	// EndCancelled means that the work was cancelled.
+	// EndCancelled means that the target took the order to stop.
 	EndCancelled
+	// EndAbandoned means that nobody waits for the work, but that the target may not
+	// know yet.
+	EndAbandoned
 )
 
 // String returns the word used in logs.
@@ -86,8 +89,10 @@
 		return "failed"
 	case EndBroken:
 		return "broken"
-	default:
+	case EndCancelled:
 		return "cancelled"
+	default:
+		return "abandoned"
 	}
 }
 
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -245,7 +245,7 @@
 	}
 	outcome := outcomeOf(err)
 	if ctx.Err() != nil && outcome.Kind == Unknown {
-		lease.End(EndCancelled)
+		lease.End(EndAbandoned)
 		return nil, outcome
 	}
 	lease.End(endKind(outcome))
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -194,13 +194,11 @@
 		return nil
 	}
 	if g.ctx.Err() != nil {
-		g.cancelAtTarget(assigned)
-		lease.End(EndCancelled)
+		lease.End(g.cancelAtTarget(assigned))
 		return g.cancelOutcome()
 	}
 	if errors.Is(err, errDiverged) {
-		g.cancelAtTarget(assigned)
-		lease.End(EndCancelled)
+		lease.End(g.cancelAtTarget(assigned))
 		return &OutcomeError{Kind: Failed, Reason: ReasonDiverged, Err: err}
 	}
 	outcome := outcomeOf(err)
@@ -223,10 +221,13 @@
 
 // cancelAtTarget tells the engine to stop; closing the stream alone would leave it
 // running until its next write.
-func (g *generation) cancelAtTarget(assigned Assignment) {
+func (g *generation) cancelAtTarget(assigned Assignment) EndKind {
 	ctx, cancel := context.WithTimeout(g.server.ctx, cancelTimeout)
 	defer cancel()
-	_ = g.server.targets.Cancel(ctx, assigned.Addr, g.answer.id)
+	if g.server.targets.Cancel(ctx, assigned.Addr, g.answer.id) != nil {
+		return EndAbandoned
+	}
+	return EndCancelled
 }
 
 func (g *generation) maxTokens() int64 {
--- a/internal/faults/history_test.go
+++ b/internal/faults/history_test.go
@@ -19,6 +19,7 @@
 
 	"medlarwind.dev/medlarwind/client"
 	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/limit"
 	"medlarwind.dev/medlarwind/internal/localfleet"
 	"medlarwind.dev/medlarwind/internal/memnet"
 	"medlarwind.dev/medlarwind/internal/standin"
@@ -304,6 +305,9 @@
 	}
 	unanswered := 0
 	for at := range length {
+		// The start that the last break took is free again after the report's lag;
+		// before, the call may go to another service.
+		time.Sleep(limit.DefaultParams().ReportLag + time.Second)
 		if _, answered := w.onceBroken(p, at, d); !answered {
 			unanswered++
 		}
--- a/internal/instance/observe.go
+++ b/internal/instance/observe.go
@@ -139,7 +139,7 @@
 		return observe.OutcomeFailed
 	case entry.EndUnused, entry.EndUnreachable:
 		return observe.OutcomeNotRun
-	case entry.EndCancelled:
+	case entry.EndCancelled, entry.EndAbandoned:
 		return observe.OutcomeCut
 	default:
 		return observe.OutcomeUnknown
--- a/internal/instance/requests.go
+++ b/internal/instance/requests.go
@@ -217,6 +217,17 @@
 	return w
 }
 
+// endPermit returns a permit. Work whose target may not know that it ended stays
+// counted for as long as the target may take to notice.
+func (c *core) endPermit(l *lease, kind entry.EndKind, now time.Time) {
+	if l.begun && (kind == entry.EndBroken || kind == entry.EndAbandoned) {
+		c.ledger.Abandon(&l.permit, now)
+		c.markPeer(l.permit.Owner)
+		return
+	}
+	c.returnPermit(&l.permit, now)
+}
+
 func (c *core) returnPermit(p *limit.Permit, now time.Time) {
 	c.ledger.Done(p, now)
 	c.markPeer(p.Owner)
@@ -269,7 +280,7 @@
 		return
 	}
 	delete(c.leases, l)
-	c.returnPermit(&l.permit, now)
+	c.endPermit(l, e.kind, now)
 	if !l.begun {
 		return
 	}
