Register lagging customers with owners in other data centres

Cause: demand left a data centre only for owners with starts to spare, and a saturated fleet has none. Each data centre was fair by itself, but the fleet was not: a customer alone near one data centre got up to twice the service of two that shared another one, without bound. Ruled out: stale counters; virtual times of the same customer differed by less than 1 % between instances. Change: an owner tells the greatest virtual time among the customers that wait there, and an entry registers a customer that is 4,000 cost units behind it there as well after the waits that hold for spare starts, with two such owners of each place.

--- a/internal/dispatch/class.go
+++ b/internal/dispatch/class.go
@@ -26,6 +26,9 @@
 	ungranted int
 	// last is the customer served last.
 	last fleet.CustomerID
+	// ahead is the greatest virtual time over the heap as of aheadAt.
+	ahead   int64
+	aheadAt time.Time
 }
 
 // member is one customer's part in a class.
--- a/internal/dispatch/next.go
+++ b/internal/dispatch/next.go
@@ -190,7 +190,8 @@
 }
 
 // Spare returns, for each workload, how many further requests could start beyond
-// those that wait here already. O(targets + workloads).
+// those that wait here already, and how far the customers that wait have come.
+// O(targets + workloads), and O(members) once in each aheadInterval.
 func (o *Owner) Spare(l Limiter, now time.Time) []wire.Spare {
 	o.refreshTargets(l, now)
 	spares := make([]wire.Spare, 0, len(o.ordered))
@@ -200,8 +201,24 @@
 			free += max(0, o.targets[i].free)
 		}
 		if len(c.targets) > 0 {
-			spares = append(spares, wire.Spare{Workload: c.workload, Count: max(0, free-c.ungranted)})
+			o.refreshAhead(c, now)
+			spares = append(spares, wire.Spare{Workload: c.workload, Count: max(0, free-c.ungranted), Ahead: c.ahead})
 		}
 	}
 	return spares
 }
+
+// aheadInterval is how long the greatest virtual time of a class is kept.
+const aheadInterval = 50 * time.Millisecond
+
+// refreshAhead finds the greatest virtual time among a class's members.
+func (o *Owner) refreshAhead(c *class, now time.Time) {
+	if now.Sub(c.aheadAt) < aheadInterval {
+		return
+	}
+	c.aheadAt = now
+	c.ahead = 0
+	for _, m := range c.heap {
+		c.ahead = max(c.ahead, o.accounts.VirtualTime(m.customer.id))
+	}
+}
--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -30,14 +30,14 @@
 	Workloads []wire.Spare
 }
 
-// spare returns the owner's spare starts for a workload and whether it serves it.
-func (v *OwnerView) spare(w fleet.Workload) (int, bool) {
+// serves returns what the owner told of a workload and whether it serves it.
+func (v *OwnerView) serves(w fleet.Workload) (wire.Spare, bool) {
 	for _, s := range v.Workloads {
 		if s.Workload == w {
-			return s.Count, true
+			return s, true
 		}
 	}
-	return 0, false
+	return wire.Spare{}, false
 }
 
 // SpreadParams are the constants of Spread. Zero fields take the defaults.
@@ -51,6 +51,12 @@
 	// which owners of the region's other data centres, and of other regions, are
 	// asked as well.
 	RegionAfter, ElsewhereAfter time.Duration
+	// FarLag is how far, in cost units for one share, a customer must be behind one
+	// that waits at an owner outside the data centre to be registered there though
+	// that owner has no start to spare.
+	FarLag int64
+	// VirtualTime returns a customer's virtual time; nil registers none by FarLag.
+	VirtualTime func(fleet.CustomerID) int64
 }
 
 // Defaults of SpreadParams.
@@ -59,6 +65,7 @@
 	DefaultFarOwners      = 2
 	DefaultRegionAfter    = 50 * time.Millisecond
 	DefaultElsewhereAfter = 500 * time.Millisecond
+	DefaultFarLag         = 4_000
 )
 
 func (p SpreadParams) withDefaults() SpreadParams {
@@ -66,6 +73,9 @@
 	setDefault(&p.FarOwners, DefaultFarOwners)
 	setDefault(&p.RegionAfter, DefaultRegionAfter)
 	setDefault(&p.ElsewhereAfter, DefaultElsewhereAfter)
+	if p.FarLag <= 0 {
+		p.FarLag = DefaultFarLag
+	}
 	return p
 }
 
@@ -84,12 +94,14 @@
 	near    []candidate
 	region  []candidate
 	distant []candidate
+	lagging []candidate
 }
 
 // candidate is an owner that serves the workload at hand.
 type candidate struct {
 	index    int
 	spare    int
+	ahead    int64
 	distance time.Duration
 	rank     uint64
 }
@@ -106,6 +118,9 @@
 // owners are asked for as well, each request at most once; likewise those of other
 // regions after ElsewhereAfter, nearest first. round changes which owners are
 // asked when there are fewer requests than owners; raise it about once a second.
+// A customer that is FarLag behind one that waits at an owner outside the data
+// centre is registered there too after the same waits, with at most FarOwners of
+// each place, so that data centres do not drift apart in what they serve.
 // O(demands · owners).
 func (s *Spreader) Plan(ds []wire.Demand, owners []OwnerView, round uint64) []Assignment {
 	plan := make([]Assignment, len(owners))
@@ -115,6 +130,8 @@
 	for _, d := range ds {
 		s.classify(d, owners, round)
 		s.spreadNear(plan, d)
+		s.spreadLagging(plan, d, s.region, s.params.RegionAfter)
+		s.spreadLagging(plan, d, s.distant, s.params.ElsewhereAfter)
 		if !s.exhausted(s.near, d, s.params.RegionAfter) {
 			continue
 		}
@@ -130,11 +147,11 @@
 func (s *Spreader) classify(d wire.Demand, owners []OwnerView, round uint64) {
 	s.near, s.region, s.distant = s.near[:0], s.region[:0], s.distant[:0]
 	for i := range owners {
-		spare, serves := owners[i].spare(d.Workload)
+		told, serves := owners[i].serves(d.Workload)
 		if !serves {
 			continue
 		}
-		c := candidate{index: i, spare: spare, distance: owners[i].Distance}
+		c := candidate{index: i, spare: told.Count, ahead: told.Ahead, distance: owners[i].Distance}
 		switch owners[i].Place {
 		case PlaceDataCentre:
 			c.rank = s.rank(d, owners[i].ID, round)
@@ -213,6 +230,27 @@
 	}
 }
 
+// spreadLagging divides the waiting requests over the owners without spare starts at
+// which another customer waits that is FarLag ahead, the furthest ahead first.
+func (s *Spreader) spreadLagging(plan []Assignment, d wire.Demand, cs []candidate, after time.Duration) {
+	waited := time.Duration(d.WaitMillis) * time.Millisecond
+	if s.params.VirtualTime == nil || waited < after {
+		return
+	}
+	mark := s.params.VirtualTime(d.Customer) + s.params.FarLag
+	s.lagging = s.lagging[:0]
+	for _, c := range cs {
+		if c.spare <= 0 && c.ahead > mark {
+			s.lagging = append(s.lagging, c)
+		}
+	}
+	slices.SortStableFunc(s.lagging, func(a, b candidate) int { return cmp.Compare(b.ahead, a.ahead) })
+	n := min(len(s.lagging), s.params.FarOwners)
+	for i, c := range s.lagging[:n] {
+		assign(plan, c.index, d, (d.Waiting+n-1-i)/n)
+	}
+}
+
 func assign(plan []Assignment, owner int, d wire.Demand, waiting int) {
 	if waiting == 0 {
 		return
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -135,7 +135,7 @@
 		ledger:      limit.New(o.self, o.incarnation, o.limits, now),
 		accounts:    accounts,
 		queue:       dispatch.NewQueue(o.queue, nil),
-		spreader:    dispatch.NewSpreader(o.self, dispatch.SpreadParams{}),
+		spreader:    dispatch.NewSpreader(o.self, dispatch.SpreadParams{VirtualTime: accounts.VirtualTime}),
 		owner:       dispatch.NewOwner(accounts, o.policy, nil, o.rng),
 		quarantine:  quarantine.New(o.self, quarantine.Params{}),
 		targets:     make(map[fleet.TargetID]targetInfo),
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -119,7 +119,7 @@
 		view := dispatch.OwnerView{ID: v.Owner}
 		view.Place, view.Distance = c.placeOf(v.Owner)
 		for _, w := range v.Workloads {
-			view.Workloads = append(view.Workloads, wire.Spare{Workload: w, Count: spareCount(spare, w)})
+			view.Workloads = append(view.Workloads, toldSpare(spare, w))
 		}
 		views = append(views, view)
 	}
@@ -136,13 +136,14 @@
 	return nil
 }
 
-func spareCount(spare []wire.Spare, w fleet.Workload) int {
+// toldSpare returns what an owner told of a workload, nothing to spare by default.
+func toldSpare(spare []wire.Spare, w fleet.Workload) wire.Spare {
 	for _, s := range spare {
 		if s.Workload == w {
-			return s.Count
+			return s
 		}
 	}
-	return 0
+	return wire.Spare{Workload: w}
 }
 
 func (c *core) placeOf(owner fleet.InstanceID) (dispatch.Place, time.Duration) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -107,6 +107,9 @@
 type Spare struct {
 	Workload fleet.Workload `json:"w"`
 	Count    int            `json:"c"`
+	// Ahead is the greatest virtual time among the customers that wait for the
+	// workload at the owner, 0 if none waits.
+	Ahead int64 `json:"v,omitempty"`
 }
 
 // Service is one grow-only service counter. Merge keeps the larger value.
