Charge a long request ahead once it has outlived short ones

Cause: a request was charged the customer's mean at its start and the rest as it came. A long one costs seven times the mean over 16 s, so owners went on starting requests of a customer that had already taken more slots than its part, and service swung between 0.1 and 2.5 times the part with the period of the long answers. Ruled out: stale counters (below 1 %), the exchange between data centres (the swing was the same between two customers of one entry). Change: a table of each customer's costs by powers of two; a running request that reaches the next power is charged at once what those that came so far have cost in the mean. Finish still corrects the charge, so totals stay exact. Check on a broken variant: with the charge of what came only, TestLongRequestIsChargedAhead fails.

--- a/internal/fairness/estimate.go
+++ b/internal/fairness/estimate.go
@@ -11,6 +11,8 @@
 	samples int
 	// credit is cost charged in advance that was not used in the end.
 	credit fleet.Cost
+	// survival is nil until a request of the customer has ended here.
+	survival *survival
 }
 
 // Work is the charging state of one request that runs. The entry keeps it from
@@ -20,6 +22,8 @@
 	known    fleet.Cost
 	// charged is what the request was charged, credit included.
 	charged fleet.Cost
+	// level is the highest level of output cost for which it was charged.
+	level int
 }
 
 // Estimate returns the expected cost of a customer's request whose input costs
@@ -51,8 +55,32 @@
 }
 
 // Stream charges what a running request has used beyond its charge; used is its
-// cost so far. O(1).
+// cost so far. A request that reaches a further level of cost is charged at once what
+// the customer's requests that came so far have cost in the mean, since its service
+// goes on for as long as it runs whatever is charged, and owners that learnt of the
+// cost only as it came would meanwhile start too many more. O(1), and
+// O(survivalLevels) once for each level.
 func (a *Accounts) Stream(w *Work, used fleet.Cost) {
+	a.chargeUsed(w, max(used, a.expected(w, used)))
+}
+
+// expected returns the expected cost of a request that has reached a further level,
+// 0 for one that has not.
+func (a *Accounts) expected(w *Work, used fleet.Cost) fleet.Cost {
+	level := levelOf(used - w.known)
+	if level <= w.level {
+		return 0
+	}
+	w.level = level
+	i, ok := a.index[w.customer]
+	if !ok || a.accounts[i].estimate.survival == nil {
+		return 0
+	}
+	return w.known + a.accounts[i].estimate.survival.expect(level)
+}
+
+// chargeUsed charges what is above the charge so far.
+func (a *Accounts) chargeUsed(w *Work, used fleet.Cost) {
 	if used <= w.charged {
 		return
 	}
@@ -64,7 +92,7 @@
 // was charged too much as credit for the customer's next request here, and takes
 // the request into the customer's mean. O(1).
 func (a *Accounts) Finish(w *Work, used fleet.Cost) {
-	a.Stream(w, used)
+	a.chargeUsed(w, used)
 	i, ok := a.index[w.customer]
 	if !ok {
 		return
@@ -79,4 +107,8 @@
 		e.mean += (output - e.mean) / meanWeight
 	}
 	e.samples = min(e.samples+1, meanWeight)
+	if e.survival == nil {
+		e.survival = &survival{}
+	}
+	e.survival.note(output)
 }
