Send no heartbeat for a wait that grew or a long queue that moved

Cause: while anything waited, an entry's plan differed from the one it had told, since it holds the time that the oldest request has waited, and the lengths of full queues move with every arrival. Each difference made a heartbeat due at once, up to 20 a second to every owner. Ruled out: the acknowledgements of grants and the ends of requests, which are about three messages for each request and needed. Change: a plan is compared with what the last heartbeat told; waits do not count, nor does a change by less than a quarter of a queue of 16 or more.

--- a/internal/instance/heartbeat.go
+++ b/internal/instance/heartbeat.go
@@ -16,6 +16,10 @@
 	// this data centre and in another one, when something changed.
 	nearGap = 5 * time.Millisecond
 	farGap  = 50 * time.Millisecond
+	// longQueue is a number of waiting requests from which on a change by less than one
+	// in longQueuePart is not told at once.
+	longQueue     = 16
+	longQueuePart = 4
 	// maxServiceEntries bounds the service counters in one heartbeat.
 	maxServiceEntries = 512
 )
@@ -29,8 +33,10 @@
 	spare     []wire.Spare
 	// received is the highest heartbeat sequence from hello's incarnation.
 	received uint64
-	// demand is what is registered with this peer as an owner.
+	// demand is what is to be registered with this peer as an owner, and told what the
+	// last heartbeat registered.
 	demand []wire.Demand
+	told   []wire.Demand
 	// suspects wait until the peer has received the heartbeat suspectsSeq.
 	suspects    []wire.Suspect
 	suspectsSeq uint64
@@ -118,6 +124,7 @@
 		p.suspectsSeq = hb.Seq
 	}
 	p.dirty = false
+	p.told = p.demand
 	p.sent = now
 	c.transport.SendHeartbeat(id, hb)
 }
@@ -234,13 +241,27 @@
 	c.registerSelf(shared, alone, now)
 	for id, p := range c.peers {
 		demand := c.demandFor(id, shared, alone)
-		if !slices.Equal(demand, p.demand) {
-			p.demand = demand
-			p.dirty = true
-		}
+		p.demand = demand
+		p.dirty = p.dirty || !sameDemand(demand, p.told)
 	}
 }
 
+// sameDemand reports whether an owner that was told b would decide by a as well. Waits
+// grow by themselves, and an owner does not come to the end of a long queue before
+// the next regular heartbeat.
+func sameDemand(a, b []wire.Demand) bool {
+	return slices.EqualFunc(a, b, func(a, b wire.Demand) bool {
+		return a.Customer == b.Customer && a.Workload == b.Workload && a.Alone == b.Alone &&
+			sameCount(a.Waiting, b.Waiting)
+	})
+}
+
+// sameCount reports whether two lengths are equal, or both long and nearly so.
+func sameCount(a, b int) bool {
+	least, most := min(a, b), max(a, b)
+	return least == most || least >= longQueue && most-least <= most/longQueuePart
+}
+
 func (c *core) registerSelf(shared []dispatch.Assignment, alone []wire.Demand, now time.Time) {
 	for _, a := range shared {
 		if a.Owner == c.options.self {
