Write the experiment's results as JSON, table and plots

Change: one command runs the product and three baselines with 7 instances, and the product with 6, 20 and 60, for a seed. A short version with 4 instances checks what must hold in every run: limits, whole answers, nothing new in a data centre 3 s after it was taken out, control traffic, and the gap against the clamp.

--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -1,32 +1,111 @@
-// Package experiment measures the fleet against baselines.
+// Package experiment measures a whole fleet in virtual time: the gap in service
+// between backlogged customers, the use of slots, control traffic, waiting times, and
+// service while a data centre is taken out, each beside baselines.
 package experiment
 
 import (
-	"encoding/json"
 	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
 	"testing"
 	"time"
+
+	"medlarwind.dev/medlarwind/internal/dispatch"
+	"medlarwind.dev/medlarwind/internal/fairness"
+	"medlarwind.dev/medlarwind/internal/report"
+)
+
+var (
+	seedFlag = flag.Uint64("experiment.seed", 0, "seed of the whole experiment; 0 runs the short version only")
+	outFlag  = flag.String("experiment.out", "", "directory for results and plots")
+)
+
+// Goals that users state.
+const (
+	controlGoal = 1900
+	// gapGoal is how often the gap of instances alone must hold the product's.
+	gapGoal         = 10
+	utilisationGoal = 0.97
 )
 
 var (
-	seedFlag = flag.Uint64("experiment.seed", 0, "seed of a whole run; 0 takes the short version")
-	outFlag  = flag.String("experiment.out", "", "directory for the results")
-	onlyFlag = flag.String("experiment.only", "", "variant to run, all if empty")
+	fair       = variant{name: "fair"}
+	alone      = variant{name: "alone", alone: true}
+	roundRobin = variant{name: "round-robin", policy: dispatch.RoundRobin{}}
+	firstCome  = variant{name: "first-come", policy: dispatch.FirstComeFirstServed{}}
 )
 
+// whole returns the scenarios of the whole experiment.
+func whole(seed uint64) []scenario {
+	const warm, steady, outage = 30 * time.Second, 90 * time.Second, 20 * time.Second
+	today := func(v variant) scenario {
+		return scenario{seed: seed, variant: v, centres: []int{3, 2, 2}, engines: 20, warm: warm, steady: steady}
+	}
+	all := []scenario{today(fair), today(alone), today(roundRobin), today(firstCome)}
+	all[0].outage = outage
+	for _, centres := range [][]int{{2, 2, 2}, {7, 7, 6}, {20, 20, 20}} {
+		s := today(fair)
+		s.centres, s.steady = centres, 30*time.Second
+		all = append(all, s)
+	}
+	return all
+}
+
+// TestExperiment runs the whole experiment and writes its results.
 func TestExperiment(t *testing.T) {
-	for _, v := range variants {
-		if *onlyFlag != "" && *onlyFlag != v.name {
-			continue
-		}
-		begun := time.Now()
-		s := scenario{seed: max(1, *seedFlag), variant: v, centres: []int{3, 2, 2}, warm: 30 * time.Second, steady: 60 * time.Second}
-		if v.name == "fair" {
-			s.outage = 0
+	if *seedFlag == 0 {
+		t.Skip("no -experiment.seed")
+	}
+	var mu sync.Mutex
+	var results []report.Result
+	t.Run("runs", func(t *testing.T) {
+		for _, s := range whole(*seedFlag) {
+			t.Run(fmt.Sprintf("%s/%d", s.variant.name, s.instances()), func(t *testing.T) {
+				t.Parallel()
+				r := run(t, s)
+				mu.Lock()
+				defer mu.Unlock()
+				results = append(results, r)
+			})
 		}
-		r := run(t, s)
-		r.Service.Lines = nil
-		data, _ := json.MarshalIndent(r, "", " ")
-		t.Logf("%s took %v\n%s", v.name, time.Since(begun), data)
+	})
+	slices.SortFunc(results, report.Compare)
+	t.Logf("\n%s", report.Table(results))
+	if *outFlag == "" {
+		return
+	}
+	if err := os.MkdirAll(*outFlag, 0o755); err != nil {
+		t.Fatal(err)
+	}
+	if err := report.Write(*outFlag, fmt.Sprintf("seed-%d", *seedFlag), results); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestShortExperiment runs a small fleet for a short time and checks what must hold in
+// every run.
+func TestShortExperiment(t *testing.T) {
+	const seed = 1
+	r := run(t, scenario{
+		seed: seed, variant: fair, centres: []int{2, 1, 1}, engines: 8,
+		warm: 15 * time.Second, steady: 15 * time.Second, outage: 6 * time.Second,
+	})
+	t.Logf("\n%s", report.Table([]report.Result{r}))
+	if r.Counts.Excess > 0 || r.Counts.Overload > 0 {
+		t.Errorf("an engine ran %d requests above its limit; %d were overloaded when cold", r.Counts.Excess, r.Counts.Overload)
+	}
+	if r.Counts.Other > 0 {
+		t.Errorf("%d requests ended neither whole nor refused as not run", r.Counts.Other)
+	}
+	if r.Outage.ArrivalsAfterGoal > 0 {
+		t.Errorf("%d requests reached a data centre later than %s after it was taken out", r.Outage.ArrivalsAfterGoal, outageGoal)
+	}
+	if r.Control.Mean > controlGoal {
+		t.Errorf("an instance sends %.0f B/s to peers, goal %d", r.Control.Mean, controlGoal)
+	}
+	if r.Gap.Worst > float64(fairness.DefaultClamp) {
+		t.Errorf("the gap in service reached %.0f cost units for one share, bound %d", r.Gap.Worst, fairness.DefaultClamp)
 	}
 }
--- a/internal/experiment/figures_test.go
+++ b/internal/experiment/figures_test.go
@@ -46,6 +46,7 @@
 			r.Counts.Unfinished++
 		default:
 			r.Counts.Other++
+			w.t.Logf("%s: sent %s into the run, ended after %s: %v", q.prompt, q.sent.Sub(c.samples[0].at), q.ended.Sub(q.sent), q.failure)
 		}
 	}
 	if s.outage > 0 {
@@ -272,6 +273,7 @@
 		}
 	}
 	o.FullAgain = w.fullAgain(c)
+	w.nearService(c, &o)
 	return &o
 }
 
@@ -294,3 +296,48 @@
 	}
 	return -1
 }
+
+// nearService fills in the service of customers that call near the data centre, in
+// each second of its absence, as a part of what they had before times the share of
+// engines that are left.
+func (w *world) nearService(c *course, o *report.Outage) {
+	const second = int(time.Second / sampleStep)
+	before, during := c.between(c.begin, c.out), c.between(c.out, c.back)
+	left := 0.0
+	for _, e := range w.fleet.Engines {
+		if e.DataCentre != centreID(outIndex) {
+			left += 1 / float64(len(w.fleet.Engines))
+		}
+	}
+	mean := w.nearGot(c, before) / float64(before.to-before.from) * float64(second)
+	low := during.from
+	o.ServiceLow = -1
+	for k := during.from; k+second < during.to; k++ {
+		part := w.nearGot(c, span{k, k + second}) / (mean * left)
+		if o.ServiceLow < 0 || part < o.ServiceLow {
+			o.ServiceLow, low = part, k
+		}
+	}
+	o.ServiceBack = -1
+	for k := low; k+second < during.to; k++ {
+		if w.nearGot(c, span{k, k + second}) >= serviceBack*mean*left {
+			o.ServiceBack = c.samples[k].at.Sub(c.out).Seconds()
+			return
+		}
+	}
+}
+
+// serviceBack is the part of their former service at which customers are served again.
+const serviceBack = 0.9
+
+// nearGot is the service of customers that call near the data centre within a span.
+func (w *world) nearGot(c *course, s span) float64 {
+	got := int64(0)
+	last := min(s.to, len(c.samples)-1)
+	for i, customer := range w.customers {
+		if customer.homes[0] == outIndex {
+			got += c.samples[last].service[i] - c.samples[s.from].service[i]
+		}
+	}
+	return float64(got)
+}
--- a/internal/experiment/load_test.go
+++ b/internal/experiment/load_test.go
@@ -38,7 +38,8 @@
 	tokens   int64
 	whole    bool
 	refused  bool
-	reason   string
+	// failure is why it ended neither whole nor refused.
+	failure error
 }
 
 // records collects requests, and the service of each customer so far.
@@ -51,7 +52,7 @@
 // startLoad begins all callers; they end with ctx.
 func (w *world) startLoad(ctx context.Context, group *sync.WaitGroup) {
 	w.records.service = make([]atomic.Int64, len(w.customers))
-	capacity := float64(engines*engineLimit) / tokenTime.Seconds()
+	capacity := float64(w.scenario.engines*engineLimit) / tokenTime.Seconds()
 	for i, c := range w.customers {
 		clients := make([]*client.Client, len(c.homes))
 		for j, home := range c.homes {
@@ -173,7 +174,8 @@
 		}
 	case errors.As(err, &failed) && failed.Kind == client.NotRun:
 		r.refused = true
-		r.reason = failed.Reason
+	default:
+		r.failure = err
 	}
 }
 
--- a/internal/experiment/run_test.go
+++ b/internal/experiment/run_test.go
@@ -66,7 +66,6 @@
 	loaded, stop := context.WithCancel(ctx)
 	var group, watchers sync.WaitGroup
 	watched, stopWatch := context.WithCancel(ctx)
-	w.began = time.Now()
 	w.startLoad(loaded, &group)
 	watchers.Go(func() { w.watch(watched, c) })
 	time.Sleep(w.scenario.warm)
--- a/internal/experiment/world_test.go
+++ b/internal/experiment/world_test.go
@@ -47,19 +47,13 @@
 	alone  bool
 }
 
-var variants = []variant{
-	{name: "fair"},
-	{name: "alone", alone: true},
-	{name: "round-robin", policy: dispatch.RoundRobin{}},
-	{name: "first-come", policy: dispatch.FirstComeFirstServed{}},
-}
-
 // scenario is one run.
 type scenario struct {
 	seed    uint64
 	variant variant
 	// centres holds the instances of each data centre.
 	centres []int
+	engines int
 	warm    time.Duration
 	steady  time.Duration
 	// outage is how long a data centre is out after the steady phase, 0 for never.
@@ -133,12 +127,9 @@
 	region    map[string]fleet.RegionID
 	centre    map[string]fleet.DataCentreID
 	records   records
-	began     time.Time
 	clients   []*client.Client
 }
 
-const engines = 20
-
 func newWorld(t *testing.T, ctx context.Context, s scenario) *world {
 	w := &world{
 		t: t, scenario: s,
@@ -164,7 +155,7 @@
 	for i, n := range s.centres {
 		d := localfleet.DataCentre{
 			ID: centreID(i), Region: fleet.RegionID(fmt.Sprintf("region-%d", i%3+1)), Instances: n,
-			Engines: (engines + len(s.centres) - 1 - i) / len(s.centres),
+			Engines: (s.engines + len(s.centres) - 1 - i) / len(s.centres),
 		}
 		if i < 3 {
 			d.Services = 1
--- /dev/null
+++ b/internal/report/plot.go
@@ -0,0 +1,99 @@
+package report
+
+import (
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Size of a plot.
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+)
+
+// plotAll writes the plots of one experiment.
+func plotAll(path string, results []Result) error {
+	for _, r := range results {
+		if r.Outage != nil || r.Variant == "alone" {
+			if err := plotService(path+"-service-"+r.Variant+".png", r); err != nil {
+				return err
+			}
+		}
+	}
+	return plotControl(path+"-control.png", results)
+}
+
+// plotService plots the course of the service of large customers.
+func plotService(file string, r Result) error {
+	p := plot.New()
+	p.Title.Text = r.Variant + ": service of large customers for one share"
+	p.X.Label.Text = "s"
+	p.Y.Label.Text = "cost units a second"
+	for i, line := range r.Service.Lines {
+		if !strings.HasPrefix(line.Name, "large") {
+			continue
+		}
+		points := make(plotter.XYs, len(line.Values))
+		for k, v := range line.Values {
+			points[k] = plotter.XY{X: float64(k+1) * r.Service.StepSeconds, Y: v}
+		}
+		if err := addLine(p, i, line.Name, points); err != nil {
+			return err
+		}
+	}
+	for _, mark := range r.Service.Marks {
+		top := plotter.XYs{{X: mark.At, Y: 0}, {X: mark.At, Y: p.Y.Max}}
+		if err := addLine(p, len(r.Service.Lines), "", top); err != nil {
+			return err
+		}
+	}
+	p.Y.Min = 0
+	p.Legend.Top = true
+	return p.Save(plotWidth, plotHeight, file)
+}
+
+// plotControl plots the control traffic of an instance over the number of instances.
+func plotControl(file string, results []Result) error {
+	p := plot.New()
+	p.Title.Text = "control traffic sent by one instance"
+	p.X.Label.Text = "instances"
+	p.Y.Label.Text = "bytes a second"
+	var mean, most, far plotter.XYs
+	for _, r := range results {
+		if r.Variant != "fair" {
+			continue
+		}
+		x := float64(r.Instances)
+		mean = append(mean, plotter.XY{X: x, Y: r.Control.Mean})
+		most = append(most, plotter.XY{X: x, Y: r.Control.Max})
+		far = append(far, plotter.XY{X: x, Y: r.Control.CrossRegion})
+	}
+	names := []string{"mean", "busiest instance", "mean between regions"}
+	for i, points := range []plotter.XYs{mean, most, far} {
+		if err := addLine(p, i, names[i], points); err != nil {
+			return err
+		}
+	}
+	p.Y.Min = 0
+	p.Legend.Top = true
+	p.Legend.Left = true
+	return p.Save(plotWidth, plotHeight, file)
+}
+
+// addLine adds a line in the colour of its number, with a legend if it has a name.
+func addLine(p *plot.Plot, number int, name string, points plotter.XYs) error {
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return err
+	}
+	line.Color = plotutil.Color(number)
+	p.Add(line)
+	if name != "" {
+		p.Legend.Add(name, line)
+	}
+	return nil
+}
--- a/internal/report/result.go
+++ b/internal/report/result.go
@@ -3,11 +3,14 @@
 package report
 
 import (
+	"cmp"
 	"encoding/json"
 	"os"
 	"path/filepath"
 	"slices"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Result is one run of one variant.
@@ -87,9 +90,11 @@
 	ArrivalsAfterGoal int `json:"arrivals_after_goal"`
 	// Cut counts requests that ended other than whole or refused as not run.
 	Cut int `json:"cut"`
-	// ServiceLow is the least service of the callers near the data centre in one second
-	// of the absence, as a share of their part of the remaining capacity.
-	ServiceLow float64 `json:"service_low"`
+	// ServiceLow is the least service of the customers near the data centre in a second
+	// of the absence, as a part of what they had before times the share of engines that
+	// are left, and ServiceBack the time until it was 0.9 again, -1 for never.
+	ServiceLow  float64 `json:"service_low"`
+	ServiceBack float64 `json:"service_back"`
 	// FirstArrival and FullAgain are the times from publishing the return to the first
 	// new request there and until 9 of 10 of its slots are busy.
 	FirstArrival float64 `json:"first_arrival"`
@@ -152,11 +157,20 @@
 	return quantile(values, q)
 }
 
-// WriteJSON writes v to a file of the directory.
-func WriteJSON(dir, name string, v any) error {
-	data, err := json.MarshalIndent(v, "", " ")
+// Compare orders results by variant and size.
+func Compare(a, b Result) int {
+	return cmp.Or(cmp.Compare(a.Variant, b.Variant), cmp.Compare(a.Instances, b.Instances))
+}
+
+// Write writes the results to NAME.json and plots them to NAME-*.png in a directory.
+func Write(dir, name string, results []Result) error {
+	data, err := json.Marshal(results)
 	if err != nil {
-		return err
+		return errors.Wrap(err, name)
+	}
+	path := filepath.Join(dir, name)
+	if err := os.WriteFile(path+".json", append(data, '\n'), 0o644); err != nil {
+		return errors.Wrap(err, name)
 	}
-	return os.WriteFile(filepath.Join(dir, name), append(data, '\n'), 0o644)
+	return errors.Wrap(plotAll(path, results), name)
 }
--- /dev/null
+++ b/internal/report/table.go
@@ -0,0 +1,68 @@
+package report
+
+import (
+	"fmt"
+	"strings"
+)
+
+// column is one column of the table.
+type column struct {
+	name  string
+	value func(r Result) string
+}
+
+var columns = []column{
+	{"variant", func(r Result) string { return r.Variant }},
+	{"instances", func(r Result) string { return fmt.Sprint(r.Instances) }},
+	{"seed", func(r Result) string { return fmt.Sprint(r.Seed) }},
+	{"gap, any window", func(r Result) string { return fmt.Sprintf("%.0f", r.Gap.Worst) }},
+	{"gap, 10 s: max / p95", func(r Result) string { return fmt.Sprintf("%.0f / %.0f", r.Gap.Max, r.Gap.P95) }},
+	{"of one share: max / p95", func(r Result) string { return fmt.Sprintf("%.2f / %.2f", r.Gap.MaxFraction, r.Gap.P95Fraction) }},
+	{"utilisation", func(r Result) string { return fmt.Sprintf("%.1f %%", 100*r.Utilisation.Busy) }},
+	{"control B/s: mean / busiest", func(r Result) string { return fmt.Sprintf("%.0f / %.0f", r.Control.Mean, r.Control.Max) }},
+	{"data centre / region / cross-region", func(r Result) string {
+		return fmt.Sprintf("%.0f / %.0f / %.0f", r.Control.DataCentre, r.Control.Region, r.Control.CrossRegion)
+	}},
+	{"small: waiting p50 / p95 / p99 s", func(r Result) string { return r.Small.Waiting.String() }},
+	{"small: first token s", func(r Result) string { return r.Small.FirstToken.String() }},
+	{"large: waiting s", func(r Result) string { return r.Large.Waiting.String() }},
+	{"between tokens p95 ms", func(r Result) string { return fmt.Sprintf("%.1f", 1000*r.Large.BetweenTokens.P95) }},
+	{"above limit / cold overloads / cut", func(r Result) string {
+		return fmt.Sprintf("%d / %d / %d", r.Counts.Excess, r.Counts.Overload, r.Counts.Other)
+	}},
+	{"out: last arrival / late / least service / back s", func(r Result) string {
+		if r.Outage == nil {
+			return ""
+		}
+		o := r.Outage
+		return fmt.Sprintf("%.2f / %d / %.2f / %.1f", o.LastArrival, o.ArrivalsAfterGoal, o.ServiceLow, o.ServiceBack)
+	}},
+	{"returned: first arrival / full s", func(r Result) string {
+		if r.Outage == nil {
+			return ""
+		}
+		return fmt.Sprintf("%.2f / %.1f", r.Outage.FirstArrival, r.Outage.FullAgain)
+	}},
+}
+
+// String returns the quantiles in seconds.
+func (q Quantiles) String() string {
+	return fmt.Sprintf("%.2f / %.2f / %.2f", q.P50, q.P95, q.P99)
+}
+
+// Table returns the results as a Markdown table, one figure in each row and one run
+// in each column.
+func Table(results []Result) string {
+	var b strings.Builder
+	for i, c := range columns {
+		b.WriteString("| " + c.name + " |")
+		for _, r := range results {
+			b.WriteString(" " + c.value(r) + " |")
+		}
+		b.WriteByte('\n')
+		if i == 0 {
+			b.WriteString(strings.Repeat("|---", len(results)+1) + "|\n")
+		}
+	}
+	return b.String()
+}
