Tell other data centres of changes after 20 ms in place of 50 ms

Cause: the end of a request between regions waited for the next heartbeat to its target's owner, 25 ms on average of the 150 ms for which the slot stays empty. Ruled out: new connections; 585 dials for 8,928 requests. Change: the shortest time between two heartbeats to a peer in another data centre is 20 ms.

--- a/internal/instance/heartbeat.go
+++ b/internal/instance/heartbeat.go
@@ -15,7 +15,7 @@
 	// nearGap and farGap are the shortest times between two heartbeats to a peer in
 	// this data centre and in another one, when something changed.
 	nearGap = 5 * time.Millisecond
-	farGap  = 50 * time.Millisecond
+	farGap  = 20 * time.Millisecond
 	// longQueue is a number of waiting requests from which on a change by less than one
 	// in longQueuePart is not told at once.
 	longQueue     = 16
