--- a/internal/dispatch/spread_test.go
+++ b/internal/dispatch/spread_test.go
@@ -36,7 +36,8 @@
 		s := NewSpreader("self", SpreadParams{VirtualTime: func(fleet.CustomerID) int64 { return own }})
 		d := wire.Demand{Customer: "a", Workload: model(0), Waiting: 7, WaitMillis: c.wait.Milliseconds()}
 		got := far{}
-		for _, a := range s.Plan([]wire.Demand{d}, owners, 1) {
+		s.SetOwners(owners)
+		for _, a := range s.Plan([]wire.Demand{d}, 1) {
 			if a.Owner != "near" && len(a.Demand) > 0 {
 				got[a.Owner] = a.Demand[0].Waiting
 			}
--- a/internal/instance/heartbeat.go
+++ b/internal/instance/heartbeat.go
@@ -1,11 +1,9 @@
 package instance
 
 import (
-	"slices"
 	"time"
 
 	"medlarwind.dev/medlarwind/internal/config"
-	"medlarwind.dev/medlarwind/internal/dispatch"
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/wire"
 )
@@ -16,10 +14,10 @@
 	// this data centre and in another one, when something changed.
 	nearGap = 5 * time.Millisecond
 	farGap  = 20 * time.Millisecond
-	// longQueue is a number of waiting requests from which on a change by less than one
-	// in longQueuePart is not told at once.
-	longQueue     = 16
-	longQueuePart = 4
+	// farInterval and farJitter bound the time between two heartbeats to a peer in
+	// another data centre of a wide fleet with which there is no work in common.
+	farInterval = 2 * time.Second
+	farJitter   = 200 * time.Millisecond
 	// maxServiceEntries bounds the service counters in one heartbeat.
 	maxServiceEntries = 512
 )
@@ -33,21 +31,26 @@
 	spare     []wire.Spare
 	// received is the highest heartbeat sequence from hello's incarnation.
 	received uint64
-	// demand is what is to be registered with this peer as an owner, and told what the
-	// last heartbeat registered.
+	// demand is what is registered with this peer as an owner.
 	demand []wire.Demand
-	told   []wire.Demand
+	// told is what the last heartbeat registered.
+	told []wire.Demand
 	// suspects wait until the peer has received the heartbeat suspectsSeq.
 	suspects    []wire.Suspect
 	suspectsSeq uint64
-	dirty       bool
-	sent        time.Time
+	// asks and runs say that the peer's last heartbeat had demand or running work for
+	// this instance, and serves that the last one to it had running work.
+	asks, runs, serves bool
+	// pause is the time to the next heartbeat when there is no work in common.
+	pause time.Duration
+	dirty bool
+	sent  time.Time
 }
 
 // markPeer makes a peer's next heartbeat due at once.
 func (c *core) markPeer(id fleet.InstanceID) {
 	if p := c.peers[id]; p != nil {
-		p.dirty = true
+		c.mark(p)
 		return
 	}
 	if id == c.options.self {
@@ -57,10 +60,26 @@
 
 func (c *core) markAllPeers() {
 	for _, p := range c.peers {
-		p.dirty = true
+		c.mark(p)
 	}
 }
 
+// markConfig tells peers of a new configuration: in a wide fleet those of the data
+// centre, since each data centre has readers of its own.
+func (c *core) markConfig() {
+	for _, p := range c.peers {
+		if !c.wide || p.listed.DataCentre == c.options.centre {
+			c.mark(p)
+		}
+	}
+}
+
+// mark makes a peer's next heartbeat due as soon as the gap allows.
+func (c *core) mark(p *peerState) {
+	p.dirty = true
+	c.nextBeat = earlier(c.nextBeat, c.heartbeatDue(p))
+}
+
 // spreadSuspects queues new suspects for every peer.
 func (c *core) spreadSuspects() {
 	changed := c.quarantine.Changed()
@@ -70,12 +89,23 @@
 	for _, p := range c.peers {
 		p.suspects = append(p.suspects, changed...)
 		p.suspectsSeq = 0
-		p.dirty = true
+		c.mark(p)
 	}
 }
 
-// sendHeartbeats sends what is due and sets the timer for what is due next.
+// sendHeartbeats sends what is due and sets the timer for what is due next. O(1)
+// while nothing is due, else O(peers).
 func (c *core) sendHeartbeats(now time.Time) {
+	if !c.nextBeat.After(now) {
+		c.sendDue(now)
+	}
+	if c.wakeAt != c.nextBeat {
+		c.wakeAt = c.nextBeat
+		c.wake.Reset(c.nextBeat.Sub(now))
+	}
+}
+
+func (c *core) sendDue(now time.Time) {
 	next := now.Add(c.options.heartbeat)
 	for id, p := range c.peers {
 		if !p.connected {
@@ -87,13 +117,14 @@
 			continue
 		}
 		c.sendHeartbeat(id, p, now)
+		next = earlier(next, c.heartbeatDue(p))
 	}
-	c.wake.Reset(next.Sub(now))
+	c.nextBeat = next
 }
 
 func (c *core) heartbeatDue(p *peerState) time.Time {
 	if !p.dirty {
-		return p.sent.Add(c.options.heartbeat)
+		return p.sent.Add(c.interval(p))
 	}
 	if p.listed.DataCentre == c.options.centre {
 		return p.sent.Add(nearGap)
@@ -101,6 +132,19 @@
 	return p.sent.Add(farGap)
 }
 
+// interval is the time between two heartbeats to a peer without a change.
+func (c *core) interval(p *peerState) time.Duration {
+	if !c.wide || p.listed.DataCentre == c.options.centre || p.busy() {
+		return c.options.heartbeat
+	}
+	return p.pause
+}
+
+// busy reports whether there are demand, grants or work in common.
+func (p *peerState) busy() bool {
+	return len(p.demand) > 0 || p.asks || p.runs || p.serves
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -126,6 +170,10 @@
 	p.dirty = false
 	p.told = p.demand
 	p.sent = now
+	p.serves = len(hb.Running) > 0
+	if c.wide {
+		p.pause = farInterval + time.Duration(c.options.rng.Int64N(int64(farJitter)))
+	}
 	c.transport.SendHeartbeat(id, hb)
 }
 
@@ -137,6 +185,10 @@
 	}
 	p.received = hb.Seq
 	p.spare = hb.Spare
+	c.spreader.SetSpare(e.from.Instance, hb.Spare)
+	p.asks = len(hb.Demand) > 0
+	p.runs = len(hb.Running) > 0
+	c.nextBeat = earlier(c.nextBeat, c.heartbeatDue(p))
 	c.noteLeaving(p, hb.Leaving)
 	id := e.from.Instance
 	c.ledger.ReceiveHeartbeat(id, hb, now)
@@ -159,7 +211,7 @@
 		p.hello = from
 		p.received = 0
 		p.suspects = c.quarantine.All()
-		p.dirty = true
+		c.mark(p)
 	}
 	return p
 }
@@ -212,7 +264,7 @@
 func (e peerEvent) apply(c *core, _ time.Time) {
 	p := c.peer(e.from)
 	p.connected = e.connected
-	p.dirty = true
+	c.mark(p)
 	c.ownedChanged = true
 	c.notePeer(p)
 	c.updateVisible()
@@ -228,84 +280,3 @@
 	}
 	c.quarantine.SetVisible(visible)
 }
-
-// planDemand registers what waits here with owners.
-func (c *core) planDemand(now time.Time) {
-	if !c.demandChanged {
-		return
-	}
-	c.demandChanged = false
-	views := c.ownerViews(now)
-	shared := c.spreader.Plan(c.queue.Demand(now), views, c.spreadRound)
-	alone := c.queue.DemandAlone(now)
-	c.registerSelf(shared, alone, now)
-	for id, p := range c.peers {
-		demand := c.demandFor(id, shared, alone)
-		p.demand = demand
-		p.dirty = p.dirty || !sameDemand(demand, p.told)
-	}
-}
-
-// sameDemand reports whether an owner that was told b would decide by a as well. Waits
-// grow by themselves, and an owner does not come to the end of a long queue before
-// the next regular heartbeat.
-func sameDemand(a, b []wire.Demand) bool {
-	return slices.EqualFunc(a, b, func(a, b wire.Demand) bool {
-		return a.Customer == b.Customer && a.Workload == b.Workload && a.Alone == b.Alone &&
-			sameCount(a.Waiting, b.Waiting)
-	})
-}
-
-// sameCount reports whether two lengths are equal, or both long and nearly so.
-func sameCount(a, b int) bool {
-	least, most := min(a, b), max(a, b)
-	return least == most || least >= longQueue && most-least <= most/longQueuePart
-}
-
-func (c *core) registerSelf(shared []dispatch.Assignment, alone []wire.Demand, now time.Time) {
-	for _, a := range shared {
-		if a.Owner == c.options.self {
-			c.owner.SetDemand(c.options.self, a.Demand, c.selfGrant, now)
-		}
-	}
-	c.owner.SetAloneDemand(c.options.self, alone, now)
-}
-
-// demandFor returns a copy of a peer's part, since a plan's memory is used again.
-func (c *core) demandFor(id fleet.InstanceID, shared []dispatch.Assignment, alone []wire.Demand) []wire.Demand {
-	var demand []wire.Demand
-	for _, a := range shared {
-		if a.Owner == id {
-			demand = append(demand, a.Demand...)
-		}
-	}
-	for _, d := range alone {
-		if c.aloneOwner(d.Workload) == id {
-			d.Alone = true
-			demand = append(demand, d)
-		}
-	}
-	return demand
-}
-
-// aloneOwner is the peer that is asked for a target of a suspect's own when this
-// instance owns none that serves it.
-func (c *core) aloneOwner(workload fleet.Workload) fleet.InstanceID {
-	best := fleet.InstanceID("")
-	for _, v := range c.views {
-		if !viewServes(v, workload) {
-			continue
-		}
-		if v.Owner == c.options.self {
-			return ""
-		}
-		if best == "" {
-			best = v.Owner
-		}
-	}
-	return best
-}
-
-func viewServes(v ownedBy, workload fleet.Workload) bool {
-	return slices.Contains(v.Workloads, workload)
-}
--- a/internal/limit/sim_test.go
+++ b/internal/limit/sim_test.go
@@ -36,6 +36,7 @@
 	permit      Permit
 	arrives     time.Time
 	ends        time.Time
+	abandons    bool
 }
 
 // simTarget is the truth about one target.
@@ -68,6 +69,7 @@
 	phase       time.Duration
 	listLag     time.Duration
 	seen        int
+	derived     simOwners
 	unused      []Permit
 	ended       []*simWork
 }
@@ -103,12 +105,11 @@
 	slow       time.Duration
 	noisyUntil time.Time
 	quiet      bool
-	// idle says that owners grant nothing, and hold is the chance that an entry waits
-	// with a permit in one step.
-	idle      bool
-	hold      float64
-	violation string
-	starts    int
+	// idle says that owners grant nothing, which comes and goes unless the load is
+	// steady; hold is the chance that an entry waits with a permit in one step.
+	idle, steady bool
+	hold         float64
+	violation    string
 }
 
 func newSim(seed uint64, inside int, targets []Target) *sim {
@@ -139,7 +140,10 @@
 }
 
 // begin starts all instances.
-func (s *sim) begin() {
+func (s *sim) begin(loan, lag time.Duration) {
+	s.params.LoanTime = loan
+	s.params.ReportLag = lag
+	s.params.HoldDown = s.params.MinHoldDown()
 	for _, n := range s.nodes {
 		s.restart(n)
 	}
@@ -165,6 +169,7 @@
 func (s *sim) restart(n *simNode) {
 	n.incarnation = fleet.Incarnation(s.rng.Uint64() | 1)
 	n.ledger = New(n.id, n.incarnation, s.params, s.clock(n))
+	n.derived = simOwners{}
 	n.unused, n.ended = nil, nil
 	n.listLag = time.Duration(s.rng.Int64N(int64(simListLag)))
 	for _, t := range s.targets {
@@ -184,7 +189,7 @@
 // step moves the model on by simStep.
 func (s *sim) step() {
 	s.now = s.now.Add(simStep)
-	if s.now.Sub(s.start)%simBurst == 0 {
+	if !s.steady && s.now.Sub(s.start)%simBurst == 0 {
 		s.idle = s.rng.IntN(3) == 0
 	}
 	for _, t := range s.targets {
@@ -211,7 +216,7 @@
 			return false
 		}
 		t.completed++
-		if w.entry.incarnation == w.incarnation {
+		if w.entry.incarnation == w.incarnation && !w.abandons {
 			w.entry.ended = append(w.entry.ended, w)
 		}
 		return true
@@ -298,6 +303,8 @@
 		n.ledger.Done(&w.permit, now)
 	}
 	n.ended = nil
+	s.abandon(n, now)
+	s.checkEpoch(n, now)
 	if s.due(n, simRead) && !s.now.Before(s.readsDown) {
 		s.read(n)
 	}
@@ -321,6 +328,19 @@
 	s.use(n, now)
 }
 
+// abandon closes connections; the target notices within ReportLag.
+func (s *sim) abandon(n *simNode, now time.Time) {
+	for _, t := range s.targets {
+		for _, w := range t.running {
+			if w.entry == n && w.incarnation == n.incarnation && !w.abandons && s.rng.IntN(400) == 0 {
+				w.abandons = true
+				w.ends = s.now.Add(time.Duration(s.rng.Int64N(int64(s.params.ReportLag))))
+				n.ledger.Abandon(&w.permit, now)
+			}
+		}
+	}
+}
+
 // read gives a node the newest version that has reached its reader.
 func (s *sim) read(n *simNode) {
 	for i, list := range s.lists {
@@ -385,7 +405,6 @@
 			n.ledger.Done(&permit, now)
 			return true
 		}
-		s.starts++
 		arrives := s.now.Add(time.Duration(s.rng.Int64N(int64(simMaxDial))))
 		length := time.Duration(s.rng.ExpFloat64() * float64(4*time.Second))
 		if s.quiet {
