--- a/internal/report/plot.go
+++ b/internal/report/plot.go
@@ -1,6 +1,7 @@
 package report
 
 import (
+	"image/color"
 	"strings"
 
 	"gonum.org/v1/plot"
@@ -13,6 +14,8 @@
 const (
 	plotWidth  = 18 * vg.Centimeter
 	plotHeight = 10 * vg.Centimeter
+	// markGray is the brightness of the lines that mark moments.
+	markGray = 160
 )
 
 // plotAll writes the plots of one experiment.
@@ -41,18 +44,18 @@
 		for k, v := range line.Values {
 			points[k] = plotter.XY{X: float64(k+1) * r.Service.StepSeconds, Y: v}
 		}
-		if err := addLine(p, i, line.Name, points); err != nil {
+		if err := addLine(p, plotutil.Color(i), line.Name, points); err != nil {
 			return err
 		}
 	}
 	for _, mark := range r.Service.Marks {
 		top := plotter.XYs{{X: mark.At, Y: 0}, {X: mark.At, Y: p.Y.Max}}
-		if err := addLine(p, len(r.Service.Lines), "", top); err != nil {
+		if err := addLine(p, color.Gray{Y: markGray}, "", top); err != nil {
 			return err
 		}
 	}
 	p.Y.Min = 0
-	p.Legend.Top = true
+	p.Legend.Left = true
 	return p.Save(plotWidth, plotHeight, file)
 }
 
@@ -74,7 +77,7 @@
 	}
 	names := []string{"mean", "busiest instance", "mean between regions"}
 	for i, points := range []plotter.XYs{mean, most, far} {
-		if err := addLine(p, i, names[i], points); err != nil {
+		if err := addLine(p, plotutil.Color(i), names[i], points); err != nil {
 			return err
 		}
 	}
@@ -84,13 +87,13 @@
 	return p.Save(plotWidth, plotHeight, file)
 }
 
-// addLine adds a line in the colour of its number, with a legend if it has a name.
-func addLine(p *plot.Plot, number int, name string, points plotter.XYs) error {
+// addLine adds a line, with a legend if it has a name.
+func addLine(p *plot.Plot, c color.Color, name string, points plotter.XYs) error {
 	line, err := plotter.NewLine(points)
 	if err != nil {
 		return err
 	}
-	line.Color = plotutil.Color(number)
+	line.Color = c
 	p.Add(line)
 	if name != "" {
 		p.Legend.Add(name, line)
--- a/internal/report/result.go
+++ b/internal/report/result.go
@@ -95,7 +95,8 @@
 	Cut int `json:"cut"`
 	// ServiceLow is the least service of the customers near the data centre in a second
 	// of the absence, as a part of what they had before times the share of engines that
-	// are left, and ServiceBack the time until it was 0.9 again, -1 for never.
+	// are left, and ServiceBack the end of the last second in which it was below 0.9, 0
+	// if it never was.
 	ServiceLow  float64 `json:"service_low"`
 	ServiceBack float64 `json:"service_back"`
 	// FirstArrival and FullAgain are the times from publishing the return to the first
