--- a/internal/experiment/world_test.go
+++ b/internal/experiment/world_test.go
@@ -76,7 +76,6 @@
 	homes []int
 	// dossiers says that one in so many requests is long, 0 for none.
 	dossiers int
-	arrivals float64
 }
 
 // customers are 15, 3 of them large and spread unevenly over data centres.
