--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -86,9 +86,7 @@
 	index  map[fleet.InstanceID]int
 	groups map[fleet.Workload]*group
 	plan   []Assignment
-	// plans counts the calls of Plan.
-	plans uint64
-	near  []candidate
+	near   []candidate
 }
 
 // candidate is an owner that serves the workload at hand.
@@ -106,8 +104,8 @@
 // by distance.
 type group struct {
 	near, region, distant []candidate
-	// planned is the plan for which the spare starts were read.
-	planned uint64
+	// stale says that what owners told changed since it was read.
+	stale bool
 	// regionFree and distantFree are those with starts to spare, and regionFull and
 	// distantFull the others, the furthest ahead first.
 	regionFree, distantFree []candidate
@@ -143,7 +141,7 @@
 func (s *Spreader) group(w fleet.Workload) *group {
 	g, ok := s.groups[w]
 	if !ok {
-		g = &group{}
+		g = &group{stale: true}
 		s.groups[w] = g
 	}
 	return g
@@ -169,7 +167,11 @@
 	}
 	workloads := s.owners[i].Workloads
 	for n := range workloads {
-		workloads[n] = spareOf(told, workloads[n].Workload)
+		next := spareOf(told, workloads[n].Workload)
+		if next != workloads[n] {
+			workloads[n] = next
+			s.groups[next.Workload].stale = true
+		}
 	}
 }
 
@@ -194,7 +196,6 @@
 // work, or if a customer that does is FarLag ahead, so that data centres do not drift
 // apart in what they serve; at most FarOwners of each place. O(owners of the demands' workloads + demands · owners near).
 func (s *Spreader) Plan(ds []wire.Demand, round uint64) []Assignment {
-	s.plans++
 	for i := range s.plan {
 		s.plan[i].Demand = s.plan[i].Demand[:0]
 	}
@@ -207,8 +208,8 @@
 }
 
 func (s *Spreader) planOne(g *group, d wire.Demand, round uint64) {
-	if g.planned != s.plans {
-		g.planned = s.plans
+	if g.stale {
+		g.stale = false
 		s.readSpare(g, d.Workload)
 	}
 	s.rankNear(g, d, round)
--- a/internal/instance/demand.go
+++ b/internal/instance/demand.go
@@ -66,34 +66,30 @@
 	if p == nil {
 		return
 	}
-	changed := !slices.EqualFunc(demand, p.told, sameDemand)
+	former := p.demand
 	p.demand = demand
-	if changed {
+	switch {
+	case !slices.EqualFunc(demand, former, sameWork):
 		c.mark(p)
+	case !slices.EqualFunc(demand, former, sameDemand):
+		p.stale = true
+		c.nextBeat = earlier(c.nextBeat, c.heartbeatDue(p))
 	}
 }
 
-// Lengths of queues of which small changes are not told at once.
-const (
-	longQueue     = 16
-	longQueuePart = 4
-)
+// sameWork reports whether both are of one customer for one workload. An owner that
+// knows of some waiting requests grants them until it is told more, and each grant
+// is answered by a heartbeat; it must know at once of the first and the last.
+func sameWork(a, b wire.Demand) bool {
+	return a.Customer == b.Customer && a.Workload == b.Workload && a.Alone == b.Alone
+}
 
-// sameDemand reports whether an owner that was told b would decide by a as well: it
-// lets the age of the oldest request grow by itself, and does not come to the end of
-// a long queue before the next regular heartbeat.
+// sameDemand reports whether an owner that knows one would decide by the other as
+// well: it lets the age of the oldest request grow by itself.
 func sameDemand(a, b wire.Demand) bool {
 	older := a.WaitMillis >= b.WaitMillis
-	nearly := sameCount(a.Waiting, b.Waiting)
-	a.WaitMillis, a.Waiting, a.Estimate = b.WaitMillis, b.Waiting, b.Estimate
-	return a == b && nearly && (older || a.Waiting >= longQueue)
-}
-
-// sameCount reports whether two lengths are equal, or both long and differ by no more
-// than one in longQueuePart.
-func sameCount(a, b int) bool {
-	least, most := min(a, b), max(a, b)
-	return least == most || least >= longQueue && most-least <= most/longQueuePart
+	a.WaitMillis = b.WaitMillis
+	return a == b && older
 }
 
 // aloneOwner is the peer that is asked for a target of a suspect's own when this
--- a/internal/instance/heartbeat.go
+++ b/internal/instance/heartbeat.go
@@ -14,6 +14,9 @@
 	// this data centre and in another one, when something changed.
 	nearGap = 5 * time.Millisecond
 	farGap  = 20 * time.Millisecond
+	// staleGap is the longest time from one heartbeat to the next when the counts of
+	// waiting requests changed.
+	staleGap = 200 * time.Millisecond
 	// farInterval and farJitter bound the time between two heartbeats to a peer in
 	// another data centre of a wide fleet with which there is no work in common.
 	farInterval = 2 * time.Second
@@ -28,13 +31,15 @@
 	hello     wire.Hello
 	connected bool
 	leaving   bool
-	spare     []wire.Spare
+	// heard is when the last heartbeat came; silent says that none came for the
+	// dead-peer time-out.
+	heard  time.Time
+	silent bool
+	spare  []wire.Spare
 	// received is the highest heartbeat sequence from hello's incarnation.
 	received uint64
 	// demand is what is registered with this peer as an owner.
 	demand []wire.Demand
-	// told is what the last heartbeat registered.
-	told []wire.Demand
 	// suspects wait until the peer has received the heartbeat suspectsSeq.
 	suspects    []wire.Suspect
 	suspectsSeq uint64
@@ -43,6 +48,8 @@
 	asks, runs, serves bool
 	// pause is the time to the next heartbeat when there is no work in common.
 	pause time.Duration
+	// stale says that counts of waiting requests have changed, dirty that more has.
+	stale bool
 	dirty bool
 	sent  time.Time
 }
@@ -123,6 +130,9 @@
 }
 
 func (c *core) heartbeatDue(p *peerState) time.Time {
+	if !p.dirty && p.stale {
+		return p.sent.Add(min(staleGap, c.interval(p)))
+	}
 	if !p.dirty {
 		return p.sent.Add(c.interval(p))
 	}
@@ -168,7 +178,7 @@
 		p.suspectsSeq = hb.Seq
 	}
 	p.dirty = false
-	p.told = p.demand
+	p.stale = false
 	p.sent = now
 	p.serves = len(hb.Running) > 0
 	if c.wide {
@@ -184,6 +194,7 @@
 		return
 	}
 	p.received = hb.Seq
+	p.heard = now
 	p.spare = hb.Spare
 	c.spreader.SetSpare(e.from.Instance, hb.Spare)
 	p.asks = len(hb.Demand) > 0
@@ -262,12 +273,48 @@
 }
 
 func (e peerEvent) apply(c *core, _ time.Time) {
-	p := c.peer(e.from)
-	p.connected = e.connected
+	c.setConnected(e.from, e.connected)
+}
+
+func (c *core) setConnected(hello wire.Hello, connected bool) {
+	p := c.peer(hello)
+	if p.connected == connected {
+		return
+	}
+	p.connected = connected
 	c.mark(p)
 	c.ownedChanged = true
 	c.notePeer(p)
 	c.updateVisible()
+	c.publishEntries()
+}
+
+// noticeSilence names peers that do not answer last to callers.
+func (c *core) noticeSilence(now time.Time) {
+	changed := false
+	for _, p := range c.peers {
+		silent := now.Sub(p.heard) > c.options.limits.DeadPeer+p.pause
+		changed = changed || silent != p.silent
+		p.silent = silent
+	}
+	if changed {
+		c.publishEntries()
+	}
+}
+
+// reconcilePeers takes over which peers are connected, since an event that says so is
+// lost when the core's channel is full.
+func (c *core) reconcilePeers() {
+	connected := make(map[fleet.InstanceID]bool, len(c.peers))
+	for _, hello := range c.transport.Connected() {
+		connected[hello.Instance] = true
+		c.setConnected(hello, true)
+	}
+	for id, p := range c.peers {
+		if p.connected && !connected[id] {
+			c.setConnected(p.hello, false)
+		}
+	}
 }
 
 // updateVisible tells the quarantine which instances take part.
