--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/maphash"
+	"math"
 	"slices"
 	"time"
 
@@ -41,6 +42,12 @@
 	// which owners of the region's other data centres, and of other regions, are
 	// asked as well.
 	RegionAfter, ElsewhereAfter time.Duration
+	// FarLag is how far, in cost units for one share, a customer must be behind one
+	// that waits near an owner outside the data centre to be registered there though
+	// that owner has no start to spare.
+	FarLag int64
+	// VirtualTime returns a customer's virtual time; nil registers none by FarLag.
+	VirtualTime func(fleet.CustomerID) int64
 }
 
 // Defaults of SpreadParams.
@@ -49,6 +56,7 @@
 	DefaultFarOwners      = 2
 	DefaultRegionAfter    = 50 * time.Millisecond
 	DefaultElsewhereAfter = 500 * time.Millisecond
+	DefaultFarLag         = 4_000
 )
 
 func (p SpreadParams) withDefaults() SpreadParams {
@@ -56,6 +64,9 @@
 	setDefault(&p.FarOwners, DefaultFarOwners)
 	setDefault(&p.RegionAfter, DefaultRegionAfter)
 	setDefault(&p.ElsewhereAfter, DefaultElsewhereAfter)
+	if p.FarLag <= 0 {
+		p.FarLag = DefaultFarLag
+	}
 	return p
 }
 
@@ -80,8 +91,11 @@
 
 // candidate is an owner that serves the workload at hand.
 type candidate struct {
-	index    int
-	spare    int
+	index int
+	spare int
+	// ahead is the greatest virtual time of those that wait near the owner; owners near
+	// which nobody waits have the greatest number.
+	ahead    int64
 	distance time.Duration
 	rank     uint64
 }
@@ -90,10 +104,12 @@
 // by distance.
 type group struct {
 	near, region, distant []candidate
-	// stale says that spare starts changed since they were read.
+	// stale says that what owners told changed since it was read.
 	stale bool
-	// regionFree and distantFree are those with starts to spare.
+	// regionFree and distantFree are those with starts to spare, and regionFull and
+	// distantFull the others, the furthest ahead first.
 	regionFree, distantFree []candidate
+	regionFull, distantFull []candidate
 }
 
 // NewSpreader returns a planner for an entry.
@@ -151,21 +167,21 @@
 	}
 	workloads := s.owners[i].Workloads
 	for n := range workloads {
-		count := spareOf(told, workloads[n].Workload)
-		if count != workloads[n].Count {
-			workloads[n].Count = count
-			s.groups[workloads[n].Workload].stale = true
+		next := spareOf(told, workloads[n].Workload)
+		if next != workloads[n] {
+			workloads[n] = next
+			s.groups[next.Workload].stale = true
 		}
 	}
 }
 
-func spareOf(told []wire.Spare, w fleet.Workload) int {
+func spareOf(told []wire.Spare, w fleet.Workload) wire.Spare {
 	for _, t := range told {
 		if t.Workload == w {
-			return t.Count
+			return t
 		}
 	}
-	return 0
+	return wire.Spare{Workload: w}
 }
 
 // Plan returns one assignment for each owner, in the order of the owners; the next
@@ -175,7 +191,10 @@
 // the region's other owners are asked for as well, each request at most once;
 // likewise those of other regions after ElsewhereAfter, nearest first. round changes
 // which owners are asked when there are fewer requests than owners; raise it about
-// once a second. O(owners of the demands' workloads + demands · owners near).
+// once a second. An owner outside the data centre without a start to spare is asked
+// after the same waits if nobody waits near it, so that the next start there finds
+// work, or if a customer that does is FarLag ahead, so that data centres do not drift
+// apart in what they serve; at most FarOwners of each place. O(owners of the demands' workloads + demands · owners near).
 func (s *Spreader) Plan(ds []wire.Demand, round uint64) []Assignment {
 	for i := range s.plan {
 		s.plan[i].Demand = s.plan[i].Demand[:0]
@@ -195,6 +214,8 @@
 	}
 	s.rankNear(g, d, round)
 	s.spreadNear(s.plan, d)
+	s.spreadLagging(s.plan, d, g.regionFull, s.params.RegionAfter)
+	s.spreadLagging(s.plan, d, g.distantFull, s.params.ElsewhereAfter)
 	if !s.exhausted(len(g.near), s.nearFree(), d, s.params.RegionAfter) {
 		return
 	}
@@ -207,19 +228,29 @@
 // readSpare takes the owners' spare starts into their candidates.
 func (s *Spreader) readSpare(g *group, w fleet.Workload) {
 	for i := range g.near {
-		g.near[i].spare = spareOf(s.owners[g.near[i].index].Workloads, w)
+		g.near[i].spare = spareOf(s.owners[g.near[i].index].Workloads, w).Count
 	}
-	g.regionFree = s.appendFree(g.regionFree[:0], g.region, w)
-	g.distantFree = s.appendFree(g.distantFree[:0], g.distant, w)
+	g.regionFree, g.regionFull = s.sortBySpare(g.regionFree[:0], g.regionFull[:0], g.region, w)
+	g.distantFree, g.distantFull = s.sortBySpare(g.distantFree[:0], g.distantFull[:0], g.distant, w)
 }
 
-func (s *Spreader) appendFree(free, cs []candidate, w fleet.Workload) []candidate {
+// sortBySpare appends candidates to those with starts to spare or to the others,
+// which it sorts.
+func (s *Spreader) sortBySpare(free, full, cs []candidate, w fleet.Workload) (withSpare, without []candidate) {
 	for _, c := range cs {
-		if c.spare = spareOf(s.owners[c.index].Workloads, w); c.spare > 0 {
+		told := spareOf(s.owners[c.index].Workloads, w)
+		c.spare, c.ahead = told.Count, told.Ahead
+		if c.ahead == 0 {
+			c.ahead = math.MaxInt64
+		}
+		if c.spare > 0 {
 			free = append(free, c)
+		} else {
+			full = append(full, c)
 		}
 	}
-	return free
+	slices.SortStableFunc(full, func(a, b candidate) int { return cmp.Compare(b.ahead, a.ahead) })
+	return free, full
 }
 
 // rankNear sorts the owners of the data centre for one demand.
@@ -292,6 +323,24 @@
 	}
 }
 
+// spreadLagging divides the waiting requests over owners without spare starts at
+// which nobody waits from near, then those at which one does that is FarLag ahead.
+// full has the furthest ahead first.
+func (s *Spreader) spreadLagging(plan []Assignment, d wire.Demand, full []candidate, after time.Duration) {
+	waited := time.Duration(d.WaitMillis) * time.Millisecond
+	if s.params.VirtualTime == nil || waited < after {
+		return
+	}
+	mark := s.params.VirtualTime(d.Customer) + s.params.FarLag
+	n := 0
+	for n < min(len(full), s.params.FarOwners) && full[n].ahead > mark {
+		n++
+	}
+	for i, c := range full[:n] {
+		assign(plan, c.index, d, (d.Waiting+n-1-i)/n)
+	}
+}
+
 func assign(plan []Assignment, owner int, d wire.Demand, waiting int) {
 	if waiting == 0 {
 		return
--- a/internal/instance/owners.go
+++ b/internal/instance/owners.go
@@ -59,23 +59,23 @@
 		view := dispatch.OwnerView{ID: v.Owner}
 		view.Place, view.Distance = c.placeOf(v.Owner)
 		for _, w := range v.Workloads {
-			view.Workloads = append(view.Workloads, wire.Spare{Workload: w, Count: c.spareCount(v.Owner, w)})
+			view.Workloads = append(view.Workloads, c.toldSpare(v.Owner, w))
 		}
 		views = append(views, view)
 	}
 	return views
 }
 
-func (c *core) spareCount(owner fleet.InstanceID, w fleet.Workload) int {
-	p := c.peers[owner]
-	if p == nil {
-		return 0
-	}
-	i := slices.IndexFunc(p.spare, func(s wire.Spare) bool { return s.Workload == w })
-	if i < 0 {
-		return 0
+// toldSpare is what a peer told last of a workload, nothing to spare by default.
+func (c *core) toldSpare(owner fleet.InstanceID, w fleet.Workload) wire.Spare {
+	if p := c.peers[owner]; p != nil {
+		for _, told := range p.spare {
+			if told.Workload == w {
+				return told
+			}
+		}
 	}
-	return p.spare[i].Count
+	return wire.Spare{Workload: w}
 }
 
 // add joins the workloads of one target to its owner's.
