--- a/internal/instance/bench_test.go
+++ b/internal/instance/bench_test.go
@@ -395,20 +395,6 @@
 	}
 }
 
-// BenchmarkBuildHeartbeat builds one heartbeat for each peer; the figure is for one.
-func BenchmarkBuildHeartbeat(b *testing.B) {
-	for name, size := range fleetSizes {
-		b.Run(name, func(b *testing.B) {
-			w := newBenchCore(b, size)
-			b.ReportAllocs()
-			for i := 0; b.Loop(); i++ {
-				p := w.peers[i%len(w.peers)]
-				w.sendHeartbeat(p.hello.Instance, w.core.peers[p.hello.Instance], w.clock)
-			}
-		})
-	}
-}
-
 // BenchmarkMemory reports the heap of one core without connections in steady state,
 // with its configuration and list, after a collection.
 func BenchmarkMemory(b *testing.B) {
--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -219,7 +219,7 @@
 	for _, changed := range []int{0, 4, 16, 64, 256} {
 		b.Run(fmt.Sprintf("heartbeat/changed=%d", changed), func(b *testing.B) {
 			rnd := rand.New(rand.NewPCG(1, 2))
-			hb := wire.Heartbeat{Incarnation: fleet.Incarnation(rnd.Uint64()), EchoIncarnation: fleet.Incarnation(rnd.Uint64()), View: rnd.Uint64(), Lends: true}
+			hb := wire.Heartbeat{Incarnation: fleet.Incarnation(rnd.Uint64()), EchoIncarnation: fleet.Incarnation(rnd.Uint64()), View: rnd.Uint64(), Lends: true, ConfigVersion: 41, ConfigDigest: "9f8a4c0d77e1b2a39f8a4c0d77e1b2a3"}
 			frameBytes(b, wire.MethodHeartbeat, func() any {
 				hb.Seq, hb.EchoSeq, hb.Service = hb.Seq+1, hb.EchoSeq+1, nil
 				for range changed {
@@ -230,19 +230,6 @@
 			})
 		})
 	}
-	for _, digest := range []string{"", "9f8a4c0d77e1b2a39f8a4c0d77e1b2a3"} {
-		b.Run(fmt.Sprintf("heartbeat/digest=%v", digest != ""), func(b *testing.B) {
-			rnd := rand.New(rand.NewPCG(1, 2))
-			hb := wire.Heartbeat{Incarnation: fleet.Incarnation(rnd.Uint64()), EchoIncarnation: fleet.Incarnation(rnd.Uint64()), View: rnd.Uint64(), Lends: true, ConfigDigest: digest}
-			frameBytes(b, wire.MethodHeartbeat, func() any {
-				hb.Seq, hb.EchoSeq = hb.Seq+1, hb.EchoSeq+1
-				if digest != "" {
-					hb.ConfigVersion = 41
-				}
-				return hb
-			})
-		})
-	}
 	b.Run("grant", func(b *testing.B) {
 		rnd := rand.New(rand.NewPCG(1, 2))
 		g := wire.Grant{Incarnation: fleet.Incarnation(rnd.Uint64()), EchoIncarnation: fleet.Incarnation(rnd.Uint64()), Workload: fleet.Workload{Model: "appraise"}, BootID: "e00417-1"}
