Bound what one caller can hold, and test hostile callers

Cause: bodies were read before the credentials were looked at, without a time limit; max_queued_bytes was read from the settings and bounded nothing; one remote IP could open any number of connections.

Change: the entry looks at the credentials first, then reads the whole body within 30 s, at most one message's length and within max_queued_bytes for all bodies, a quarter of it for one customer; refusals are typed. The callers' listener closes connections beyond 1024 from one remote IP and 4096 in all. Two fuzz targets with seeds cover message decoding and call ids.

Mended: a call id had several texts, since slack bits of its last digit and line breaks were ignored; FuzzCallID's seeds showed it. Only the text as issued parses.

Ruled out: http.Server.ReadTimeout, which also ends the context of a stream that outlasts it.

--- /dev/null
+++ b/internal/entry/hostile_test.go
@@ -0,0 +1,255 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+
+	medlarwindv1 "medlarwind.dev/medlarwind/gen/medlarwind/v1"
+	"medlarwind.dev/medlarwind/gen/medlarwind/v1/medlarwindv1connect"
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/memnet"
+	"medlarwind.dev/medlarwind/internal/rules"
+	"medlarwind.dev/medlarwind/internal/target"
+)
+
+// openDirectory knows the customers "mill-a" and "mill-b", whose secrets are their
+// names, and every workload; no call may be repeated.
+type openDirectory struct{}
+
+func (openDirectory) Locate(fleet.CustomerID) ([]string, time.Duration) { return nil, time.Second }
+
+func (openDirectory) Authenticate(hash [32]byte) (fleet.CustomerID, error) {
+	for _, id := range []fleet.CustomerID{"mill-a", "mill-b"} {
+		if hash == sha256.Sum256([]byte(id)) {
+			return id, nil
+		}
+	}
+	return "", ErrCredentials
+}
+
+func (openDirectory) Model(fleet.ModelID) (rules.Model, bool) { return rules.Model{}, true }
+func (openDirectory) Call(rules.CallKey) (rules.Call, bool)   { return rules.Call{Once: true}, true }
+func (openDirectory) SelfAddress() string                     { return entryAddr }
+
+// endlessAdmission lets every request wait until it is cancelled.
+type endlessAdmission struct{}
+
+func (endlessAdmission) Admit(ctx context.Context, _ *Work) (Lease, *OutcomeError) {
+	<-ctx.Done()
+	return nil, &OutcomeError{Kind: NotRun, Reason: ReasonCancelled}
+}
+
+const entryAddr = "10.0.0.1:80"
+
+// withEntry runs f with an entry in virtual time.
+func withEntry(t *testing.T, f func(t *testing.T, s *Server, h *http.Client)) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New()
+		l, err := network.Listen(entryAddr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := NewServer(Options{Incarnation: 7, MaxBodyBytes: 8 << 20}, endlessAdmission{}, openDirectory{},
+			target.NewClient(network.Host("10.0.0.1").Dial, target.Options{}))
+		server := &http.Server{Handler: s.Handler()}
+		go server.Serve(l)
+		transport := &http.Transport{DialContext: network.Host("10.0.0.2").Dial}
+		f(t, s, &http.Client{Transport: transport})
+		transport.CloseIdleConnections()
+		server.Close()
+		s.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
+func as[T any](customer string, message *T) *connect.Request[T] {
+	r := connect.NewRequest(message)
+	r.Header().Set("Authorization", "Bearer "+customer)
+	return r
+}
+
+// outcomeIn is the typed detail of an error.
+func outcomeIn(err error) *medlarwindv1.Outcome {
+	var failed *connect.Error
+	if !errors.As(err, &failed) || len(failed.Details()) == 0 {
+		return &medlarwindv1.Outcome{Reason: fmt.Sprint(err)}
+	}
+	value, _ := failed.Details()[0].Value()
+	return value.(*medlarwindv1.Outcome)
+}
+
+// Another customer who knows an identifier learns no more than one who guesses.
+func TestIdentifiersOfAnotherCustomerGiveNothing(t *testing.T) {
+	withEntry(t, func(t *testing.T, s *Server, h *http.Client) {
+		router := medlarwindv1connect.NewRouterServiceClient(h, "http://"+entryAddr)
+		ctx := t.Context()
+		g, _ := s.newGeneration("mill-a", &medlarwindv1.GenerateRequest{Model: "m", Prompt: "secret"})
+		g.answer.tryAppend([]byte("answer of mill-a"))
+		issued, err := router.IssueCallID(ctx, as("mill-a", &medlarwindv1.IssueCallIDRequest{}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		guessed := callID{incarnation: 7, serial: 1, random: 1}.String()
+		var told [2][]string
+		for i, ids := range [][2]string{{g.answer.id, issued.Msg.CallId}, {randomHex(16), guessed}} {
+			stream, err := router.Attach(ctx, as("mill-b", &medlarwindv1.AttachRequest{RequestId: ids[0]}))
+			if err == nil && stream.Receive() {
+				t.Errorf("got a frame of another customer: %q", stream.Msg().Data)
+			}
+			_, cancelErr := router.Cancel(ctx, as("mill-b", &medlarwindv1.CancelRequest{RequestId: ids[0]}))
+			_, callErr := router.Call(ctx, as("mill-b", &medlarwindv1.CallRequest{Service: "r", Method: "m", CallId: ids[1]}))
+			told[i] = []string{fmt.Sprint(stream.Err()), fmt.Sprint(cancelErr), fmt.Sprint(callErr)}
+		}
+		if fmt.Sprint(told[0]) != fmt.Sprint(told[1]) {
+			t.Errorf("a known id gives %v, a guessed one %v", told[0], told[1])
+		}
+		if g.ctx.Err() != nil {
+			t.Error("another customer cancelled the request")
+		}
+		if run, start, _ := s.once.begin(mustParse(t, issued.Msg.CallId), "mill-a", [32]byte{}, time.Now()); !start || run == nil {
+			t.Error("another customer used up the call id")
+		}
+		g.stop()
+	})
+}
+
+func mustParse(t *testing.T, text string) callID {
+	id, err := parseCallID(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return id
+}
+
+// trickle gives a byte every second without end.
+type trickle struct{}
+
+func (trickle) Read(p []byte) (int, error) {
+	time.Sleep(time.Second)
+	p[0] = ' '
+	return 1, nil
+}
+
+func TestBodiesAreBounded(t *testing.T) {
+	tests := map[string]struct {
+		customer string
+		body     io.Reader
+		want     string
+	}{
+		"no customer, endless": {"nobody", trickle{}, ReasonCredentials},
+		"slow":                 {"mill-a", trickle{}, ReasonSlowBody},
+		"long":                 {"mill-a", bytes.NewReader(make([]byte, 2<<20)), ReasonTooLarge},
+		"long without length":  {"mill-a", io.MultiReader(bytes.NewReader(make([]byte, 2<<20))), ReasonTooLarge},
+		"malformed":            {"mill-a", strings.NewReader("{\"model\": "), "invalid_argument"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			withEntry(t, func(t *testing.T, s *Server, h *http.Client) {
+				begun := time.Now()
+				request, _ := http.NewRequest(http.MethodPost, "http://"+entryAddr+medlarwindv1connect.RouterServiceCancelProcedure, test.body)
+				request.Header.Set("Authorization", "Bearer "+test.customer)
+				request.Header.Set("Content-Type", "application/json")
+				response, err := h.Do(request)
+				if err != nil {
+					t.Fatal(err)
+				}
+				text, _ := io.ReadAll(response.Body)
+				response.Body.Close()
+				if !strings.Contains(string(text), test.want) {
+					t.Errorf("%s %s, want %s", response.Status, text, test.want)
+				}
+				if took := time.Since(begun); took > s.options.BodyTimeout+time.Second {
+					t.Errorf("held for %s", took)
+				}
+			})
+		})
+	}
+}
+
+// One customer's waiting bodies take at most their part, and leave room for others.
+func TestOneCustomersBodiesLeaveRoomForOthers(t *testing.T) {
+	withEntry(t, func(t *testing.T, _ *Server, h *http.Client) {
+		router := medlarwindv1connect.NewRouterServiceClient(h, "http://"+entryAddr)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		refused := make(chan string, 8)
+		send := func(customer string) {
+			request := &medlarwindv1.GenerateRequest{Model: "m", Prompt: strings.Repeat("a", 1000<<10)}
+			stream, err := router.Generate(ctx, as(customer, request))
+			if err == nil && !stream.Receive() {
+				err = stream.Err()
+			}
+			if ctx.Err() == nil {
+				refused <- customer + " " + outcomeIn(err).Reason
+			}
+		}
+		for range 4 {
+			go send("mill-a")
+		}
+		synctest.Wait()
+		go send("mill-b")
+		synctest.Wait()
+		close(refused)
+		var got []string
+		for r := range refused {
+			got = append(got, r)
+		}
+		if want := "[mill-a instance_memory mill-a instance_memory]"; fmt.Sprint(got) != want {
+			t.Errorf("refused %v, want %s", got, want)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// FuzzCallerRequest feeds bodies to the callers' handler in each encoding: it must
+// neither panic nor hang.
+func FuzzCallerRequest(f *testing.F) {
+	for _, body := range []string{"", "{}", `{"requestId":"x"}`, "\x0a\x01x", "\x00\x00\x00\x00\x02{}", "\x00\xff\xff\xff\xff", "\x01\x00\x00\x00\x00"} {
+		for kind := range uint8(4) {
+			f.Add(kind, []byte(body))
+		}
+	}
+	s := NewServer(Options{Incarnation: 7}, endlessAdmission{}, openDirectory{}, target.NewClient(nil, target.Options{}))
+	f.Cleanup(s.Close)
+	handler := s.Handler()
+	types := []string{"application/json", "application/proto", "application/grpc", "application/connect+proto"}
+	paths := []string{medlarwindv1connect.RouterServiceCancelProcedure, medlarwindv1connect.RouterServiceAttachProcedure}
+	f.Fuzz(func(t *testing.T, kind uint8, body []byte) {
+		for _, path := range paths {
+			serveOnce(handler, path, types[int(kind)%len(types)], body)
+		}
+	})
+}
+
+// FuzzCallID checks that an id which parses is the only text of its id.
+func FuzzCallID(f *testing.F) {
+	f.Add(callID{incarnation: 7, serial: 1, random: 1}.String())
+	f.Add("")
+	f.Add(strings.Repeat("0", 39))
+	f.Add(strings.Repeat("V", 39))
+	f.Fuzz(func(t *testing.T, text string) {
+		if id, err := parseCallID(text); err == nil && id.String() != text {
+			t.Errorf("%q parses to %q", text, id.String())
+		}
+	})
+}
+
+func serveOnce(handler http.Handler, path, contentType string, body []byte) {
+	request := httptest.NewRequest(http.MethodPost, path, bytes.NewReader(body))
+	request.Header.Set("Authorization", "Bearer mill-a")
+	request.Header.Set("Content-Type", contentType)
+	handler.ServeHTTP(httptest.NewRecorder(), request)
+}
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -36,16 +36,21 @@
 	return callIDEncoding.EncodeToString(raw[:])
 }
 
+// parseCallID reads an id. Only the text that String gives is taken.
 func parseCallID(text string) (callID, error) {
 	raw, err := callIDEncoding.DecodeString(text)
 	if err != nil || len(raw) != callIDBytes {
 		return callID{}, errMalformedCallID
 	}
-	return callID{
+	id := callID{
 		incarnation: fleet.Incarnation(binary.BigEndian.Uint64(raw[0:])),
 		serial:      binary.BigEndian.Uint64(raw[8:]),
 		random:      binary.BigEndian.Uint64(raw[16:]),
-	}, nil
+	}
+	if id.String() != text {
+		return callID{}, errMalformedCallID
+	}
+	return id, nil
 }
 
 // callState is the life of one id: issued -> running -> done. A call that did not
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -33,6 +33,8 @@
 	ReasonCancelled        = "cancelled"
 	ReasonNoTarget         = "no_target"
 	ReasonUnknownWorkload  = "unknown_workload"
+	ReasonTooLarge         = "too_large"
+	ReasonSlowBody         = "slow_body"
 	ReasonBadRequest       = "bad_request"
 	ReasonCredentials      = "credentials"
 	ReasonCallIDRequired   = "call_id_required"
@@ -119,13 +121,13 @@
 		return connect.CodeUnauthenticated
 	case ReasonQueueFull, ReasonMemory:
 		return connect.CodeResourceExhausted
-	case ReasonBadRequest, ReasonUnknownWorkload, ReasonCallIDReused:
+	case ReasonBadRequest, ReasonTooLarge, ReasonUnknownWorkload, ReasonCallIDReused:
 		return connect.CodeInvalidArgument
 	case ReasonCallIDRequired:
 		return connect.CodeFailedPrecondition
 	case ReasonCancelled:
 		return connect.CodeCanceled
-	case ReasonDeadline:
+	case ReasonDeadline, ReasonSlowBody:
 		return connect.CodeDeadlineExceeded
 	case ReasonAnswerGone:
 		return connect.CodeNotFound
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -68,6 +68,11 @@
 	MaxCallIDsPerCustomer int
 	// MaxCallBytes bounds the kept answers of once-calls; default 32 MiB.
 	MaxCallBytes int
+	// MaxBodyBytes bounds the bodies of all requests at once, a quarter of it for one
+	// customer; default 64 MiB. BodyTimeout bounds the time that a caller takes to
+	// send a body; default 30 s.
+	MaxBodyBytes int64
+	BodyTimeout  time.Duration
 }
 
 func (o Options) withDefaults() Options {
@@ -80,6 +85,8 @@
 	setDefault(&o.MaxCallIDs, 65536)
 	setDefault(&o.MaxCallIDsPerCustomer, 4096)
 	setDefault(&o.MaxCallBytes, 32<<20)
+	setDefault(&o.MaxBodyBytes, 64<<20)
+	setDefault(&o.BodyTimeout, 30*time.Second)
 	return o
 }
 
@@ -130,7 +137,7 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	path, handler := medlarwindv1connect.NewRouterServiceHandler(s, connect.WithReadMaxBytes(MaxMessageBytes))
-	mux.Handle(path, handler)
+	mux.Handle(path, newIntake(s, handler))
 	return mux
 }
 
--- /dev/null
+++ b/internal/instance/callerconns.go
@@ -0,0 +1,89 @@
+package instance
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+)
+
+// Bounds of callers' open connections.
+const (
+	// maxCallerConns bounds all of an instance.
+	maxCallerConns = 4096
+	// maxConnsPerIP bounds those from one remote IP.
+	maxConnsPerIP = 1024
+)
+
+// connLimiter is a listener that closes connections beyond its bounds as soon as
+// they are accepted. It is safe for concurrent use; each accept costs O(1).
+type connLimiter struct {
+	net.Listener
+	total int
+	perIP int
+
+	mu   sync.Mutex
+	open map[string]int
+	sum  int
+}
+
+// limitConns bounds the open connections of a listener, in all and for each remote
+// IP.
+func limitConns(l net.Listener, total, perIP int) *connLimiter {
+	return &connLimiter{Listener: l, total: total, perIP: perIP, open: make(map[string]int)}
+}
+
+// Accept implements net.Listener.
+func (l *connLimiter) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		ip := remoteIP(conn)
+		if l.take(ip) {
+			return &countedConn{Conn: conn, release: sync.OnceFunc(func() { l.release(ip) })}, nil
+		}
+		conn.Close()
+	}
+}
+
+func (l *connLimiter) take(ip string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.sum >= l.total || l.open[ip] >= l.perIP {
+		return false
+	}
+	l.sum++
+	l.open[ip]++
+	return true
+}
+
+func (l *connLimiter) release(ip string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sum--
+	l.open[ip]--
+	if l.open[ip] == 0 {
+		delete(l.open, ip)
+	}
+}
+
+func remoteIP(conn net.Conn) string {
+	text := conn.RemoteAddr().String()
+	if addr, err := netip.ParseAddrPort(text); err == nil {
+		return addr.Addr().Unmap().String()
+	}
+	return text
+}
+
+// countedConn gives its place back when it is closed.
+type countedConn struct {
+	net.Conn
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.release()
+	return c.Conn.Close()
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -181,6 +181,7 @@
 		AttachGrace:    s.AnswerRetention,
 		CallIDLifetime: s.CallIDLifetime,
 		MaxCallBytes:   int(s.MaxAnswerBytes),
+		MaxBodyBytes:   int64(s.MaxQueuedBytes),
 	}, i.core.admission, i.directory, i.targets)
 }
 
@@ -246,7 +247,7 @@
 	group.Go(func() { i.followConfig(ctx) })
 	group.Go(func() { i.awaitSettled(ctx) })
 	group.Go(func() { _ = i.transport.Serve(listeners.peers) })
-	group.Go(func() { _ = i.callers.Serve(listeners.callers) })
+	group.Go(func() { _ = i.callers.Serve(limitConns(listeners.callers, maxCallerConns, maxConnsPerIP)) })
 	group.Go(func() { _ = i.operator.Serve(listeners.operator) })
 	close(i.ready)
 	<-ctx.Done()
