Confirm the list only by reading it, and dial within the margin of a permit

Cause: a change of the configuration confirmed the cached list to the ledger, and a dial could take 2 s after the permit was checked, where the proof of the limits assumes 250 ms. Change: view.go uses SetOwnerOrder; the dial time-out to targets is the ledger's Margin.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -165,7 +165,11 @@
 		alone:       i.options.Alone,
 		rng:         rng,
 	}, i.options.Log, i.directory, time.Now())
-	i.targets = target.NewClient(i.options.Dial, target.Options{SilenceTimeout: s.StreamSilence})
+	i.targets = target.NewClient(i.options.Dial, target.Options{
+		// A permit that was usable must not be used later than Margin after.
+		DialTimeout:    i.options.Limits.Margin,
+		SilenceTimeout: s.StreamSilence,
+	})
 	i.platform = platform.NewClient(s.PlatformAddr, i.options.Dial)
 	i.poller = newPoller(i.targets, i.core.admission.post)
 	i.transport = i.newTransport(incarnation, rng.Uint64())
--- a/internal/instance/view.go
+++ b/internal/instance/view.go
@@ -86,7 +86,7 @@
 	})
 	c.accounts.SetCustomers(customers)
 	c.directory.publishConfig(c.snapshot)
-	c.ledger.SetMembers(c.list.Instances, c.ownerOrder(), now)
+	c.ledger.SetOwnerOrder(c.ownerOrder(), now)
 	c.updateTargets(now)
 	c.publishEntries()
 	c.markConfig()
