--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -86,5 +86,9 @@
 	for _, r := range s.Peers {
 		fmt.Fprintf(t, "%s\t%s\t%t\t%t\n", r.Instance, r.DataCentre, r.Connected, r.Leaving)
 	}
+	fmt.Fprintln(t, "\nORDER\tNAME\tTARGET\tSTATE")
+	for _, r := range s.Orders {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", r.Kind, r.Name, r.Target, r.State)
+	}
 	return t.Flush()
 }
--- /dev/null
+++ b/internal/instance/cache.go
@@ -0,0 +1,90 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/target"
+	"medlarwind.dev/medlarwind/internal/target/enginewire"
+)
+
+// Times of the reads of cache events.
+const (
+	// cacheInterval is the time between two reads of one engine's events.
+	cacheInterval = time.Second
+	// cacheInterest is how long after its last request here an engine's events are
+	// read; the prefixes that this entry sent are all that its hints are about.
+	cacheInterest = time.Minute
+)
+
+// cacheReader is where an engine's cache events stand.
+type cacheReader struct {
+	boot string
+	next uint64
+	// used is when this entry last ran a request there, and asked when the events
+	// were last asked for.
+	used, asked time.Time
+}
+
+// cacheEvent is the answer to one read of an engine's cache events.
+type cacheEvent struct {
+	target fleet.TargetID
+	events target.CacheEvents
+	err    error
+}
+
+// noteCached takes note that a prompt ran on an engine, which caches its prefixes.
+func (c *core) noteCached(l *lease, now time.Time) {
+	if len(l.waiter.work.Prefixes) == 0 {
+		return
+	}
+	t := l.permit.Target
+	c.affinity.Ran(t, l.permit.BootID, l.waiter.work.Prefixes)
+	r := c.caches[t]
+	if r == nil {
+		r = &cacheReader{boot: l.permit.BootID}
+		c.caches[t] = r
+	}
+	r.used = now
+}
+
+// readCaches asks for the events of the engines in use.
+func (c *core) readCaches(now time.Time) {
+	for t, r := range c.caches {
+		if now.Sub(r.used) > cacheInterest {
+			delete(c.caches, t)
+			continue
+		}
+		if now.Sub(r.asked) >= cacheInterval {
+			r.asked = now
+			c.poller.ask(poll{target: t, addr: c.targets[t].addr, cacheAfter: r.next, cache: true})
+		}
+	}
+}
+
+// apply takes evictions into the picture. After a gap nothing is known.
+func (e cacheEvent) apply(c *core, _ time.Time) {
+	r := c.caches[e.target]
+	if r == nil || e.err != nil {
+		return
+	}
+	if r.boot != e.events.BootID || e.events.Gap {
+		c.affinity.Forget(e.target)
+		r.boot = e.events.BootID
+	}
+	r.next = e.events.Next
+	for _, event := range e.events.Events {
+		if event.Op == enginewire.CacheEvicted {
+			c.affinity.Evicted(e.target, e.events.BootID, event.Hash)
+		}
+	}
+}
+
+// readCache reads one engine's events for a poller's worker.
+func (p *poller) readCache(ctx context.Context, request poll) cacheEvent {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	events, err := p.targets.CacheEvents(ctx, request.addr, request.cacheAfter)
+	return cacheEvent{target: request.target, events: events, err: err}
+}
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"medlarwind.dev/medlarwind/internal/affinity"
 	"medlarwind.dev/medlarwind/internal/config"
 	"medlarwind.dev/medlarwind/internal/dispatch"
 	"medlarwind.dev/medlarwind/internal/fairness"
@@ -83,6 +84,7 @@
 	spreader   *dispatch.Spreader
 	owner      *dispatch.Owner
 	quarantine *quarantine.Tracker
+	affinity   *affinity.Cache
 
 	snapshot *config.Snapshot
 	list     fleet.List
@@ -98,6 +100,9 @@
 	broken      map[fleet.TargetID]time.Time
 	heardBroken map[fleet.TargetID]time.Time
 	brokenBoots map[fleet.TargetID][]brokenBoot
+	caches      map[fleet.TargetID]*cacheReader
+	orders      map[orderKey]orderEntry
+	orderJobs   chan orderJob
 	resolvePoll time.Time
 	peers       map[fleet.InstanceID]*peerState
 	// registered is the demand of the last plan, by peer.
@@ -132,6 +137,7 @@
 
 func newCore(o coreOptions, log zerolog.Logger, d *directory, now time.Time) *core {
 	accounts := fairness.New(o.incarnation, o.fairness)
+	hints := affinity.New()
 	c := &core{
 		options:     o,
 		events:      make(chan event, eventBacklog),
@@ -142,7 +148,7 @@
 		directory:   d,
 		ledger:      limit.New(o.self, o.incarnation, o.limits, now),
 		accounts:    accounts,
-		queue:       dispatch.NewQueue(o.queue, nil),
+		queue:       dispatch.NewQueue(o.queue, hints),
 		spreader:    dispatch.NewSpreader(o.self, dispatch.SpreadParams{VirtualTime: accounts.VirtualTime}),
 		owner:       dispatch.NewOwner(accounts, o.policy, nil, o.rng),
 		quarantine:  quarantine.New(o.self, quarantine.Params{}),
@@ -152,6 +158,10 @@
 		broken:      make(map[fleet.TargetID]time.Time),
 		heardBroken: make(map[fleet.TargetID]time.Time),
 		brokenBoots: make(map[fleet.TargetID][]brokenBoot),
+		caches:      make(map[fleet.TargetID]*cacheReader),
+		affinity:    hints,
+		orders:      make(map[orderKey]orderEntry),
+		orderJobs:   make(chan orderJob, orderBacklog),
 		peers:       make(map[fleet.InstanceID]*peerState),
 		waiting:     make(map[uint64]*waiter),
 		leases:      make(map[*lease]struct{}),
@@ -220,6 +230,8 @@
 	c.slowTick = now
 	c.spreadRound++
 	c.reconcilePeers()
+	c.readCaches(now)
+	c.sendOrders(now)
 	c.owner.Tick()
 	c.quarantine.Expire(now)
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -88,6 +88,7 @@
 	watcher   *config.Watcher
 	directory *directory
 	poller    *poller
+	orders    *orderSender
 	dropped   atomic.Int64
 
 	callers  *http.Server
@@ -174,6 +175,7 @@
 	i.poller = newPoller(i.targets, i.core.admission.post)
 	i.transport = i.newTransport(incarnation, rng.Uint64())
 	i.watcher = config.NewWatcher(i.watcherOptions(), i.store, i.platform, peerFetcher{i.transport}, rng, i.options.Log)
+	i.orders = &orderSender{targets: i.targets, jobs: i.core.orderJobs, post: i.core.admission.post}
 	i.core.transport = i.transport
 	i.core.metrics.SetControlTraffic(func() observe.ControlTraffic { return controlTraffic(i.transport.Counters()) })
 	i.core.poller = i.poller
@@ -247,6 +249,7 @@
 	group.Go(func() { i.core.run(ctx) })
 	group.Go(func() { i.poller.run(ctx) })
 	group.Go(func() { i.watcher.Run(ctx) })
+	group.Go(func() { i.orders.run(ctx) })
 	group.Go(func() { i.readList(ctx) })
 	group.Go(func() { i.followConfig(ctx) })
 	group.Go(func() { i.awaitSettled(ctx) })
--- /dev/null
+++ b/internal/instance/orders.go
@@ -0,0 +1,180 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/rules"
+	"medlarwind.dev/medlarwind/internal/target"
+	"medlarwind.dev/medlarwind/internal/target/enginewire"
+)
+
+// Constants of orders.
+const (
+	// orderRetry is the time between two tries of an order that got no answer.
+	orderRetry = 5 * time.Second
+	// orderBacklog bounds the orders waiting to be sent; more are tried later.
+	orderBacklog = 64
+	// orderTimeout bounds one order.
+	orderTimeout = 10 * time.Second
+)
+
+// orderKinds turns the kinds of the rules into those of the targets' interface.
+var orderKinds = map[rules.OrderKind]enginewire.OrderKind{
+	rules.OrderLoadModel:   enginewire.OrderLoadModel,
+	rules.OrderLoadAdapter: enginewire.OrderLoadAdapter,
+	rules.OrderLoadVersion: enginewire.OrderLoadVersion,
+	rules.OrderRole:        enginewire.OrderSetRole,
+}
+
+// OrderState says what became of an order.
+type OrderState string
+
+// The states of an order at the instance that owns its target.
+const (
+	OrderWaiting OrderState = "waiting"
+	OrderDone    OrderState = "done"
+	// OrderOutdated means that the target has seen a higher fencing number: another
+	// instance has a newer configuration.
+	OrderOutdated OrderState = "outdated"
+	OrderRefused  OrderState = "refused"
+)
+
+// orderKey names an order to one boot of a target, since a boot starts with nothing.
+type orderKey struct {
+	kind   rules.OrderKind
+	name   string
+	target fleet.TargetID
+	boot   string
+}
+
+// orderEntry is where an order stands.
+type orderEntry struct {
+	state OrderState
+	tried time.Time
+}
+
+// orderJob is one order to be sent.
+type orderJob struct {
+	key   orderKey
+	addr  string
+	order target.Order
+}
+
+// orderResult is the answer to an orderJob.
+type orderResult struct {
+	key orderKey
+	err error
+}
+
+// sendOrders gives the orders of owned targets that are due to the sender. The
+// fencing number is the configuration's version, so that a target which checks it
+// refuses an instance with an older configuration; of those that ignore it, an old
+// order may be carried out until its sender has the newer configuration.
+func (c *core) sendOrders(now time.Time) {
+	if c.snapshot == nil || !c.settled || c.draining {
+		return
+	}
+	for _, order := range c.snapshot.Rules.Orders {
+		owner, ok := c.ledger.Owner(order.Target, now)
+		boot := c.ledger.State(order.Target).BootID
+		if !ok || owner != c.options.self || boot == "" {
+			continue
+		}
+		c.sendOrder(order, boot, now)
+	}
+}
+
+func (c *core) sendOrder(order rules.Order, boot string, now time.Time) {
+	key := orderKey{kind: order.Kind, name: order.Name, target: order.Target, boot: boot}
+	entry := c.orders[key]
+	if entry.state == OrderDone || entry.state == OrderRefused || now.Sub(entry.tried) < orderRetry {
+		return
+	}
+	job := orderJob{
+		key:  key,
+		addr: c.targets[order.Target].addr,
+		order: target.Order{
+			Kind:     orderKinds[order.Kind],
+			Name:     order.Name,
+			Fence:    c.snapshot.Version,
+			Instance: c.options.self,
+		},
+	}
+	select {
+	case c.orderJobs <- job:
+		c.orders[key] = orderEntry{state: OrderWaiting, tried: now}
+	default:
+	}
+}
+
+// apply records what a target made of an order. One without an answer is tried again:
+// carrying out an order twice is the same as once.
+func (e orderResult) apply(c *core, _ time.Time) {
+	state := orderState(e.err)
+	entry := c.orders[e.key]
+	entry.state = state
+	c.orders[e.key] = entry
+	c.log.Info().Str("event", "order").Str("target", string(e.key.target)).
+		Str("kind", string(e.key.kind)).Str("name", e.key.name).
+		Str("state", string(state)).AnErr("error", e.err).Msg("")
+}
+
+func orderState(err error) OrderState {
+	var fenced *target.FenceError
+	var failed *target.Error
+	switch {
+	case err == nil:
+		return OrderDone
+	case errors.As(err, &fenced):
+		return OrderOutdated
+	case errors.As(err, &failed) && failed.Reason == enginewire.ReasonSender:
+		return OrderRefused
+	default:
+		return OrderWaiting
+	}
+}
+
+// forgetOrders drops the states of orders that the rules no longer hold, and of
+// former boots.
+func (c *core) forgetOrders() {
+	wanted := make(map[orderKey]bool, len(c.snapshot.Rules.Orders))
+	for _, order := range c.snapshot.Rules.Orders {
+		key := orderKey{kind: order.Kind, name: order.Name, target: order.Target}
+		wanted[key] = true
+	}
+	for key := range c.orders {
+		bare := key
+		bare.boot = ""
+		if !wanted[bare] || key.boot != c.ledger.State(key.target).BootID {
+			delete(c.orders, key)
+		}
+	}
+}
+
+// orderSender sends orders, one after the other. Its goroutine ends with ctx.
+type orderSender struct {
+	targets *target.Client
+	jobs    <-chan orderJob
+	post    func(context.Context, event) bool
+}
+
+func (s *orderSender) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case job := <-s.jobs:
+			s.post(ctx, orderResult{key: job.key, err: s.send(ctx, job)})
+		}
+	}
+}
+
+func (s *orderSender) send(ctx context.Context, job orderJob) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return s.targets.Order(ctx, job.addr, job.order)
+}
--- a/internal/instance/poll.go
+++ b/internal/instance/poll.go
@@ -24,6 +24,9 @@
 type poll struct {
 	target fleet.TargetID
 	addr   string
+	// cache asks for cache events after a number in place of the load.
+	cache      bool
+	cacheAfter uint64
 }
 
 // poller asks targets for their load, and gives the answers to the core. Its
@@ -61,6 +64,10 @@
 		case <-ctx.Done():
 			return
 		case request := <-p.polls:
+			if request.cache {
+				p.post(ctx, p.readCache(ctx, request))
+				continue
+			}
 			p.post(ctx, p.load(ctx, request))
 		}
 	}
--- a/internal/instance/requests.go
+++ b/internal/instance/requests.go
@@ -241,6 +241,7 @@
 		l.started = now
 		c.quarantine.Running(l.waiter.work.Fingerprint, l.runKey())
 		c.startCharging(l)
+		c.noteCached(l, now)
 		c.noteStarted(l, now)
 	} else {
 		c.noteExpired(l)
--- a/internal/instance/status.go
+++ b/internal/instance/status.go
@@ -8,6 +8,7 @@
 	"medlarwind.dev/medlarwind/internal/entry"
 	"medlarwind.dev/medlarwind/internal/fairness"
 	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/rules"
 )
 
 // Status is one instance's view of itself and of the fleet.
@@ -28,6 +29,8 @@
 	Targets      []TargetStatus            `json:"targets"`
 	Peers        []PeerStatus              `json:"peers"`
 	OutOfService []fleet.DataCentreID      `json:"out_of_service"`
+	// Orders are those of targets that this instance owns.
+	Orders []OrderStatus `json:"orders"`
 }
 
 // TargetStatus is one target as this instance knows it. Counts are requests; those
@@ -44,6 +47,15 @@
 	Out       bool              `json:"out"`
 }
 
+// OrderStatus is one order of the rules and what its target made of it.
+type OrderStatus struct {
+	Target fleet.TargetID  `json:"target"`
+	Kind   rules.OrderKind `json:"kind"`
+	Name   string          `json:"name"`
+	BootID string          `json:"boot_id"`
+	State  OrderState      `json:"state"`
+}
+
 // PeerStatus is one peer as this instance knows it.
 type PeerStatus struct {
 	Instance   fleet.InstanceID   `json:"instance"`
@@ -66,6 +78,7 @@
 		Customers:   c.accounts.Status(nil),
 		Targets:     c.targetStatus(now),
 		Peers:       c.peerStatus(),
+		Orders:      c.orderStatus(),
 	}
 	if c.snapshot != nil {
 		s.ConfigVersion = c.snapshot.Version
@@ -98,6 +111,23 @@
 	return rows
 }
 
+func (c *core) orderStatus() []OrderStatus {
+	rows := make([]OrderStatus, 0, len(c.orders))
+	for key, entry := range c.orders {
+		rows = append(rows, OrderStatus{
+			Target: key.target,
+			Kind:   key.kind,
+			Name:   key.name,
+			BootID: key.boot,
+			State:  entry.state,
+		})
+	}
+	slices.SortFunc(rows, func(a, b OrderStatus) int {
+		return strings.Compare(string(a.Target)+a.Name, string(b.Target)+b.Name)
+	})
+	return rows
+}
+
 func (c *core) peerStatus() []PeerStatus {
 	rows := make([]PeerStatus, 0, len(c.peers))
 	for id, p := range c.peers {
--- a/internal/instance/view.go
+++ b/internal/instance/view.go
@@ -89,6 +89,7 @@
 	c.ledger.SetOwnerOrder(c.ownerOrder(), now)
 	c.updateTargets(now)
 	c.publishEntries()
+	c.forgetOrders()
 	c.markConfig()
 }
 
--- a/internal/localfleet/fleet_test.go
+++ b/internal/localfleet/fleet_test.go
@@ -66,3 +66,32 @@
 		}
 	})
 }
+
+// TestOwnersSendOrders checks that the rules' orders reach their targets once for each
+// boot, with the configuration's version as fencing number.
+func TestOwnersSendOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, err := Start(twoRegions(), Memory(memnet.New()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		if err := f.AwaitReady(ctx); err != nil {
+			t.Fatal(err)
+		}
+		order := "order load-model appraise on north-e1 # asked by the board\n"
+		version := f.PublishRules(append(f.Spec.Rules(), order...))
+		time.Sleep(30 * time.Second)
+		orders := f.Engines[0].Orders()
+		if len(orders) != 1 || orders[0].Name != "appraise" || orders[0].Fence != version {
+			t.Errorf("the engine got %+v, want one order with fencing number %d", orders, version)
+		}
+		f.Engines[0].Crash()
+		time.Sleep(30 * time.Second)
+		if again := f.Engines[0].Orders(); len(again) != 2 {
+			t.Errorf("after another boot the engine has %d orders, want 2", len(again))
+		}
+	})
+}
