--- /dev/null
+++ b/internal/localfleet/queue_test.go
@@ -0,0 +1,59 @@
+package localfleet
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwind.dev/medlarwind/client"
+	medlarwindv1 "medlarwind.dev/medlarwind/gen/medlarwind/v1"
+	"medlarwind.dev/medlarwind/internal/memnet"
+)
+
+// The rules' "queue" bounds a customer's waiting requests at one instance; more are
+// refused as not run.
+func TestQueueLimitOfRulesHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		spec := twoRegions()
+		spec.Customers[0].Queue = 4
+		f, err := Start(spec, Memory(memnet.New()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		if err := f.AwaitReady(ctx); err != nil {
+			t.Fatal(err)
+		}
+		var refused atomic.Int64
+		var group sync.WaitGroup
+		for i := range 100 {
+			c := client.New(client.Options{
+				Seeds:    []string{f.Members[0].CallerAddr},
+				Secret:   f.Spec.Customers[0].Secret(),
+				Dial:     f.network.Dialer("caller"),
+				MaxTries: 1,
+			})
+			f.clients = append(f.clients, c)
+			group.Go(func() {
+				_, err := c.Generate(ctx, &medlarwindv1.GenerateRequest{Model: "appraise", Prompt: fmt.Sprint(i), MaxTokens: 100}, nil)
+				var failed *client.RequestError
+				if errors.As(err, &failed) && failed.Kind == client.NotRun && failed.Reason == "queue_full" {
+					refused.Add(1)
+				}
+			})
+		}
+		group.Wait()
+		// Four engines of limit 8 could run 32 at once.
+		if refused.Load() < 100-4-32 {
+			t.Errorf("%d of 100 requests at once were refused, queue limit 4", refused.Load())
+		}
+	})
+}
