--- a/internal/instance/bench_test.go
+++ b/internal/instance/bench_test.go
@@ -417,16 +417,27 @@
 	return int64(stats.HeapAlloc)
 }
 
-// BenchmarkTakeChange applies one version of the rules, or one version of the list,
-// which the core does not know yet.
+// BenchmarkTakeChange applies versions of the rules in which one line about a customer
+// or a target differs, and new versions of the list.
 func BenchmarkTakeChange(b *testing.B) {
 	for name, size := range fleetSizes {
 		w := newBenchCore(b, size)
-		b.Run(name+"/rules", func(b *testing.B) {
-			for b.Loop() {
-				w.apply(configEvent{snapshot: w.snapshot})
-			}
-		})
+		for what, line := range map[string][2]string{"customer": {"mill-00001 share 2", "mill-00001 share 3"}, "target": {"limit 8", "limit 7"}} {
+			b.Run(name+"/"+what, func(b *testing.B) {
+				text := string(benchRules(size))
+				var versions [2]*config.Snapshot
+				for i, old := range line {
+					store := config.NewStore()
+					if _, err := store.Offer(1, []byte(strings.Replace(text, line[0], old, 1)), config.SourceService); err != nil {
+						b.Fatal(err)
+					}
+					versions[i] = store.Current()
+				}
+				for i := 0; b.Loop(); i++ {
+					w.apply(configEvent{snapshot: versions[i%2]})
+				}
+			})
+		}
 		b.Run(name+"/list", func(b *testing.B) {
 			for b.Loop() {
 				list := w.list
--- a/internal/instance/view.go
+++ b/internal/instance/view.go
@@ -1,6 +1,8 @@
 package instance
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -73,23 +75,36 @@
 
 func (e configEvent) apply(c *core, now time.Time) {
 	c.noteConfig(e.snapshot)
+	former := c.snapshot
 	c.snapshot = e.snapshot
+	if former == nil || !maps.Equal(former.Rules.Customers, c.snapshot.Rules.Customers) {
+		c.updateCustomers()
+	}
+	if former == nil || !sameTargets(former.Rules, c.snapshot.Rules) {
+		c.ledger.SetMembers(c.list.Instances, c.ownerOrder(), now)
+		c.updateTargets(now)
+	}
+	c.publishEntries()
+	c.markConfig()
+}
+
+func (c *core) updateCustomers() {
 	customers := make([]fairness.Customer, 0, len(c.snapshot.Rules.Customers))
 	for _, customer := range c.snapshot.Rules.Customers {
 		customers = append(customers, fairness.Customer{ID: customer.ID, Share: customer.Share})
 	}
-	slices.SortFunc(customers, func(a, b fairness.Customer) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(customers, func(a, b fairness.Customer) int { return cmp.Compare(a.ID, b.ID) })
 	c.accounts.SetCustomers(customers)
 	c.directory.publishConfig(c.snapshot)
-	c.ledger.SetMembers(c.list.Instances, c.ownerOrder(), now)
-	c.updateTargets(now)
-	c.publishEntries()
-	c.markConfig()
+}
+
+// sameTargets reports whether two versions of the rules give the same targets in the
+// same data centres.
+func sameTargets(a, b *rules.Document) bool {
+	return maps.Equal(a.DataCentres, b.DataCentres) && maps.EqualFunc(a.Targets, b.Targets, func(x, y rules.Target) bool {
+		return x.DataCentre == y.DataCentre && x.Limit == y.Limit && x.ColdLimit == y.ColdLimit &&
+			x.Service == y.Service && slices.Equal(x.Models, y.Models)
+	})
 }
 
 func (askedEvent) apply(c *core, _ time.Time) {
