Part the experiment's load and figures from its tests

Change: they are ordinary code of package experiment, which reports problems to an interface; the runs stay tests, since they need virtual time.

--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -1,6 +1,3 @@
-// Package experiment measures a whole fleet in virtual time: the gap in service
-// between backlogged customers, the use of slots, control traffic, waiting times, and
-// service while a data centre is taken out, each beside baselines.
 package experiment
 
 import (
--- a/internal/experiment/world_test.go
+++ b/internal/experiment/world.go
@@ -1,3 +1,10 @@
+// Package experiment measures a whole fleet: the gap in service between backlogged
+// customers, the use of slots, control traffic, waiting times, and service while a
+// data centre is taken out, each beside baselines. It holds the load, the course of a
+// run and its figures; the runs themselves are tests, since they need virtual time.
+//
+// A world belongs to the goroutine that runs it; its callers' goroutines share the
+// records, which are guarded.
 package experiment
 
 import (
@@ -5,7 +12,6 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
-	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -114,9 +120,15 @@
 	return lookupTokens + (dossierTokens-lookupTokens)/float64(c.dossiers)
 }
 
+// problems takes what goes wrong in a run. It is safe for concurrent use.
+type problems interface {
+	Errorf(format string, args ...any)
+	Logf(format string, args ...any)
+}
+
 // world is a fleet in memory with its callers.
 type world struct {
-	t         *testing.T
+	problems  problems
 	scenario  scenario
 	rng       *rand.Rand
 	net       *memnet.Network
@@ -129,9 +141,10 @@
 	clients   []*client.Client
 }
 
-func newWorld(t *testing.T, ctx context.Context, s scenario) *world {
+// newWorld starts the fleet of a scenario and waits until it takes work.
+func newWorld(ctx context.Context, p problems, s scenario) (*world, error) {
 	w := &world{
-		t: t, scenario: s,
+		problems: p, scenario: s,
 		rng:       rand.New(rand.NewPCG(s.seed, 1)),
 		net:       memnet.New(),
 		customers: customers(len(s.centres)),
@@ -163,16 +176,17 @@
 	}
 	started, err := localfleet.Start(spec, memory)
 	if err != nil {
-		t.Fatal(err)
+		return nil, err
 	}
 	w.fleet = started
 	w.hosts = memory
 	w.mapHosts(memory)
 	w.net.SetDelay(w.delay)
 	if err := started.AwaitReady(ctx); err != nil {
-		t.Fatal(err)
+		started.Close()
+		return nil, err
 	}
-	return w
+	return w, nil
 }
 
 func centreID(i int) fleet.DataCentreID {
