--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -1,6 +1,3 @@
-// Package experiment measures a whole fleet in virtual time: the gap in service
-// between backlogged customers, the use of slots, control traffic, waiting times, and
-// service while a data centre is taken out, each beside baselines.
 package experiment
 
 import (
@@ -115,7 +112,7 @@
 		t.Errorf("an engine ran %d requests above its limit; %d were overloaded when cold", r.Counts.Excess, r.Counts.Overload)
 	}
 	if r.Counts.Other > 0 {
-		t.Errorf("%d requests ended neither whole nor refused as not run", r.Counts.Other)
+		t.Errorf("%d requests ended neither whole nor refused as not run: %q", r.Counts.Other, r.Failures)
 	}
 	if r.Outage.ArrivalsBefore == 0 {
 		t.Errorf("no request reached the data centre before it was taken out")
--- a/internal/experiment/load_test.go
+++ b/internal/experiment/load.go
@@ -170,7 +170,8 @@
 		r.whole = true
 		r.tokens = answer.OutputTokens
 		if string(answer.Data) != string(standin.Answer(prompt, outputTokens(prompt, 0))) {
-			w.t.Errorf("%s: not the answer to this prompt", prompt)
+			r.whole = false
+			r.failure = errors.New("not the answer to this prompt")
 		}
 	case errors.As(err, &failed) && failed.Kind == client.NotRun:
 		r.refused = true
--- a/internal/experiment/world_test.go
+++ b/internal/experiment/world.go
@@ -1,3 +1,7 @@
+// Package experiment measures a whole fleet in virtual time: the gap in service
+// between backlogged customers, the use of slots, control traffic, waiting times, and
+// service while a data centre is taken out, each beside baselines. It holds the fleet,
+// its load and the figures; the tests carry them out.
 package experiment
 
 import (
@@ -5,7 +9,6 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
-	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -116,7 +119,6 @@
 
 // world is a fleet in memory with its callers.
 type world struct {
-	t         *testing.T
 	scenario  scenario
 	rng       *rand.Rand
 	net       *memnet.Network
@@ -129,9 +131,11 @@
 	clients   []*client.Client
 }
 
-func newWorld(t *testing.T, ctx context.Context, s scenario) *world {
+// newWorld starts a fleet and waits until it is ready. Its network needs a clock that
+// runs while nobody waits for anything else, as under testing/synctest.
+func newWorld(ctx context.Context, s scenario) (*world, error) {
 	w := &world{
-		t: t, scenario: s,
+		scenario:  s,
 		rng:       rand.New(rand.NewPCG(s.seed, 1)),
 		net:       memnet.New(),
 		customers: customers(len(s.centres)),
@@ -163,16 +167,17 @@
 	}
 	started, err := localfleet.Start(spec, memory)
 	if err != nil {
-		t.Fatal(err)
+		return nil, err
 	}
 	w.fleet = started
 	w.hosts = memory
 	w.mapHosts(memory)
 	w.net.SetDelay(w.delay)
 	if err := started.AwaitReady(ctx); err != nil {
-		t.Fatal(err)
+		started.Close()
+		return nil, err
 	}
-	return w
+	return w, nil
 }
 
 func centreID(i int) fleet.DataCentreID {
--- a/internal/report/result.go
+++ b/internal/report/result.go
@@ -27,6 +27,8 @@
 	Small       Latency     `json:"small_customers"`
 	Outage      *Outage     `json:"outage,omitempty"`
 	Counts      Counts      `json:"counts"`
+	// Failures tell of the requests in Counts.Other.
+	Failures []string `json:"failures,omitempty"`
 	// Service is the course of the service of each customer.
 	Service Series `json:"service"`
 }
