--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -88,6 +88,7 @@
 	watcher   *config.Watcher
 	directory *directory
 	poller    *poller
+	orders    *orderSender
 	dropped   atomic.Int64
 
 	callers  *http.Server
@@ -165,11 +166,16 @@
 		alone:       i.options.Alone,
 		rng:         rng,
 	}, i.options.Log, i.directory, time.Now())
-	i.targets = target.NewClient(i.options.Dial, target.Options{SilenceTimeout: s.StreamSilence})
+	i.targets = target.NewClient(i.options.Dial, target.Options{
+		// A permit that was usable must not be used later than Margin after.
+		DialTimeout:    i.options.Limits.Margin,
+		SilenceTimeout: s.StreamSilence,
+	})
 	i.platform = platform.NewClient(s.PlatformAddr, i.options.Dial)
 	i.poller = newPoller(i.targets, i.core.admission.post)
 	i.transport = i.newTransport(incarnation, rng.Uint64())
 	i.watcher = config.NewWatcher(i.watcherOptions(), i.store, i.platform, peerFetcher{i.transport}, rng, i.options.Log)
+	i.orders = &orderSender{targets: i.targets, jobs: i.core.orderJobs, post: i.core.admission.post}
 	i.core.transport = i.transport
 	i.core.metrics.SetControlTraffic(func() observe.ControlTraffic { return controlTraffic(i.transport.Counters()) })
 	i.core.poller = i.poller
@@ -181,6 +187,7 @@
 		AttachGrace:    s.AnswerRetention,
 		CallIDLifetime: s.CallIDLifetime,
 		MaxCallBytes:   int(s.MaxAnswerBytes),
+		MaxBodyBytes:   int64(s.MaxQueuedBytes),
 	}, i.core.admission, i.directory, i.targets)
 }
 
@@ -242,11 +249,12 @@
 	group.Go(func() { i.core.run(ctx) })
 	group.Go(func() { i.poller.run(ctx) })
 	group.Go(func() { i.watcher.Run(ctx) })
+	group.Go(func() { i.orders.run(ctx) })
 	group.Go(func() { i.readList(ctx) })
 	group.Go(func() { i.followConfig(ctx) })
 	group.Go(func() { i.awaitSettled(ctx) })
 	group.Go(func() { _ = i.transport.Serve(listeners.peers) })
-	group.Go(func() { _ = i.callers.Serve(listeners.callers) })
+	group.Go(func() { _ = i.callers.Serve(limitConns(listeners.callers, maxCallerConns, maxConnsPerIP)) })
 	group.Go(func() { _ = i.operator.Serve(listeners.operator) })
 	close(i.ready)
 	<-ctx.Done()
@@ -325,10 +333,18 @@
 func (i *Instance) readList(ctx context.Context) {
 	ticker := time.NewTicker(listInterval)
 	defer ticker.Stop()
+	known := uint64(0)
 	for {
 		i.core.metrics.PlatformRead("list")
-		list, err := i.platform.List(ctx)
-		i.core.admission.post(ctx, listEvent{list: list, err: err})
+		list, changed, err := i.platform.ListAbove(ctx, known)
+		read := listEvent{list: list, err: err}
+		if err == nil && !changed {
+			read.same = known
+		}
+		if err == nil && changed {
+			known = list.Version
+		}
+		i.core.admission.post(ctx, read)
 		select {
 		case <-ctx.Done():
 			return
