--- a/internal/experiment/world_test.go
+++ b/internal/experiment/world_test.go
@@ -16,6 +16,7 @@
 	"medlarwind.dev/medlarwind/internal/localfleet"
 	"medlarwind.dev/medlarwind/internal/memnet"
 	"medlarwind.dev/medlarwind/internal/peer"
+	"medlarwind.dev/medlarwind/internal/settings"
 	"medlarwind.dev/medlarwind/internal/standin"
 )
 
@@ -35,6 +36,8 @@
 	dossierShare = 8
 	maxTokens    = 2048
 	queueLimit   = 64
+	// answerRetention is short, since ended answers count as streams.
+	answerRetention = 5 * time.Second
 )
 
 // variant is the product or a baseline.
@@ -44,19 +47,13 @@
 	alone  bool
 }
 
-var variants = []variant{
-	{name: "fair"},
-	{name: "alone", alone: true},
-	{name: "round-robin", policy: dispatch.RoundRobin{}},
-	{name: "first-come", policy: dispatch.FirstComeFirstServed{}},
-}
-
 // scenario is one run.
 type scenario struct {
 	seed    uint64
 	variant variant
 	// centres holds the instances of each data centre.
 	centres []int
+	engines int
 	warm    time.Duration
 	steady  time.Duration
 	// outage is how long a data centre is out after the steady phase, 0 for never.
@@ -79,13 +76,12 @@
 	homes []int
 	// dossiers says that one in so many requests is long, 0 for none.
 	dossiers int
-	arrivals float64
 }
 
 // customers are 15, 3 of them large and spread unevenly over data centres.
 func customers(centres int) []customer {
 	large := []customer{
-		{Customer: localfleet.Customer{ID: "large-1", Share: 2}, homes: []int{0, 0, 0, 1}, dossiers: dossierShare},
+		{Customer: localfleet.Customer{ID: "large-1", Share: 2}, homes: []int{0}, dossiers: dossierShare},
 		{Customer: localfleet.Customer{ID: "large-2", Share: 1}, homes: []int{0}, dossiers: dossierShare / 2},
 		{Customer: localfleet.Customer{ID: "large-3", Share: 1}, homes: []int{2}, dossiers: dossierShare * 2},
 	}
@@ -133,8 +129,6 @@
 	clients   []*client.Client
 }
 
-const engines = 20
-
 func newWorld(t *testing.T, ctx context.Context, s scenario) *world {
 	w := &world{
 		t: t, scenario: s,
@@ -152,6 +146,7 @@
 			WarmAfter: 2, ReportLag: 200 * time.Millisecond, OutputTokens: outputTokens,
 		},
 		Seed: s.seed, Log: zerolog.Nop(), Policy: s.variant.policy, Alone: s.variant.alone,
+		Adjust: func(s *settings.Settings) { s.AnswerRetention = answerRetention },
 	}
 	for _, c := range w.customers {
 		spec.Customers = append(spec.Customers, c.Customer)
@@ -159,7 +154,7 @@
 	for i, n := range s.centres {
 		d := localfleet.DataCentre{
 			ID: centreID(i), Region: fleet.RegionID(fmt.Sprintf("region-%d", i%3+1)), Instances: n,
-			Engines: (engines + len(s.centres) - 1 - i) / len(s.centres),
+			Engines: (s.engines + len(s.centres) - 1 - i) / len(s.centres),
 		}
 		if i < 3 {
 			d.Services = 1
--- a/internal/instance/core.go
+++ b/internal/instance/core.go
@@ -143,7 +143,7 @@
 		ledger:      limit.New(o.self, o.incarnation, o.limits, now),
 		accounts:    accounts,
 		queue:       dispatch.NewQueue(o.queue, nil),
-		spreader:    dispatch.NewSpreader(o.self, dispatch.SpreadParams{}),
+		spreader:    dispatch.NewSpreader(o.self, dispatch.SpreadParams{VirtualTime: accounts.VirtualTime}),
 		owner:       dispatch.NewOwner(accounts, o.policy, nil, o.rng),
 		quarantine:  quarantine.New(o.self, quarantine.Params{}),
 		targets:     make(map[fleet.TargetID]targetInfo),
@@ -156,6 +156,7 @@
 		waiting:     make(map[uint64]*waiter),
 		leases:      make(map[*lease]struct{}),
 	}
+	c.owner.SetNear(c.isNear)
 	c.admission = &admission{events: c.events, done: c.done}
 	return c
 }
--- a/internal/instance/heartbeat.go
+++ b/internal/instance/heartbeat.go
@@ -13,7 +13,7 @@
 	// nearGap and farGap are the shortest times between two heartbeats to a peer in
 	// this data centre and in another one, when something changed.
 	nearGap = 5 * time.Millisecond
-	farGap  = 50 * time.Millisecond
+	farGap  = 20 * time.Millisecond
 	// staleGap is the longest time from one heartbeat to the next when the counts of
 	// waiting requests changed.
 	staleGap = 200 * time.Millisecond
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -165,7 +165,11 @@
 		alone:       i.options.Alone,
 		rng:         rng,
 	}, i.options.Log, i.directory, time.Now())
-	i.targets = target.NewClient(i.options.Dial, target.Options{SilenceTimeout: s.StreamSilence})
+	i.targets = target.NewClient(i.options.Dial, target.Options{
+		// A permit that was usable must not be used later than Margin after.
+		DialTimeout:    i.options.Limits.Margin,
+		SilenceTimeout: s.StreamSilence,
+	})
 	i.platform = platform.NewClient(s.PlatformAddr, i.options.Dial)
 	i.poller = newPoller(i.targets, i.core.admission.post)
 	i.transport = i.newTransport(incarnation, rng.Uint64())
@@ -181,6 +185,7 @@
 		AttachGrace:    s.AnswerRetention,
 		CallIDLifetime: s.CallIDLifetime,
 		MaxCallBytes:   int(s.MaxAnswerBytes),
+		MaxBodyBytes:   int64(s.MaxQueuedBytes),
 	}, i.core.admission, i.directory, i.targets)
 }
 
@@ -246,7 +251,7 @@
 	group.Go(func() { i.followConfig(ctx) })
 	group.Go(func() { i.awaitSettled(ctx) })
 	group.Go(func() { _ = i.transport.Serve(listeners.peers) })
-	group.Go(func() { _ = i.callers.Serve(listeners.callers) })
+	group.Go(func() { _ = i.callers.Serve(limitConns(listeners.callers, maxCallerConns, maxConnsPerIP)) })
 	group.Go(func() { _ = i.operator.Serve(listeners.operator) })
 	close(i.ready)
 	<-ctx.Done()
--- a/internal/instance/view.go
+++ b/internal/instance/view.go
@@ -81,7 +81,7 @@
 		c.updateCustomers()
 	}
 	if former == nil || !sameTargets(former.Rules, c.snapshot.Rules) {
-		c.ledger.SetMembers(c.list.Instances, c.ownerOrder(), now)
+		c.ledger.SetOwnerOrder(c.ownerOrder(), now)
 		c.updateTargets(now)
 	}
 	c.publishEntries()
