--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -131,6 +131,7 @@
 // Queue holds the requests that wait at one entry.
 type Queue struct {
 	params    QueueParams
+	limits    map[fleet.CustomerID]int
 	affinity  Affinity
 	lanes     map[laneKey]*lane
 	ordered   []*lane
@@ -153,6 +154,17 @@
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int { return len(q.items) }
 
+// SetLimits replaces the bounds of the customers that the rules give one; the others
+// have PerCustomer. The queue keeps the map. What waits already stays.
+func (q *Queue) SetLimits(limits map[fleet.CustomerID]int) { q.limits = limits }
+
+func (q *Queue) limitOf(c fleet.CustomerID) int {
+	if limit, ok := q.limits[c]; ok {
+		return limit
+	}
+	return q.params.PerCustomer
+}
+
 // Add queues a request, or refuses it at once with a *FullError.
 // O(log waiting).
 func (q *Queue) Add(r Request, now time.Time) error {
@@ -161,7 +173,7 @@
 		b = &backlog{lastTaken: now}
 		q.backlogs[r.Customer] = b
 	}
-	full := b.waiting >= q.params.PerCustomer
+	full := b.waiting >= q.limitOf(r.Customer)
 	crowded := len(q.items) >= q.params.Total && b.waiting >= q.params.Reserved
 	if full || crowded {
 		return &FullError{Customer: r.Customer, Waiting: b.waiting, RetryAfter: b.retryAfter(now)}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -129,6 +129,13 @@
 	a.wakeReaders()
 }
 
+// empty reports whether the answer has no frame.
+func (a *answer) empty() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.first == 0 && len(a.frames) == 0
+}
+
 // attach starts a reader at a sequence; false if that frame is no longer held.
 func (a *answer) attach(sequence int64) (*reader, bool) {
 	a.mu.Lock()
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -87,6 +87,7 @@
 // run tries the request until it has a whole answer or a final outcome.
 func (g *generation) run() {
 	defer g.stop()
+	defer g.server.answers.end(g.answer)
 	pause := unsentPause
 	for attempt := 1; ; attempt++ {
 		g.work.Attempt = attempt
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -39,6 +39,9 @@
 	bytesPerToken = 4
 	// startingRetry is when to try again at an instance without rules.
 	startingRetry = 500 * time.Millisecond
+	// compressMinBytes is the size from which on a message is compressed; compressing
+	// each token's frame costs more than it saves.
+	compressMinBytes = 4 << 10
 	// maxAttempts bounds how often one request is started.
 	maxAttempts = 3
 )
@@ -53,7 +56,8 @@
 	Instance    fleet.InstanceID
 	// AnswerWindow is the number of bytes held of one answer; default 1 MiB.
 	AnswerWindow int
-	// MaxAnswers bounds the requests held at once, running or kept; default 4096.
+	// MaxAnswers bounds the requests that run at once, and likewise the ended answers
+	// that are kept; default 4096.
 	MaxAnswers int
 	// AttachGrace is how long an answer is kept without a reader; default 10 s.
 	AttachGrace time.Duration
@@ -136,7 +140,8 @@
 // Handler returns the http.Handler for callers: connect, gRPC and gRPC-Web.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	path, handler := medlarwindv1connect.NewRouterServiceHandler(s, connect.WithReadMaxBytes(MaxMessageBytes))
+	path, handler := medlarwindv1connect.NewRouterServiceHandler(s, connect.WithReadMaxBytes(MaxMessageBytes),
+		connect.WithCompressMinBytes(compressMinBytes))
 	mux.Handle(path, newIntake(s, handler))
 	return mux
 }
--- a/internal/instance/demand.go
+++ b/internal/instance/demand.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -28,7 +29,13 @@
 			c.owner.SetDemand(c.options.self, a.Demand, c.selfGrant, now)
 		}
 	}
-	c.owner.SetAloneDemand(c.options.self, alone, now)
+	var own []wire.Demand
+	for _, d := range alone {
+		if c.aloneOwner(d) == c.options.self {
+			own = append(own, d)
+		}
+	}
+	c.owner.SetAloneDemand(c.options.self, own, now)
 }
 
 // demandByPeer copies each owner's part, since a plan's memory is used again.
@@ -40,7 +47,7 @@
 		}
 	}
 	for _, d := range alone {
-		if owner := c.aloneOwner(d.Workload); owner != "" {
+		if owner := c.aloneOwner(d); owner != "" && owner != c.options.self {
 			d.Alone = true
 			parts[owner] = append(parts[owner], d)
 		}
@@ -92,22 +99,36 @@
 	return a == b && older
 }
 
-// aloneOwner is the peer that is asked for a target of a suspect's own when this
-// instance owns none that serves it.
-func (c *core) aloneOwner(workload fleet.Workload) fleet.InstanceID {
-	best := fleet.InstanceID("")
+// aloneTurn is how long one owner at a time is asked for a target of a suspect's own.
+const aloneTurn = 2 * time.Second
+
+// aloneOwner is the owner that is asked for a target of a suspect's own: this
+// instance first, then those near, then the others, each for a turn, since the
+// targets of one owner may all be gone. It is empty if nobody serves the workload.
+func (c *core) aloneOwner(d wire.Demand) fleet.InstanceID {
+	var serving []fleet.InstanceID
 	for _, v := range c.owners.views {
-		if !viewServes(v, workload) {
-			continue
-		}
-		if v.Owner == c.options.self {
-			return ""
-		}
-		if best == "" {
-			best = v.Owner
+		if viewServes(v, d.Workload) {
+			serving = append(serving, v.Owner)
 		}
 	}
-	return best
+	if len(serving) == 0 {
+		return ""
+	}
+	slices.SortStableFunc(serving, func(a, b fleet.InstanceID) int {
+		return cmp.Compare(c.remoteness(a), c.remoteness(b))
+	})
+	turn := time.Duration(d.WaitMillis) * time.Millisecond / aloneTurn
+	return serving[int(turn)%len(serving)]
+}
+
+// remoteness orders owners: this instance, its data centre, its region, the others.
+func (c *core) remoteness(owner fleet.InstanceID) int {
+	if owner == c.options.self {
+		return -1
+	}
+	place, _ := c.placeOf(owner)
+	return int(place)
 }
 
 func viewServes(v ownedBy, workload fleet.Workload) bool {
--- a/internal/instance/view.go
+++ b/internal/instance/view.go
@@ -91,11 +91,14 @@
 
 func (c *core) updateCustomers() {
 	customers := make([]fairness.Customer, 0, len(c.snapshot.Rules.Customers))
+	limits := make(map[fleet.CustomerID]int, len(c.snapshot.Rules.Customers))
 	for _, customer := range c.snapshot.Rules.Customers {
+		limits[customer.ID] = customer.QueueLimit
 		customers = append(customers, fairness.Customer{ID: customer.ID, Share: customer.Share})
 	}
 	slices.SortFunc(customers, func(a, b fairness.Customer) int { return cmp.Compare(a.ID, b.ID) })
 	c.accounts.SetCustomers(customers)
+	c.queue.SetLimits(limits)
 	c.directory.publishConfig(c.snapshot)
 }
 
