Set a connection's jsonrpc2 end before its messages are handled

Cause: package localfleet crashed under the race detector in 6 of 8 runs. On one processor the detector works and named a data race: the reading goroutine, which NewConn starts, registered a link before start had set its rpc field, and a configuration fetch read the field, which could also have been nil. Change: messages wait until the field is set. Ruled out: the race as the cause of the crashes, which are a SIGSEGV inside __sanitizer::StackDepotBase::Put and CHECK failures of tsan_rtl.cpp.

--- a/internal/config/watcher.go
+++ b/internal/config/watcher.go
@@ -59,6 +59,18 @@
 	FetchTimeout time.Duration
 	FetchRetry   time.Duration
 	Gate         GateConfig
+	// Refused is told of each version that was not taken; may be nil. It is called
+	// from the watcher's goroutines.
+	Refused func(Refusal)
+}
+
+// Refusal is a version that was not taken.
+type Refusal struct {
+	Version uint64
+	Source  string
+	// Outcome is Conflict or Invalid.
+	Outcome Outcome
+	Err     error
 }
 
 // DefaultOptions returns the options without identity.
@@ -261,6 +273,9 @@
 		w.counters.invalid.Add(1)
 		event = w.log.Error()
 	}
+	if w.options.Refused != nil && (outcome == Conflict || outcome == Invalid) {
+		w.options.Refused(Refusal{Version: version, Source: source, Outcome: outcome, Err: err})
+	}
 	event.Uint64("version", version).Str("source", source).
 		Stringer("outcome", outcome).Err(err).Msg("configuration offered")
 }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -53,6 +53,7 @@
 	if outcome != nil {
 		return nil, connectError(s.beforeCall(req.Msg.CallId, outcome))
 	}
+	work := c.work
 	var body []byte
 	if c.rule.Once {
 		body, outcome = s.callOnce(ctx, customer, req.Msg, c)
@@ -60,6 +61,7 @@
 		body, outcome = s.callRepeatable(ctx, c)
 	}
 	if outcome != nil {
+		s.noteUnknown(&work, outcome)
 		return nil, connectError(outcome)
 	}
 	return connect.NewResponse(&medlarwindv1.CallResponse{
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -70,6 +70,9 @@
 	// MaxCallIDs and MaxCallIDsPerCustomer bound the ids held; defaults 65536, 4096.
 	MaxCallIDs            int
 	MaxCallIDsPerCustomer int
+	// Unknown is told of each request whose caller is told that its outcome is
+	// unknown; may be nil. It is called from the requests' goroutines.
+	Unknown func(w *Work, reason string)
 	// MaxCallBytes bounds the kept answers of once-calls; default 32 MiB.
 	MaxCallBytes int
 	// MaxBodyBytes bounds the bodies of all requests at once, a quarter of it for one
@@ -281,6 +284,13 @@
 	}
 }
 
+// noteUnknown tells of an outcome that is unknown.
+func (s *Server) noteUnknown(w *Work, outcome *OutcomeError) {
+	if s.options.Unknown != nil && outcome != nil && outcome.Kind == Unknown {
+		s.options.Unknown(w, outcome.Reason)
+	}
+}
+
 // randomHex returns n random bytes in hexadecimal, which cannot be guessed.
 func randomHex(n int) string {
 	raw := make([]byte, n)
--- a/internal/instance/admission.go
+++ b/internal/instance/admission.go
@@ -99,9 +99,11 @@
 type lease struct {
 	admission *admission
 	permit    limit.Permit
-	addr      string
-	waiter    *waiter
-	metrics   *observe.Metrics
+	// grant is the sequence of the grant that the permit came by.
+	grant   uint64
+	addr    string
+	waiter  *waiter
+	metrics *observe.Metrics
 	// lastToken is when the latest tokens came.
 	lastToken time.Time
 	// charged is the token counts at the last charge.
--- a/internal/instance/build.go
+++ b/internal/instance/build.go
@@ -87,6 +87,7 @@
 		AttachGrace:    s.AnswerRetention,
 		CallIDLifetime: s.CallIDLifetime,
 		MaxCallBytes:   int(s.MaxAnswerBytes),
+		Unknown:        i.core.noteUnknown,
 		MaxBodyBytes:   int64(s.MaxQueuedBytes),
 	}, i.core.admission, i.directory, i.targets)
 }
@@ -126,6 +127,7 @@
 	s := i.options.Settings
 	o := config.DefaultOptions()
 	o.Self = s.Instance
+	o.Refused = i.core.noteConfigRefused
 	o.DataCentre = s.DataCentre
 	o.Watch = s.ConfigWatch
 	o.SilentAfter = s.PeerTimeout
--- a/internal/instance/observe.go
+++ b/internal/instance/observe.go
@@ -1,8 +1,11 @@
 package instance
 
 import (
+	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"medlarwind.dev/medlarwind/internal/config"
 	"medlarwind.dev/medlarwind/internal/dispatch"
 	"medlarwind.dev/medlarwind/internal/entry"
@@ -10,6 +13,7 @@
 	"medlarwind.dev/medlarwind/internal/limit"
 	"medlarwind.dev/medlarwind/internal/observe"
 	"medlarwind.dev/medlarwind/internal/peer"
+	"medlarwind.dev/medlarwind/internal/rules"
 	"medlarwind.dev/medlarwind/internal/wire"
 )
 
@@ -90,6 +94,7 @@
 		Target:      l.permit.Target,
 		Entry:       c.options.self,
 		Owner:       l.permit.Owner,
+		Grant:       l.grant,
 		Reason:      observe.ReasonOldest,
 		Wait:        wait,
 		Queued:      c.queue.Len(),
@@ -215,3 +220,60 @@
 	c.metrics.SetConfigVersion(next.Version)
 	c.decisions.ConfigApplied(&applied)
 }
+
+// noteOwned logs the targets that this instance owns from now on, and those that it
+// owned before, whose figures are dropped.
+func (c *core) noteOwned(former []fleet.TargetID, now time.Time) {
+	for _, id := range c.owners.owned {
+		if _, kept := slices.BinarySearch(former, id); !kept {
+			c.noteOwner(id, c.options.self, "")
+		}
+	}
+	for _, id := range former {
+		if _, kept := slices.BinarySearch(c.owners.owned, id); kept {
+			continue
+		}
+		owner, _ := c.ledger.Owner(id, now)
+		c.noteOwner(id, owner, c.options.self)
+		c.metrics.ForgetTarget(id)
+	}
+}
+
+func (c *core) noteOwner(id fleet.TargetID, owner, former fleet.InstanceID) {
+	c.decisions.OwnerChanged(&observe.OwnerChanged{
+		Target:      id,
+		Owner:       owner,
+		Former:      former,
+		ListVersion: c.list.Version,
+	})
+}
+
+// noteUnknown logs that a caller was told that the outcome is unknown. It is safe for
+// concurrent use.
+func (c *core) noteUnknown(w *entry.Work, reason string) {
+	c.metrics.Unknown()
+	c.decisions.Unknown(&observe.Unknown{Request: logged(w), Reason: observe.Reason(reason)})
+}
+
+// noteConfigRefused logs a configuration that was not taken. It is safe for concurrent
+// use.
+func (c *core) noteConfigRefused(r config.Refusal) {
+	refused := observe.ConfigRefused{
+		Version: r.Version,
+		Source:  observe.SourcePlatform,
+		Reason:  observe.ReasonInvalidRules,
+		Error:   r.Err,
+	}
+	if r.Outcome == config.Conflict {
+		refused.Reason = observe.ReasonDigestConflict
+	}
+	if r.Source != config.SourceService {
+		refused.Source = observe.SourcePeer
+		refused.Peer = fleet.InstanceID(r.Source)
+	}
+	var faults *rules.Errors
+	if errors.As(r.Err, &faults) && len(faults.List) > 0 {
+		refused.Line = faults.List[0].Line
+	}
+	c.decisions.ConfigRefused(&refused)
+}
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -135,7 +135,7 @@
 	if err != nil {
 		return false
 	}
-	c.usePermit(permit, now)
+	c.usePermit(permit, g.Seq, now)
 	return true
 }
 
@@ -146,7 +146,7 @@
 		c.log.Info().Str("event", "grant_refused").Str("owner", string(e.from.Instance)).Err(err).Msg("")
 		return
 	}
-	c.usePermit(permit, now)
+	c.usePermit(permit, e.grant.Seq, now)
 }
 
 // occupancy tells how much work a target has, for requests that run alone.
--- a/internal/instance/owners.go
+++ b/internal/instance/owners.go
@@ -34,6 +34,7 @@
 	if epoch == c.owners.epoch && !c.owners.stale {
 		return
 	}
+	former := c.owners.owned
 	c.owners = owners{epoch: epoch}
 	index := make(map[fleet.InstanceID]int)
 	for id, info := range c.targets {
@@ -47,6 +48,7 @@
 		c.owners.add(index, owner, info.workloads)
 	}
 	slices.Sort(c.owners.owned)
+	c.noteOwned(former, now)
 	slices.SortFunc(c.owners.views, func(a, b ownedBy) int { return cmp.Compare(a.Owner, b.Owner) })
 	c.spreader.SetOwners(c.ownerViews())
 }
--- a/internal/instance/requests.go
+++ b/internal/instance/requests.go
@@ -182,7 +182,7 @@
 }
 
 // usePermit gives a permit to the request that the queue picks, or returns it.
-func (c *core) usePermit(permit limit.Permit, now time.Time) {
+func (c *core) usePermit(permit limit.Permit, grant uint64, now time.Time) {
 	w := c.takeWaiting(&permit, now)
 	if w == nil {
 		c.returnPermit(&permit, now)
@@ -193,6 +193,7 @@
 		admission: c.admission,
 		metrics:   c.metrics,
 		permit:    permit,
+		grant:     grant,
 		addr:      c.targets[permit.Target].addr,
 		waiter:    w,
 	}
--- a/internal/observe/events_fleet.go
+++ b/internal/observe/events_fleet.go
@@ -45,6 +45,12 @@
 	Error error
 }
 
+// Reasons of refused configurations.
+const (
+	ReasonInvalidRules   Reason = "invalid_rules"
+	ReasonDigestConflict Reason = "digest_conflict"
+)
+
 // ConfigRefused logs a ConfigRefused.
 func (d *Decisions) ConfigRefused(c *ConfigRefused) {
 	e := d.event("config_refused").Uint64("version", c.Version).Str("digest", c.Digest)
--- a/internal/peer/accept.go
+++ b/internal/peer/accept.go
@@ -168,6 +168,7 @@
 		dialed:      dialed,
 		certificate: certificate,
 		opened:      make(chan struct{}),
+		started:     make(chan struct{}),
 	}
 	stream, err := newStream(conn, meter)
 	if err != nil {
@@ -185,6 +186,7 @@
 	}
 	logger := jsonrpc2.SetLogger(rpcLogger{t.options.Log})
 	l.rpc = jsonrpc2.NewConn(context.Background(), stream, l, jsonrpc2.OnRecv(l.received), logger)
+	close(l.started)
 	go l.writeLoop()
 	return l, nil
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -19,8 +19,10 @@
 	t      *Transport
 	meter  *meteredConn
 	stream *stream
-	rpc    *jsonrpc2.Conn
-	outbox *outbox
+	// rpc is set before started is closed.
+	rpc     *jsonrpc2.Conn
+	started chan struct{}
+	outbox  *outbox
 	// dialed is the instance that was dialled, empty on an accepted connection.
 	dialed fleet.InstanceID
 	// certificate is the peer's, nil without TLS.
@@ -137,8 +139,10 @@
 }
 
 // received is told of each message before it is handled; the reading goroutine
-// calls it.
+// calls it. It may run before start has set rpc, which whoever finds the link by what
+// the message says relies on.
 func (l *link) received(request *jsonrpc2.Request, response *jsonrpc2.Response) {
+	<-l.started
 	l.messages.received.Add(1)
 	if response == nil {
 		return
