Take permit, loan and peer times from the settings

Cause: permit_time and loan_time were read and checked but not used, and peer_timeout only by the configuration's watcher. Change: the ledger's times come from them; their defaults are now what the proofs and measurements used (1 s, 2 s), and peer_timeout's 2 s replaces 1.5 s.

--- a/internal/instance/build.go
+++ b/internal/instance/build.go
@@ -11,6 +11,7 @@
 	"medlarwind.dev/medlarwind/internal/entry"
 	"medlarwind.dev/medlarwind/internal/fairness"
 	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/limit"
 	"medlarwind.dev/medlarwind/internal/observe"
 	"medlarwind.dev/medlarwind/internal/peer"
 	"medlarwind.dev/medlarwind/internal/platform"
@@ -135,3 +136,13 @@
 	o.Gate.LoneWait = s.ConfigLoneWait
 	return o
 }
+
+// limitParams are the lease times of the settings; the rest are defaults.
+func limitParams(s settings.Settings) limit.Params {
+	p := limit.DefaultParams()
+	p.PermitTime = s.PermitTime
+	p.LoanTime = s.LoanTime
+	p.DeadPeer = s.PeerTimeout
+	p.HoldDown = p.MinHoldDown()
+	return p
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -64,8 +64,8 @@
 	Policy dispatch.Policy
 	// Alone stops the exchange of service counters, as a baseline to measure against.
 	Alone bool
-	// Limits overrides the lease times that all instances agree on; zero takes
-	// limit.DefaultParams.
+	// Limits overrides the lease times that all instances agree on; zero takes those of
+	// Settings, and limit.DefaultParams for the rest.
 	Limits limit.Params
 }
 
@@ -98,7 +98,7 @@
 		o.Listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
 	}
 	if o.Limits == (limit.Params{}) {
-		o.Limits = limit.DefaultParams()
+		o.Limits = limitParams(o.Settings)
 	}
 	if o.PeerTLS != nil {
 		if err := peer.CheckIdentity(o.PeerTLS, o.Settings.Instance); err != nil {
--- a/internal/settings/example.go
+++ b/internal/settings/example.go
@@ -34,8 +34,8 @@
 	"heartbeat_interval": "500ms",
 	"peer_timeout": "2s",
 	// Leases of a permit to start a request and of lent escrow.
-	"permit_time": "2s",
-	"loan_time": "3s",
+	"permit_time": "1s",
+	"loan_time": "2s",
 	// Longest wait for started requests at a stop, after locate_lifetime.
 	"drain_timeout": "10m",
 	// How long the identifier of a call that may not be repeated can be used.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,9 +63,11 @@
 	// PeerTimeout is the silence after which a peer counts as unreachable.
 	// Default 2 s.
 	PeerTimeout time.Duration `json:"peer_timeout" min:"100ms" max:"1m"`
-	// PermitTime is the lease of a permit to start one request. Default 2 s.
+	// PermitTime is the lease of a permit to start one request. It must be the same
+	// at all instances. Default 1 s.
 	PermitTime time.Duration `json:"permit_time" min:"100ms" max:"1m"`
-	// LoanTime is the lease of lent escrow. Default 3 s.
+	// LoanTime is the lease of lent escrow. It must be the same at all instances.
+	// Default 2 s.
 	LoanTime time.Duration `json:"loan_time" min:"100ms" max:"1m"`
 	// DrainTimeout is the longest time for which a stopping instance waits for
 	// started requests, after LocateLifetime. Default 10 min.
@@ -130,8 +132,8 @@
 		LocateLifetime:    30 * time.Second,
 		HeartbeatInterval: 500 * time.Millisecond,
 		PeerTimeout:       2 * time.Second,
-		PermitTime:        2 * time.Second,
-		LoanTime:          3 * time.Second,
+		PermitTime:        time.Second,
+		LoanTime:          2 * time.Second,
 		DrainTimeout:      10 * time.Minute,
 		CallIDLifetime:    5 * time.Minute,
 		AnswerRetention:   time.Minute,
