Try a model request again, once, when its connection failed unheard

Change: the client sends a model request once more, elsewhere, when the connection failed before anything came back; such a request may run twice, once-calls are not touched. The entry reads a refused body to its end, bounded, so that the caller gets the refusal and not a reset, and holds the memory of the body instead of a whole message's once its length is known. Proof: client.TestGenerateOutlivesConnectionsThatCloseUnheard, which fails without the retry.

--- a/client/client.go
+++ b/client/client.go
@@ -175,9 +175,12 @@
 
 // Generate runs a model request and returns the whole answer. onData, if not nil,
 // gets each piece as it comes. A refusal that says "not run" is tried at the next
-// address; any other failure is returned.
+// address. So is, once, a connection that failed before anything came back, such as a
+// kept one that the instance closed at the same moment: a model request may run twice.
+// Any other failure is returned.
 func (c *Client) Generate(ctx context.Context, r *medlarwindv1.GenerateRequest, onData func([]byte)) (*Answer, error) {
 	var last error
+	again := true
 	for try := range c.options.MaxTries {
 		addresses, err := c.Locate(ctx)
 		if err != nil {
@@ -189,6 +192,10 @@
 			return answer, nil
 		}
 		last = err
+		if again && unheard(err) && ctx.Err() == nil {
+			again = false
+			continue
+		}
 		if !c.pause(ctx, err) {
 			break
 		}
@@ -196,6 +203,12 @@
 	return nil, last
 }
 
+// unheard reports whether a connection failed before anything came back.
+func unheard(err error) bool {
+	var failed *RequestError
+	return errors.As(err, &failed) && failed.unheard
+}
+
 // pause waits as the refusal asks; false if the request must not be tried again.
 func (c *Client) pause(ctx context.Context, err error) bool {
 	var failed *RequestError
@@ -265,18 +278,27 @@
 	defer cancel()
 	stream, err := c.router(c.http, address).Generate(ctx, authorized(c, r))
 	if err != nil {
-		return nil, requestError(err)
+		return nil, markUnheard(requestError(err), w)
 	}
 	err = c.collect(stream, w, onData, begun)
 	if err != nil && w.answer.RequestID != "" && broken(err) && ctx.Err() == nil {
 		err = c.reattach(ctx, address, w, onData, begun)
 	}
 	if err != nil {
-		return nil, requestError(err)
+		return nil, markUnheard(requestError(err), w)
 	}
 	return &w.answer, nil
 }
 
+// markUnheard notes whether a connection failed before the first frame.
+func markUnheard(err error, w *whole) error {
+	var failed *RequestError
+	if errors.As(err, &failed) && failed.Reason == reasonConnection && w.answer.RequestID == "" {
+		failed.unheard = true
+	}
+	return err
+}
+
 // reattach reads the rest of an answer over a new connection.
 func (c *Client) reattach(ctx context.Context, address string, w *whole, onData func([]byte), begun time.Time) error {
 	request := &medlarwindv1.AttachRequest{RequestId: w.answer.RequestID, Sequence: w.next}
--- /dev/null
+++ b/client/client_test.go
@@ -0,0 +1,89 @@
+package client_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"medlarwind.dev/medlarwind/client"
+	medlarwindv1 "medlarwind.dev/medlarwind/gen/medlarwind/v1"
+	"medlarwind.dev/medlarwind/internal/localfleet"
+	"medlarwind.dev/medlarwind/internal/memnet"
+	"medlarwind.dev/medlarwind/internal/standin"
+)
+
+// brokenConn fails its writes, as a connection does that the other end has closed.
+type brokenConn struct{ net.Conn }
+
+func (brokenConn) Write([]byte) (int, error) { return 0, errors.New("connection reset by peer") }
+
+// TestGenerateOutlivesConnectionsThatCloseUnheard lets a number of the client's
+// connections after the first one fail at their first byte.
+func TestGenerateOutlivesConnectionsThatCloseUnheard(t *testing.T) {
+	tests := map[string]struct {
+		broken int64
+		served bool
+	}{
+		"one":                 {1, true},
+		"as many as it dials": {100, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { generateOver(t, test.broken, test.served) })
+		})
+	}
+}
+
+func generateOver(t *testing.T, broken int64, served bool) {
+	customer := localfleet.Customer{ID: "mill-a", Share: 1, Queue: 8}
+	network := localfleet.Memory(memnet.New())
+	f, err := localfleet.Start(localfleet.Spec{
+		DataCentres: []localfleet.DataCentre{{ID: "north", Region: "r1", Instances: 1, Engines: 1, Services: 1}},
+		Customers:   []localfleet.Customer{customer},
+		Seed:        1,
+		Log:         zerolog.Nop(),
+	}, network)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	if err := f.AwaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+	var left atomic.Int64
+	dial := network.Dialer("caller")
+	c := client.New(client.Options{
+		Seeds:  []string{f.Members[0].CallerAddr},
+		Secret: customer.Secret(),
+		Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := dial(ctx, network, addr)
+			if err == nil && left.Add(-1) >= 0 {
+				return brokenConn{conn}, nil
+			}
+			return conn, err
+		},
+	})
+	defer c.Close()
+	if _, err := c.Locate(ctx); err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	left.Store(broken)
+	answer, err := c.Generate(ctx, &medlarwindv1.GenerateRequest{Model: "appraise", Prompt: "lot 7", MaxTokens: 8}, nil)
+	if served && (err != nil || !bytes.Equal(answer.Data, standin.Answer("lot 7", 8))) {
+		t.Errorf("not served: %v", err)
+	}
+	var failed *client.RequestError
+	if !served && (!errors.As(err, &failed) || failed.Kind != client.Unknown) {
+		t.Errorf("%v, want an unknown outcome", err)
+	}
+}
--- a/client/errors.go
+++ b/client/errors.go
@@ -50,6 +50,9 @@
 	// RetryAfter is when to try again; 0 means at once.
 	RetryAfter time.Duration
 	Err        error
+
+	// unheard says that the connection failed before anything came back.
+	unheard bool
 }
 
 // Error describes the failure in one line.
--- a/internal/entry/intake.go
+++ b/internal/entry/intake.go
@@ -46,8 +46,9 @@
 	}
 }
 
-// ServeHTTP implements http.Handler. The body's bytes count until its request has
-// ended or its caller has gone.
+// ServeHTTP implements http.Handler. While a body of unknown length is read it counts
+// as a whole message; then its bytes count until its request has ended or its caller
+// has gone.
 func (in *intake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(in.timeout))
@@ -60,11 +61,16 @@
 	// and the handler refuses the request by what it asks for.
 	size, outcome := in.reserve(customer, r.ContentLength)
 	if outcome != nil {
+		// A caller that is still sending would see its connection reset instead of
+		// the refusal.
+		_, _ = io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, MaxMessageBytes+envelopeBytes))
 		in.refuse(w, r, outcome)
 		return
 	}
-	defer in.release(customer, size)
 	body, outcome := in.read(w, r)
+	kept := int64(len(body))
+	in.release(customer, size-kept)
+	defer in.release(customer, kept)
 	if outcome != nil {
 		in.refuse(w, r, outcome)
 		return
--- a/internal/experiment/figures.go
+++ b/internal/experiment/figures.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -47,7 +48,8 @@
 			r.Counts.Unfinished++
 		default:
 			r.Counts.Other++
-			w.problems.Logf("%s: sent %s into the run, ended after %s: %v", q.prompt, q.sent.Sub(c.samples[0].at), q.ended.Sub(q.sent), q.failure)
+			r.Failures = append(r.Failures, fmt.Sprintf("%s: sent %s into the run, ended after %s: %v",
+				q.prompt, q.sent.Sub(c.samples[0].at), q.ended.Sub(q.sent), q.failure))
 		}
 	}
 	if s.outage > 0 {
