State the right length in the curl line of dev -stay

Cause: the printed curl line gave 45 bytes for a message of 47, and the request was refused as malformed; nothing had run the line.

--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -149,6 +149,12 @@
 	return err
 }
 
+// printfEnvelope is the argument of printf that gives a connect stream's message: its
+// flags, its length, which must be from 8 to 255, and the message.
+func printfEnvelope(message string) string {
+	return fmt.Sprintf(`\0\0\0\0\%03o%s`, len(message), message)
+}
+
 // printAddresses tells how to reach a fleet that stays up.
 func (f *devFlags) printAddresses(w io.Writer, local *localfleet.Fleet) {
 	fmt.Fprintln(w)
@@ -156,8 +162,9 @@
 		fmt.Fprintf(w, "%s in %s: callers %s, operators http://%s/status\n", m.ID, m.DataCentre, m.CallerAddr, m.OperatorAddr)
 	}
 	customer := local.Spec.Customers[0]
+	message := `{"model":"appraise","prompt":"a","maxTokens":8}`
 	fmt.Fprintf(w, "\ncurl -sN -H 'Authorization: Bearer %s' -H 'Content-Type: application/connect+json' \\\n"+
-		"  --data-binary @<(printf '\\0\\0\\0\\0\\55{\"model\":\"appraise\",\"prompt\":\"a\",\"maxTokens\":8}') \\\n"+
-		"  http://%s/medlarwind.v1.RouterService/Generate\n", customer.Secret(), local.Members[0].CallerAddr)
+		"  --data-binary @<(printf '%s') \\\n"+
+		"  http://%s/medlarwind.v1.RouterService/Generate\n", customer.Secret(), printfEnvelope(message), local.Members[0].CallerAddr)
 	fmt.Fprintf(w, "\nmedlarwind call -seeds %s -secret %s -model appraise 'a lot of rosewood'\n", local.Members[0].CallerAddr, customer.Secret())
 }
