Keep only the owners that a lagging customer may be registered with

Cause: each plan sorted, for each workload, all owners elsewhere without a spare start by the virtual time that they told, of which at most FarOwners are read for a demand. And no test saw whether SetSpare takes that virtual time. Ruled out: sorting for each demand, which costs the same again for each customer. Change: FarOwners of them are kept by insertion, in the same order. TestLaggingCustomerIsRegisteredFar tells the owners' state by SetSpare, as a heartbeat does; its cases are unchanged.

--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -93,22 +93,25 @@
 type candidate struct {
 	index int
 	spare int
-	// ahead is the greatest virtual time of those that wait near the owner; owners near
-	// which nobody waits have the greatest number.
+	// ahead is the virtual time that the owner told, noneAhead without any.
 	ahead    int64
 	distance time.Duration
 	rank     uint64
 }
 
+// noneAhead stands for the virtual time told by an owner near which nobody waits.
+const noneAhead = math.MaxInt64
+
 // group is the owners that serve one workload, by place; those elsewhere are sorted
 // by distance.
 type group struct {
 	near, region, distant []candidate
 	// stale says that what owners told changed since it was read.
 	stale bool
-	// regionFree and distantFree are those with starts to spare, and regionFull and
-	// distantFull the others, the furthest ahead first.
+	// regionFree and distantFree are those with starts to spare.
 	regionFree, distantFree []candidate
+	// regionFull and distantFull are up to FarOwners of the others: those near which
+	// nobody waits, then those whose customers are furthest ahead.
 	regionFull, distantFull []candidate
 }
 
@@ -158,8 +161,9 @@
 	}
 }
 
-// SetSpare takes the spare starts that an owner told last; a workload that is missing
-// has none. It has no effect for an instance that owns nothing. O(workloads²).
+// SetSpare takes what an owner told last of the workloads that it serves; one that is
+// missing has no spare starts and nobody waiting. It has no effect for an instance
+// that owns nothing. O(workloads²).
 func (s *Spreader) SetSpare(owner fleet.InstanceID, told []wire.Spare) {
 	i, ok := s.index[owner]
 	if !ok {
@@ -194,7 +198,8 @@
 // once a second. An owner outside the data centre without a start to spare is asked
 // after the same waits if nobody waits near it, so that the next start there finds
 // work, or if a customer that does is FarLag ahead, so that data centres do not drift
-// apart in what they serve; at most FarOwners of each place. O(owners of the demands' workloads + demands · owners near).
+// apart in what they serve; at most FarOwners of each place.
+// O(owners of the demands' workloads + demands · owners near).
 func (s *Spreader) Plan(ds []wire.Demand, round uint64) []Assignment {
 	for i := range s.plan {
 		s.plan[i].Demand = s.plan[i].Demand[:0]
@@ -225,34 +230,47 @@
 	}
 }
 
-// readSpare takes the owners' spare starts into their candidates.
+// readSpare takes what the owners told into their candidates.
 func (s *Spreader) readSpare(g *group, w fleet.Workload) {
 	for i := range g.near {
 		g.near[i].spare = spareOf(s.owners[g.near[i].index].Workloads, w).Count
 	}
-	g.regionFree, g.regionFull = s.sortBySpare(g.regionFree[:0], g.regionFull[:0], g.region, w)
-	g.distantFree, g.distantFull = s.sortBySpare(g.distantFree[:0], g.distantFull[:0], g.distant, w)
+	g.regionFree, g.regionFull = s.divide(g.region, w, g.regionFree[:0], g.regionFull[:0])
+	g.distantFree, g.distantFull = s.divide(g.distant, w, g.distantFree[:0], g.distantFull[:0])
 }
 
-// sortBySpare appends candidates to those with starts to spare or to the others,
-// which it sorts.
-func (s *Spreader) sortBySpare(free, full, cs []candidate, w fleet.Workload) (withSpare, without []candidate) {
+// divide appends the owners with starts to spare to free, and those of the others that
+// come first for a lagging customer to full.
+func (s *Spreader) divide(cs []candidate, w fleet.Workload, free, full []candidate) ([]candidate, []candidate) {
 	for _, c := range cs {
 		told := spareOf(s.owners[c.index].Workloads, w)
 		c.spare, c.ahead = told.Count, told.Ahead
 		if c.ahead == 0 {
-			c.ahead = math.MaxInt64
+			c.ahead = noneAhead
 		}
 		if c.spare > 0 {
 			free = append(free, c)
 		} else {
-			full = append(full, c)
+			full = insertAhead(full, c, s.params.FarOwners)
 		}
 	}
-	slices.SortStableFunc(full, func(a, b candidate) int { return cmp.Compare(b.ahead, a.ahead) })
 	return free, full
 }
 
+// insertAhead keeps the most candidates that are furthest ahead, furthest first, and
+// in the order of their insertion where they are level.
+func insertAhead(cs []candidate, c candidate, most int) []candidate {
+	i := len(cs)
+	for i > 0 && cs[i-1].ahead < c.ahead {
+		i--
+	}
+	if i == most {
+		return cs
+	}
+	cs = slices.Insert(cs, i, c)
+	return cs[:min(len(cs), most)]
+}
+
 // rankNear sorts the owners of the data centre for one demand.
 func (s *Spreader) rankNear(g *group, d wire.Demand, round uint64) {
 	s.near = append(s.near[:0], g.near...)
@@ -323,9 +341,8 @@
 	}
 }
 
-// spreadLagging divides the waiting requests over owners without spare starts at
-// which nobody waits from near, then those at which one does that is FarLag ahead.
-// full has the furthest ahead first.
+// spreadLagging divides the waiting requests over those of the owners without spare
+// starts, furthest ahead first, near which nobody waits or somebody who is FarLag ahead.
 func (s *Spreader) spreadLagging(plan []Assignment, d wire.Demand, full []candidate, after time.Duration) {
 	waited := time.Duration(d.WaitMillis) * time.Millisecond
 	if s.params.VirtualTime == nil || waited < after {
@@ -333,7 +350,7 @@
 	}
 	mark := s.params.VirtualTime(d.Customer) + s.params.FarLag
 	n := 0
-	for n < min(len(full), s.params.FarOwners) && full[n].ahead > mark {
+	for n < len(full) && full[n].ahead > mark {
 		n++
 	}
 	for i, c := range full[:n] {
--- a/internal/dispatch/spread_test.go
+++ b/internal/dispatch/spread_test.go
@@ -34,9 +34,12 @@
 			owners = append(owners, OwnerView{ID: id, Place: PlaceElsewhere, Workloads: []wire.Spare{spare}})
 		}
 		s := NewSpreader("self", SpreadParams{VirtualTime: func(fleet.CustomerID) int64 { return own }})
+		s.SetOwners(blank(owners))
+		for _, v := range owners {
+			s.SetSpare(v.ID, v.Workloads)
+		}
 		d := wire.Demand{Customer: "a", Workload: model(0), Waiting: 7, WaitMillis: c.wait.Milliseconds()}
 		got := far{}
-		s.SetOwners(owners)
 		for _, a := range s.Plan([]wire.Demand{d}, 1) {
 			if a.Owner != "near" && len(a.Demand) > 0 {
 				got[a.Owner] = a.Demand[0].Waiting
