Start test fleets in one place

Cause: four tests of localfleet began with the same ten lines. Change: startReady; assertions are untouched.

--- a/internal/localfleet/deadtarget_test.go
+++ b/internal/localfleet/deadtarget_test.go
@@ -1,13 +1,11 @@
 package localfleet
 
 import (
-	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	medlarwindv1 "medlarwind.dev/medlarwind/gen/medlarwind/v1"
-	"medlarwind.dev/medlarwind/internal/memnet"
 )
 
 // deadTargetBound is well above the wait for the dead target's word and one lease.
@@ -18,23 +16,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		spec := twoRegions()
 		spec.DataCentres[0].Engines, spec.DataCentres[1].Engines = 1, 1
-		f, err := Start(spec, Memory(memnet.New()))
-		if err != nil {
-			t.Fatal(err)
-		}
+		f, ctx := startReady(t, spec, 5*time.Minute)
 		defer f.Close()
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
-		defer cancel()
-		if err := f.AwaitReady(ctx); err != nil {
-			t.Fatal(err)
-		}
 		for _, e := range f.Engines {
 			e.SetReady()
 		}
 		time.Sleep(15 * time.Second)
 		c := f.Client("caller", f.Spec.Customers[0], f.Members[0])
 		var died time.Time
-		_, err = c.Generate(ctx, &medlarwindv1.GenerateRequest{Model: "appraise", Prompt: "lot 7", MaxTokens: 400}, func([]byte) {
+		_, err := c.Generate(ctx, &medlarwindv1.GenerateRequest{Model: "appraise", Prompt: "lot 7", MaxTokens: 400}, func([]byte) {
 			if died.IsZero() {
 				died = time.Now()
 				go f.Engines[0].stop()
--- a/internal/localfleet/fleet_test.go
+++ b/internal/localfleet/fleet_test.go
@@ -30,18 +30,27 @@
 	}
 }
 
+// startReady starts a fleet in memory and waits until it takes work. The context ends
+// after the time limit or with the test.
+func startReady(t *testing.T, spec Spec, limit time.Duration) (*Fleet, context.Context) {
+	t.Helper()
+	f, err := Start(spec, Memory(memnet.New()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	t.Cleanup(cancel)
+	if err := f.AwaitReady(ctx); err != nil {
+		f.Close()
+		t.Fatal(err)
+	}
+	return f, ctx
+}
+
 func TestFleetServesWholeAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, err := Start(twoRegions(), Memory(memnet.New()))
-		if err != nil {
-			t.Fatal(err)
-		}
+		f, ctx := startReady(t, twoRegions(), time.Minute)
 		defer f.Close()
-		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-		defer cancel()
-		if err := f.AwaitReady(ctx); err != nil {
-			t.Fatal(err)
-		}
 		var group sync.WaitGroup
 		for i := range 40 {
 			customer := f.Spec.Customers[i%2]
@@ -71,16 +80,8 @@
 // boot, with the configuration's version as fencing number.
 func TestOwnersSendOrders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, err := Start(twoRegions(), Memory(memnet.New()))
-		if err != nil {
-			t.Fatal(err)
-		}
+		f, _ := startReady(t, twoRegions(), time.Minute)
 		defer f.Close()
-		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-		defer cancel()
-		if err := f.AwaitReady(ctx); err != nil {
-			t.Fatal(err)
-		}
 		order := "order load-model appraise on north-e1 # asked by the board\n"
 		version := f.PublishRules(append(f.Spec.Rules(), order...))
 		time.Sleep(30 * time.Second)
--- a/internal/localfleet/queue_test.go
+++ b/internal/localfleet/queue_test.go
@@ -1,7 +1,6 @@
 package localfleet
 
 import (
-	"context"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -13,7 +12,6 @@
 
 	"medlarwind.dev/medlarwind/client"
 	medlarwindv1 "medlarwind.dev/medlarwind/gen/medlarwind/v1"
-	"medlarwind.dev/medlarwind/internal/memnet"
 )
 
 // The rules' "queue" bounds a customer's waiting requests at one instance; more are
@@ -22,16 +20,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		spec := twoRegions()
 		spec.Customers[0].Queue = 4
-		f, err := Start(spec, Memory(memnet.New()))
-		if err != nil {
-			t.Fatal(err)
-		}
+		f, ctx := startReady(t, spec, time.Minute)
 		defer f.Close()
-		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-		defer cancel()
-		if err := f.AwaitReady(ctx); err != nil {
-			t.Fatal(err)
-		}
 		var refused atomic.Int64
 		var group sync.WaitGroup
 		for i := range 100 {
