--- a/internal/cli/rulescmd.go
+++ b/internal/cli/rulescmd.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 
 	"medlarwind.dev/medlarwind/internal/config"
-	"medlarwind.dev/medlarwind/internal/platform"
+	"medlarwind.dev/medlarwind/internal/publisher"
 	"medlarwind.dev/medlarwind/internal/rules"
 	"medlarwind.dev/medlarwind/internal/settings"
 )
@@ -115,8 +115,8 @@
 	if err != nil {
 		return err
 	}
-	if len(packed) > platform.MaxConfigBytes {
-		return &UsageError{errors.Errorf("%s is valid, but has %d bytes compressed and the configuration service holds %d", path, len(packed), platform.MaxConfigBytes)}
+	if len(packed) > publisher.MaxConfigBytes {
+		return &UsageError{errors.Errorf("%s is valid, but has %d bytes compressed and the configuration service holds %d", path, len(packed), publisher.MaxConfigBytes)}
 	}
 	out := 0
 	for _, dataCentre := range document.DataCentres {
@@ -128,7 +128,7 @@
 		"%s is valid: %d customers, %d data centres (%d out), %d models, %d targets, %d calls, %d orders\ndigest %s, %d bytes, %d compressed of %d\n",
 		path, len(document.Customers), len(document.DataCentres), out, len(document.Models),
 		len(document.Targets), len(document.Calls), len(document.Orders),
-		config.Digest(text), len(text), len(packed), platform.MaxConfigBytes))
+		config.Digest(text), len(text), len(packed), publisher.MaxConfigBytes))
 }
 
 func diffRules(oldPath, newPath string, stdout, stderr io.Writer) error {
--- a/internal/instance/build.go
+++ b/internal/instance/build.go
@@ -14,7 +14,7 @@
 	"medlarwind.dev/medlarwind/internal/limit"
 	"medlarwind.dev/medlarwind/internal/observe"
 	"medlarwind.dev/medlarwind/internal/peer"
-	"medlarwind.dev/medlarwind/internal/platform"
+	"medlarwind.dev/medlarwind/internal/publisher"
 	"medlarwind.dev/medlarwind/internal/settings"
 	"medlarwind.dev/medlarwind/internal/target"
 	"medlarwind.dev/medlarwind/internal/wire"
@@ -72,7 +72,7 @@
 		DialTimeout:    i.options.Limits.Margin,
 		SilenceTimeout: s.StreamSilence,
 	})
-	i.platform = platform.NewClient(s.PlatformAddr, i.options.Dial)
+	i.platform = publisher.NewClient(s.PlatformAddr, i.options.Dial)
 	i.poller = newPoller(i.targets, i.core.admission.post)
 	i.transport = i.newTransport(incarnation, rng.Uint64())
 	i.watcher = config.NewWatcher(i.watcherOptions(), i.store, i.platform, peerFetcher{i.transport}, rng, i.options.Log)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -25,7 +25,7 @@
 	"medlarwind.dev/medlarwind/internal/entry"
 	"medlarwind.dev/medlarwind/internal/limit"
 	"medlarwind.dev/medlarwind/internal/peer"
-	"medlarwind.dev/medlarwind/internal/platform"
+	"medlarwind.dev/medlarwind/internal/publisher"
 	"medlarwind.dev/medlarwind/internal/settings"
 	"medlarwind.dev/medlarwind/internal/target"
 )
@@ -75,7 +75,7 @@
 	core      *core
 	server    *entry.Server
 	transport *peer.Transport
-	platform  *platform.Client
+	platform  *publisher.Client
 	targets   *target.Client
 	store     *config.Store
 	watcher   *config.Watcher
--- a/internal/platform/bench_test.go
+++ b/internal/publisher/bench_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package publisher_test
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"testing"
 
 	"medlarwind.dev/medlarwind/internal/fleet"
-	"medlarwind.dev/medlarwind/internal/platform"
+	"medlarwind.dev/medlarwind/internal/publisher"
 	"medlarwind.dev/medlarwind/internal/standin"
 )
 
@@ -35,7 +35,7 @@
 				b.Fatal(err)
 			}
 			defer standin.Serve(l, p)()
-			c := platform.NewClient(l.Addr().String(), (&net.Dialer{}).DialContext)
+			c := publisher.NewClient(l.Addr().String(), (&net.Dialer{}).DialContext)
 			defer c.Close()
 			for known, label := range []string{"whole", "unchanged"} {
 				b.Run(label, func(b *testing.B) {
--- a/internal/platform/platform.go
+++ b/internal/publisher/platform.go
@@ -1,10 +1,10 @@
-// Package platform is the adapter to what the platform publishes: the
+// Package publisher is the adapter to what the platform publishes: the
 // configuration service, the list of instances and targets, and the weight store.
 // All are read over HTTP/1.1; nothing is written.
 //
 // A Client is safe for concurrent use and starts no goroutine of its own beside
 // those of net/http. Every failure is an *Error.
-package platform
+package publisher
 
 import (
 	"context"
--- a/internal/platform/platform_test.go
+++ b/internal/publisher/platform_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package publisher_test
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/memnet"
-	"medlarwind.dev/medlarwind/internal/platform"
+	"medlarwind.dev/medlarwind/internal/publisher"
 	"medlarwind.dev/medlarwind/internal/standin"
 )
 
@@ -27,7 +27,7 @@
 type world struct {
 	*testing.T
 	net            *memnet.Network
-	reader, cutOff *platform.Client
+	reader, cutOff *publisher.Client
 }
 
 // inWorld runs f in virtual time.
@@ -41,8 +41,8 @@
 		}
 		defer standin.Serve(l, h)()
 		w := &world{T: t, net: n}
-		w.reader = platform.NewClient(addr, n.Host(reader).Dial)
-		w.cutOff = platform.NewClient(addr, n.Host(cutOff).Dial)
+		w.reader = publisher.NewClient(addr, n.Host(reader).Dial)
+		w.cutOff = publisher.NewClient(addr, n.Host(cutOff).Dial)
 		defer w.reader.Close()
 		defer w.cutOff.Close()
 		f(w)
@@ -50,9 +50,9 @@
 }
 
 // wantKind checks the kind of an error, 0 for none.
-func wantKind(t testing.TB, err error, kind platform.Kind) {
+func wantKind(t testing.TB, err error, kind publisher.Kind) {
 	t.Helper()
-	var e *platform.Error
+	var e *publisher.Error
 	if errors.As(err, &e); (e == nil) != (kind == 0) || (e != nil && e.Kind != kind) {
 		t.Errorf("error %v, want %v", err, kind)
 	}
@@ -71,7 +71,7 @@
 		}
 		start := time.Now()
 		version, text, err = w.reader.Config(ctx, 3)
-		if version != 3 || text != nil || err != nil || time.Since(start) != platform.DefaultWatchTime {
+		if version != 3 || text != nil || err != nil || time.Since(start) != publisher.DefaultWatchTime {
 			t.Errorf("no change: %d, %q, %v after %v", version, text, err, time.Since(start))
 		}
 		list := fleet.List{Version: 2, Targets: []fleet.ListedTarget{{ID: "t", DataCentre: "d", Addr: addr, State: fleet.StateLive}}}
@@ -82,8 +82,8 @@
 		if got.Version != 2 || len(got.Targets) != 1 || !changed || err != nil || time.Since(start) != time.Second {
 			t.Errorf("%+v, %t, %v after %v", got, changed, err, time.Since(start))
 		}
-		if p.Reads(platform.PathConfig) != 2 || p.Reads(platform.PathList) != 1 {
-			t.Errorf("%d and %d reads", p.Reads(platform.PathConfig), p.Reads(platform.PathList))
+		if p.Reads(publisher.PathConfig) != 2 || p.Reads(publisher.PathList) != 1 {
+			t.Errorf("%d and %d reads", p.Reads(publisher.PathConfig), p.Reads(publisher.PathList))
 		}
 	})
 }
@@ -102,7 +102,7 @@
 		p.SetConfig(1, []byte("one"))
 		p.SetStale(cutOff)
 		p.SetConfig(2, []byte("two"))
-		for client, want := range map[*platform.Client]uint64{w.reader: 2, w.cutOff: 1} {
+		for client, want := range map[*publisher.Client]uint64{w.reader: 2, w.cutOff: 1} {
 			if version, _, err := client.Config(ctx, 0); version != want || err != nil {
 				t.Errorf("version %d, %v, want %d", version, err, want)
 			}
@@ -113,13 +113,13 @@
 		}
 		time.AfterFunc(time.Second, func() { p.SetDown(true) })
 		_, _, err := w.reader.Config(ctx, 2)
-		wantKind(t, err, platform.Unavailable)
+		wantKind(t, err, publisher.Unavailable)
 		p.SetDown(false)
 		time.AfterFunc(time.Second, func() { w.net.Silence([]string{reader}, []string{host}) })
 		start := time.Now()
 		_, _, err = w.reader.Config(ctx, 2)
-		wantKind(t, err, platform.Unavailable)
-		if took := time.Since(start); took > 2*platform.DefaultWatchTime {
+		wantKind(t, err, publisher.Unavailable)
+		if took := time.Since(start); took > 2*publisher.DefaultWatchTime {
 			t.Errorf("noticed a silent connection after %v", took)
 		}
 		_, _, err = w.reader.Config(ctx, 0)
@@ -137,7 +137,7 @@
 		for range 11 {
 			_, _, err = w.reader.Config(ctx, 0)
 		}
-		wantKind(t, err, platform.Limited)
+		wantKind(t, err, publisher.Limited)
 		if p.Refused() != 1 {
 			t.Errorf("%d refused", p.Refused())
 		}
@@ -149,12 +149,12 @@
 				t.Errorf("%q, %v", data, err)
 			}
 		}
-		if took := time.Since(start); took != time.Minute || p.Reads(platform.PathWeights) != 3 {
-			t.Errorf("%d fetches in %v", p.Reads(platform.PathWeights), took)
+		if took := time.Since(start); took != time.Minute || p.Reads(publisher.PathWeights) != 3 {
+			t.Errorf("%d fetches in %v", p.Reads(publisher.PathWeights), took)
 		}
 		time.Sleep(time.Minute)
 		_, err = w.reader.Weights(ctx, "other")
-		wantKind(t, err, platform.Missing)
+		wantKind(t, err, publisher.Missing)
 	})
 }
 
@@ -163,23 +163,23 @@
 	target := `{"id":"t","data_centre":"d","addr":"10.0.0.2:80","state":"live"}`
 	tests := []struct {
 		name, version, body string
-		kind                platform.Kind
+		kind                publisher.Kind
 	}{
 		{"good", "1", `{"version":1,"targets":[` + target + `]}`, 0},
-		{"no version", "", `{}`, platform.Malformed},
-		{"version 0", "0", `{}`, platform.Malformed},
-		{"versions differ", "1", `{"version":2}`, platform.Malformed},
-		{"not JSON", "1", `list`, platform.Malformed},
-		{"listed twice", "1", `{"version":1,"targets":[` + target + `,` + target + `]}`, platform.Malformed},
-		{"unknown state", "1", fmt.Sprintf(`{"version":1,"targets":[%s]}`, strings.Replace(target, "live", "gone", 1)), platform.Malformed},
-		{"no data centre", "1", fmt.Sprintf(`{"version":1,"targets":[%s]}`, strings.Replace(target, `"d"`, `""`, 1)), platform.Malformed},
-		{"bad address", "1", fmt.Sprintf(`{"version":1,"targets":[%s]}`, strings.Replace(target, ":80", "", 1)), platform.Malformed},
-		{"too large", "1", strings.Repeat(" ", platform.MaxListBytes+1), platform.Malformed},
+		{"no version", "", `{}`, publisher.Malformed},
+		{"version 0", "0", `{}`, publisher.Malformed},
+		{"versions differ", "1", `{"version":2}`, publisher.Malformed},
+		{"not JSON", "1", `list`, publisher.Malformed},
+		{"listed twice", "1", `{"version":1,"targets":[` + target + `,` + target + `]}`, publisher.Malformed},
+		{"unknown state", "1", fmt.Sprintf(`{"version":1,"targets":[%s]}`, strings.Replace(target, "live", "gone", 1)), publisher.Malformed},
+		{"no data centre", "1", fmt.Sprintf(`{"version":1,"targets":[%s]}`, strings.Replace(target, `"d"`, `""`, 1)), publisher.Malformed},
+		{"bad address", "1", fmt.Sprintf(`{"version":1,"targets":[%s]}`, strings.Replace(target, ":80", "", 1)), publisher.Malformed},
+		{"too large", "1", strings.Repeat(" ", publisher.MaxListBytes+1), publisher.Malformed},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				w.Header().Set(platform.HeaderVersion, test.version)
+				w.Header().Set(publisher.HeaderVersion, test.version)
 				_, _ = w.Write([]byte(test.body))
 			})
 			inWorld(t, h, func(w *world) {
@@ -214,7 +214,7 @@
 			p := standin.NewPlatform(standin.PlatformOptions{})
 			p.SetList(fleet.List{Version: test.held}, 0)
 			hide := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				if !test.told && r.URL.Query().Has(platform.QueryAfter) {
+				if !test.told && r.URL.Query().Has(publisher.QueryAfter) {
 					w.WriteHeader(http.StatusNoContent)
 					return
 				}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"medlarwind.dev/medlarwind/internal/fleet"
-	"medlarwind.dev/medlarwind/internal/platform"
+	"medlarwind.dev/medlarwind/internal/publisher"
 )
 
 // PlatformOptions bound what the platform answers. A zero rate is unlimited.
@@ -84,21 +84,21 @@
 		weights: make(map[string][]byte),
 		reads:   make(map[string]int),
 	}
-	p.mux.HandleFunc("GET "+platform.PathConfig, p.serveRead)
-	p.mux.HandleFunc("GET "+platform.PathList, p.serveRead)
-	p.mux.HandleFunc("GET "+platform.PathWeights+"{name}", p.serveWeights)
+	p.mux.HandleFunc("GET "+publisher.PathConfig, p.serveRead)
+	p.mux.HandleFunc("GET "+publisher.PathList, p.serveRead)
+	p.mux.HandleFunc("GET "+publisher.PathWeights+"{name}", p.serveWeights)
 	return p
 }
 
 // SetConfig publishes a version of the configuration.
 func (p *Platform) SetConfig(version uint64, text []byte) {
-	p.publish(platform.PathConfig, value{version, text})
+	p.publish(publisher.PathConfig, value{version, text})
 }
 
 // SetList publishes a list after the lag.
 func (p *Platform) SetList(list fleet.List, lag time.Duration) {
 	body, _ := json.Marshal(list)
-	publish := func() { p.publish(platform.PathList, value{list.Version, body}) }
+	publish := func() { p.publish(publisher.PathList, value{list.Version, body}) }
 	if lag == 0 {
 		publish()
 		return
@@ -193,8 +193,8 @@
 		limited(w, retry)
 		return
 	}
-	after, _ := strconv.ParseUint(r.URL.Query().Get(platform.QueryAfter), 10, 64)
-	wait, _ := strconv.ParseInt(r.URL.Query().Get(platform.QueryWait), 10, 64)
+	after, _ := strconv.ParseUint(r.URL.Query().Get(publisher.QueryAfter), 10, 64)
+	wait, _ := strconv.ParseInt(r.URL.Query().Get(publisher.QueryWait), 10, 64)
 	if after == 0 {
 		wait = 0
 	}
@@ -212,11 +212,11 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		case v.version > after:
-			w.Header().Set(platform.HeaderVersion, strconv.FormatUint(v.version, 10))
+			w.Header().Set(publisher.HeaderVersion, strconv.FormatUint(v.version, 10))
 			_, _ = w.Write(v.body)
 			return
 		case expired:
-			w.Header().Set(platform.HeaderVersion, strconv.FormatUint(v.version, 10))
+			w.Header().Set(publisher.HeaderVersion, strconv.FormatUint(v.version, 10))
 			w.WriteHeader(http.StatusNoContent)
 			return
 		}
@@ -250,7 +250,7 @@
 // serveWeights answers a fetch of weights.
 func (p *Platform) serveWeights(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
-	p.reads[platform.PathWeights]++
+	p.reads[publisher.PathWeights]++
 	data, ok := p.weights[r.PathValue("name")]
 	down := p.down
 	retry := p.fetches.take(p.opts.WeightsPerMinute, time.Minute)
