Serve the users' platform: gateway, scheduler and the adapter in platform/

Cause: medlarwind had no way to run where callers speak plain HTTP, the platform can only be read and no list names the instances.

Change: an HTTP ingress (routes, keys, deadlines, whole answers, event streams that resume), a scheduler for each instance that knows the others' load by heartbeats, max-min shares of customers, homes of prompt parts, paced cold targets, a copy of the published records that peers hand on with proof of age, a roster that grows from seeds, and platform/, which translates names and decides nothing.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -71,6 +71,7 @@
 		FlagSet:    flags,
 		Subcommands: []*ffcli.Command{
 			ServeCommand(stdout, stderr),
+			RouteCommand(stdout, stderr),
 			DevCommand(stdout, stderr),
 			CallCommand(stdout, stderr),
 			StatusCommand(stdout, stderr),
--- /dev/null
+++ b/internal/cli/route.go
@@ -0,0 +1,91 @@
+package cli
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rs/zerolog"
+
+	"medlarwind.dev/medlarwind/internal/clock"
+	"medlarwind.dev/medlarwind/internal/gateway"
+	"medlarwind.dev/medlarwind/internal/upstream"
+	"medlarwind.dev/medlarwind/platform"
+)
+
+// RouteCommand runs one instance on the users' platform until SIGINT or SIGTERM, which
+// begin a planned stop. SIGHUP reads the settings again.
+func RouteCommand(stdout, stderr io.Writer) *ffcli.Command {
+	flags := newFlags("medlarwind route", stderr)
+	return &ffcli.Command{
+		Name:       "route",
+		ShortUsage: "medlarwind route",
+		ShortHelp:  "run one instance on the users' platform",
+		LongHelp: "Runs one instance that serves callers over plain HTTP. The environment names the settings file;\n" +
+			"docs/operators/route.md lists its fields. SIGINT or SIGTERM begin a planned stop, SIGHUP reads the settings again.",
+		FlagSet: flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			s, err := platform.LoadSettings()
+			if err != nil {
+				return &UsageError{err}
+			}
+			return route(ctx, s, stdout)
+		},
+	}
+}
+
+// route runs a gateway until ctx ends, then stops it as planned.
+func route(ctx context.Context, s platform.Settings, stdout io.Writer) error {
+	debug.SetMemoryLimit(s.Gateway.MemoryLimit)
+	log := zerolog.New(stdout).With().Timestamp().Str("instance", s.Gateway.Name).Logger()
+	dial := upstream.NewDialer().DialContext
+	g := gateway.New(gateway.Options{
+		Settings:    s.Gateway,
+		Reader:      platform.NewStore(s.StoreAddr, dial),
+		Interpreter: &platform.Interpreter{Regions: s.Gateway.Regions, Log: log},
+		Codec:       platform.Headers{},
+		Surfaces:    platform.Surfaces{Log: log},
+		Dial:        dial,
+		Now:         clock.Boot,
+		Log:         log,
+	})
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run(running) }()
+	go reloadOnHangup(running, g, log)
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	g.Stop()
+	stop()
+	return <-ended
+}
+
+// reloadOnHangup reads the settings again at each SIGHUP. Invalid ones leave the
+// earlier ones in force.
+func reloadOnHangup(ctx context.Context, g *gateway.Gateway, log zerolog.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		s, err := platform.LoadSettings()
+		if err != nil {
+			log.Error().Str("event", "reload_refused").Err(err).Msg("")
+			continue
+		}
+		g.Reload(s.Gateway)
+		log.Info().Str("event", "reloaded").Int("seeds", len(s.Gateway.Seeds)).Msg("")
+	}
+}
--- /dev/null
+++ b/internal/gateway/options.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"medlarwind.dev/medlarwind/internal/catalog"
+	"medlarwind.dev/medlarwind/internal/clock"
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/ingress"
+	"medlarwind.dev/medlarwind/internal/inventory"
+	"medlarwind.dev/medlarwind/internal/records"
+)
+
+// Settings are what one instance is started with, in this project's terms.
+type Settings struct {
+	// Name names the instance in logs.
+	Name       string
+	DataCentre fleet.DataCentreID
+	// Regions maps every data centre to its region.
+	Regions map[fleet.DataCentreID]fleet.RegionID
+	// CallerAddr, ReadyAddr, DirectoryAddr and PeerAddr are IP:ports to listen on.
+	// PeerAddr is also the instance's id.
+	CallerAddr, ReadyAddr, DirectoryAddr, PeerAddr string
+	// OperatorAddr serves metrics; empty for none.
+	OperatorAddr string
+	// Seeds are addresses for peers of other instances; they may be stale.
+	Seeds []fleet.InstanceID
+	// MemoryLimit is what the process may use, in bytes.
+	MemoryLimit int64
+	// StopGrace is the time between SIGTERM and SIGKILL.
+	StopGrace time.Duration
+	// RevokeWithin is how soon a key that was taken away must stop working, 0 if no
+	// bound holds.
+	RevokeWithin time.Duration
+	// ShareWindow is the time over which customers' shares are kept.
+	ShareWindow time.Duration
+	// RetryRatio, RetryExtra and RetryWindow bound the second sends of the whole fleet
+	// for each service.
+	RetryRatio, RetryExtra float64
+	RetryWindow            time.Duration
+	// LocateLifetime bounds how long callers keep an answer of the directory.
+	LocateLifetime time.Duration
+}
+
+// Published is what the platform's records say, in this project's terms.
+type Published struct {
+	// Catalog is nil if there is no valid configuration.
+	Catalog   *catalog.Catalog
+	Targets   []inventory.Target
+	Evacuated []fleet.DataCentreID
+}
+
+// Interpreter turns the platform's records into Published. It is used by one goroutine
+// at a time and may keep what it decoded before.
+type Interpreter interface {
+	Interpret(all []records.Change) Published
+}
+
+// Place is where a caller is.
+type Place struct {
+	Region     fleet.RegionID
+	DataCentre fleet.DataCentreID
+}
+
+// Located is the directory's answer.
+type Located struct {
+	// Addrs are callers' addresses of instances, at least one.
+	Addrs []string
+	// Lifetime is how long the answer may be kept.
+	Lifetime time.Duration
+}
+
+// Surfaces builds the handlers that the platform and callers ask beside requests.
+type Surfaces interface {
+	// Readiness answers whether the instance takes requests.
+	Readiness(ready func() bool) http.Handler
+	// Directory answers which addresses to use; false means that none is known.
+	Directory(locate func(Place) (Located, bool)) http.Handler
+}
+
+// Options is what a Gateway needs from outside.
+type Options struct {
+	Settings    Settings
+	Reader      records.Reader
+	Interpreter Interpreter
+	Codec       ingress.Codec
+	Surfaces    Surfaces
+	Dial        func(ctx context.Context, network, addr string) (net.Conn, error)
+	Listen      func(addr string) (net.Listener, error)
+	Now         clock.Source
+	Log         zerolog.Logger
+	// Seed makes random choices repeatable; 0 draws one.
+	Seed uint64
+}
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/clock"
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/records"
+	"medlarwind.dev/medlarwind/internal/wire"
+)
+
+// sentMemory is the number of heartbeats to a peer whose sending times are kept, so
+// that an echo can be dated: over ten seconds.
+const sentMemory = 64
+
+// fetchTimeout bounds one fetch of the records from a peer.
+const fetchTimeout = 1500 * time.Millisecond
+
+// heardPeer is what is known of the exchange with one peer.
+type heardPeer struct {
+	incarnation fleet.Incarnation
+	// seq is the highest heartbeat heard, sentSeq the last one sent.
+	seq, sentSeq uint64
+	sentAt       [sentMemory]clock.Instant
+	// behindSince is when the peer was first heard to have newer records.
+	behindSince clock.Instant
+}
+
+// sendHeartbeats tells all connected peers this instance's state.
+func (g *Gateway) sendHeartbeats(ctx context.Context) {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	for {
+		g.sendRound()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// sendRound renews the view of the fleet and sends one heartbeat to each peer.
+func (g *Gateway) sendRound() {
+	now := g.options.Now()
+	state := wire.Heartbeat{Incarnation: g.incarnation, Leaving: g.leaving.Load()}
+	g.scheduler.Describe(&state)
+	if revision, at := g.copy.State(); revision > 0 && at != 0 {
+		state.Records = &wire.RecordsState{Revision: revision, AgeMillis: now.Sub(at).Milliseconds() + 1}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.roster.SetSelf(g.leaving.Load(), !g.isReady())
+	state.Members = g.roster.Describe(now)
+	g.transport.SetPeers(g.roster.Peers(now))
+	g.scheduler.SetAlive(g.roster.Alive(now))
+	for _, hello := range g.transport.Connected() {
+		p := g.peerOf(hello.Instance, hello.Incarnation)
+		hb := state
+		p.sentSeq++
+		hb.Seq, hb.EchoSeq, hb.EchoIncarnation = p.sentSeq, p.seq, p.incarnation
+		p.sentAt[p.sentSeq%sentMemory] = now
+		g.transport.SendHeartbeat(hello.Instance, &hb)
+	}
+}
+
+// peerOf returns the exchange with a peer's incarnation. The mutex is held.
+func (g *Gateway) peerOf(id fleet.InstanceID, incarnation fleet.Incarnation) *heardPeer {
+	p := g.heard[id]
+	if p == nil || p.incarnation != incarnation {
+		p = &heardPeer{incarnation: incarnation}
+		g.heard[id] = p
+	}
+	return p
+}
+
+// PeerHeartbeat implements peer.Handler.
+func (g *Gateway) PeerHeartbeat(from wire.Hello, hb *wire.Heartbeat) {
+	if hb.Incarnation != from.Incarnation {
+		return
+	}
+	g.hearMembers(from, hb)
+	g.scheduler.Hear(from.Instance, hb)
+}
+
+// hearMembers takes in the membership and the state of the records.
+func (g *Gateway) hearMembers(from wire.Hello, hb *wire.Heartbeat) {
+	now := g.options.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.peerOf(from.Instance, from.Incarnation)
+	if hb.Seq <= p.seq {
+		return
+	}
+	p.seq = hb.Seq
+	g.roster.Merge(hb.Members, now)
+	if hb.Records != nil {
+		g.hearRecords(from.Instance, p, hb, now)
+	}
+}
+
+// hearRecords dates a peer's knowledge of the records by the heartbeat that it echoes:
+// it was formed after that one was sent, however late the answer arrives.
+func (g *Gateway) hearRecords(from fleet.InstanceID, p *heardPeer, hb *wire.Heartbeat, now clock.Instant) {
+	if hb.EchoIncarnation == g.incarnation && hb.EchoSeq > 0 && hb.EchoSeq <= p.sentSeq && p.sentSeq-hb.EchoSeq < sentMemory {
+		formed := p.sentAt[hb.EchoSeq%sentMemory]
+		g.copy.Confirm(hb.Records.Revision, formed.Add(-time.Duration(hb.Records.AgeMillis)*time.Millisecond))
+	}
+	revision, _ := g.copy.State()
+	switch {
+	case hb.Records.Revision <= revision:
+		p.behindSince = 0
+	case p.behindSince == 0:
+		p.behindSince = now
+	case !g.fetching:
+		// Still behind a heartbeat later: the platform has not told this instance.
+		g.fetching = true
+		go g.fetchRecords(from)
+	}
+}
+
+// fetchRecords takes over the records of a peer.
+func (g *Gateway) fetchRecords(from fleet.InstanceID) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	revision, _ := g.copy.State()
+	reply, err := g.transport.FetchConfig(ctx, from, &wire.ConfigRequest{Have: revision})
+	var all []records.Change
+	if err == nil && reply.Version > revision {
+		all, err = records.Decode(reply.Text)
+	}
+	log := g.options.Log.Info().Str("event", "records_from_peer").Str("peer", string(from)).Uint64("had", revision)
+	if err != nil {
+		log.Err(err).Msg("")
+	} else {
+		log.Uint64("revision", reply.Version).Msg("")
+		if reply.Version > revision {
+			// How old the peer's knowledge is comes with its next heartbeat.
+			g.copy.Replace(all, reply.Version, 0)
+		}
+	}
+	g.mu.Lock()
+	g.fetching = false
+	g.mu.Unlock()
+}
+
+// PeerConfig implements peer.Handler.
+func (g *Gateway) PeerConfig(_ wire.Hello, r *wire.ConfigRequest) (*wire.ConfigReply, error) {
+	revision, _ := g.copy.State()
+	if revision <= r.Have {
+		return &wire.ConfigReply{}, nil
+	}
+	revision, text, err := g.copy.Encode()
+	if err != nil {
+		return nil, err
+	}
+	return &wire.ConfigReply{Version: revision, Text: text}, nil
+}
+
+// PeerGrant implements peer.Handler; instances of a gateway send no grants.
+func (g *Gateway) PeerGrant(wire.Hello, *wire.Grant) {}
+
+// PeerConnected implements peer.Handler.
+func (g *Gateway) PeerConnected(from wire.Hello) {
+	g.options.Log.Info().Str("event", "peer_connected").Str("peer", string(from.Instance)).
+		Str("incarnation", from.Incarnation.String()).Msg("")
+}
+
+// PeerGone implements peer.Handler.
+func (g *Gateway) PeerGone(from wire.Hello, err error) {
+	g.options.Log.Info().Str("event", "peer_gone").Str("peer", string(from.Instance)).Err(err).Msg("")
+}
--- /dev/null
+++ b/internal/ingress/attempt.go
@@ -0,0 +1,227 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwind.dev/medlarwind/internal/catalog"
+	"medlarwind.dev/medlarwind/internal/scheduler"
+	"medlarwind.dev/medlarwind/internal/upstream"
+)
+
+// Constants of the attempts at one request.
+const (
+	// maxSends bounds how often one request is sent, those that did not run included.
+	maxSends = 3
+	// tryFactor and minTryTime bound the wait for the first byte of an answer that
+	// another target could give, as a multiple of the route's objective.
+	tryFactor  = 2
+	minTryTime = 300 * time.Millisecond
+	// busyRetry is the advised pause after targets refused.
+	busyRetry = 300 * time.Millisecond
+)
+
+// fate is what one attempt led to.
+type fate int
+
+const (
+	// answered: the caller has its answer, or has left.
+	answered fate = iota
+	// notSent: nothing reached a target.
+	notSent
+	// notRun: the target said that it did not run the request.
+	notRun
+	// unclear: the request may have run, and the caller has no whole answer.
+	unclear
+)
+
+// serve makes attempts until the caller has an answer.
+func (x *exchange) serve(ctx context.Context) {
+	for again := false; ; {
+		p, err := x.h.options.Scheduler.Admit(ctx, x.job, again)
+		if err != nil {
+			x.refused(ctx, err)
+			return
+		}
+		f := x.attempt(ctx, p)
+		x.job.Exclude(p.Target.ID)
+		switch f {
+		case answered:
+			return
+		case notSent:
+			again = false
+		case notRun:
+			x.sends++
+			again = true
+		case unclear:
+			x.sends++
+			x.runs++
+			again = true
+			if !x.route.Repeatable() || x.runs >= x.route.MaxTargets {
+				x.fail(ctx)
+				return
+			}
+		}
+		if ctx.Err() != nil || x.sends >= maxSends {
+			x.fail(ctx)
+			return
+		}
+	}
+}
+
+// refused ends a request that the scheduler did not place.
+func (x *exchange) refused(ctx context.Context, err error) {
+	var refusal *scheduler.Refusal
+	if !errors.As(err, &refusal) {
+		x.result.Reason = err.Error()
+		x.fail(ctx)
+		return
+	}
+	x.result.Reason, x.result.Waited = string(refusal.Reason), refusal.Waited
+	if x.runs > 0 || x.begun {
+		x.fail(ctx)
+		return
+	}
+	x.refuse(http.StatusServiceUnavailable, string(refusal.Reason), refusal.RetryAfter)
+}
+
+// fail ends a request that got no answer: as not run if that is known, else without
+// such a promise.
+func (x *exchange) fail(ctx context.Context) {
+	reason := x.result.Reason
+	if errors.Is(context.Cause(ctx), errTimeUp) {
+		reason = "time_up"
+	}
+	switch {
+	case x.begun, x.r.Context().Err() != nil:
+		x.result.Reason = reason
+		panic(http.ErrAbortHandler)
+	case x.runs == 0:
+		x.refuse(http.StatusServiceUnavailable, reason, busyRetry)
+	case reason == "time_up":
+		x.refuse(http.StatusGatewayTimeout, reason, 0)
+	default:
+		x.refuse(http.StatusBadGateway, reason, 0)
+	}
+}
+
+// attempt sends the request to one target and relays the answer.
+func (x *exchange) attempt(ctx context.Context, p *scheduler.Placement) fate {
+	x.result.Target, x.result.Expected = p.Target.ID, p.Wait
+	if !p.Begin() {
+		p.End(scheduler.Unreachable)
+		x.result.Reason = "target_left"
+		return notSent
+	}
+	o := &x.h.options
+	left := x.job.Deadline.Sub(o.Now())
+	if x.result.Waited == 0 {
+		x.result.Waited = o.Now().Sub(x.arrived)
+	}
+	try, cancel := x.tryContext(ctx, p)
+	defer cancel(nil)
+	answer, err := o.Upstream.Send(try, upstream.Request{
+		Addr:   p.Target.Addr,
+		Method: x.r.Method,
+		Target: x.r.RequestURI,
+		Host:   x.r.Host,
+		Header: o.Codec.ForwardHeader(x.r.Header, Forwarding{
+			Left: left, Target: p.Target.ID, Customer: x.customer, ResumeAfter: x.resumeAfter(),
+		}),
+		Body:     x.body.bytes,
+		IsAnswer: func(h http.Header) bool { return o.Codec.IsAnswerTo(x.call, h) },
+	})
+	if err != nil {
+		return x.sendFailed(ctx, p, err)
+	}
+	return x.relay(ctx, p, answer, cancel)
+}
+
+// resumeAfter is the id after which a target is to go on.
+func (x *exchange) resumeAfter() string {
+	if x.lastEvent != "" {
+		return x.lastEvent
+	}
+	return x.call.ResumeAfter
+}
+
+// errTryTime ends an attempt that another target may do better.
+var errTryTime = errors.New("the target does not answer in time")
+
+// tryContext bounds an attempt's wait for its first byte if there may be another. The
+// returned function ends the attempt; calling it with a nil cause after the first byte
+// does no harm, since the caller stops the timer.
+func (x *exchange) tryContext(ctx context.Context, p *scheduler.Placement) (context.Context, context.CancelCauseFunc) {
+	try, cancel := context.WithCancelCause(ctx)
+	if !x.route.Repeatable() || x.runs+1 >= x.route.MaxTargets {
+		return try, cancel
+	}
+	limit := max(tryFactor*x.route.Objective, minTryTime) + p.Wait
+	timer := time.AfterFunc(limit, func() { cancel(errTryTime) })
+	x.stopTryTimer = timer.Stop
+	return try, cancel
+}
+
+// sendFailed classifies an attempt without an answer.
+func (x *exchange) sendFailed(ctx context.Context, p *scheduler.Placement, err error) fate {
+	x.result.Reason = "target_broken"
+	var failure *upstream.Error
+	if errors.As(err, &failure) && !failure.Sent {
+		outcome := scheduler.Unreachable
+		if ctx.Err() != nil {
+			outcome = scheduler.Abandoned
+		}
+		p.End(outcome)
+		x.result.Reason = "target_unreachable"
+		return notSent
+	}
+	x.result.Cause = err.Error()
+	if ctx.Err() != nil {
+		p.End(scheduler.Abandoned)
+	} else {
+		p.End(scheduler.Broken)
+	}
+	return unclear
+}
+
+// relay passes an answer on.
+func (x *exchange) relay(ctx context.Context, p *scheduler.Placement, a *upstream.Answer, cancel context.CancelCauseFunc) fate {
+	info := x.h.options.Codec.DecodeAnswer(a.Status, a.Header)
+	switch {
+	case info.NotRun:
+		a.Finish(drain(a))
+		p.End(scheduler.Rejected)
+		x.result.Reason = "target_refused"
+		return notRun
+	case !x.trustworthy(a, info):
+		a.Finish(false)
+		p.End(scheduler.Broken)
+		x.result.Reason = "answer_unsound"
+		return unclear
+	case x.route.Kind == catalog.Stream && a.Status == http.StatusOK:
+		return x.relayStream(ctx, p, a)
+	case x.begun:
+		// A run that was to go on answered something else.
+		a.Finish(false)
+		p.End(scheduler.Failed)
+		x.result.Reason = "resume_refused"
+		return unclear
+	}
+	return x.relayWhole(ctx, p, a)
+}
+
+// trustworthy reports whether an answer can be passed on as the target's own. A
+// status that promises that nothing ran must come with the target's word for it.
+func (x *exchange) trustworthy(a *upstream.Answer, info AnswerInfo) bool {
+	if a.Header.Get("Content-Encoding") != "" {
+		return false
+	}
+	switch a.Status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return false
+	}
+	return a.Status >= 300 || info.Signed
+}
--- /dev/null
+++ b/internal/records/follower.go
@@ -0,0 +1,120 @@
+package records
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"medlarwind.dev/medlarwind/internal/clock"
+)
+
+// ErrHistoryLost says that a watch cannot go on from its revision.
+var ErrHistoryLost = errors.New("the platform no longer has this history")
+
+// Reader reads the platform's records. Its answers are linearizable.
+type Reader interface {
+	// Read returns all records and a revision that they are complete up to.
+	Read(ctx context.Context) ([]Change, uint64, error)
+	// Watch waits for changes after a revision, at most wait. It fails with
+	// ErrHistoryLost when all must be read again.
+	Watch(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error)
+}
+
+// Times of a Follower.
+const (
+	// watchWait is how long one watch waits. Each return proves that the copy is
+	// complete, and a key that was taken away must stop working within seconds.
+	watchWait = time.Second
+	// minRetryDelay and maxRetryDelay are the pauses after failed calls: calls are
+	// paid for, also those that the platform refuses.
+	minRetryDelay = 100 * time.Millisecond
+	maxRetryDelay = 500 * time.Millisecond
+	// standbyPoll is how often an instance that leaves the reading to others looks
+	// whether its copy is still confirmed.
+	standbyPoll = 100 * time.Millisecond
+)
+
+// Follower keeps a Copy up to date from a Reader.
+type Follower struct {
+	Copy   *Copy
+	Reader Reader
+	Now    clock.Source
+	Log    zerolog.Logger
+	// ShouldRead reports whether this instance is to read the platform now; others
+	// wait for the copies of their peers.
+	ShouldRead func() bool
+	// Outcome is told of each call's outcome.
+	Outcome func(error)
+
+	failures int
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !f.ShouldRead() {
+			pause(ctx, standbyPoll)
+			continue
+		}
+		err := f.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		f.Outcome(err)
+		f.logOutcome(err)
+		if err != nil {
+			pause(ctx, f.retryDelay())
+		}
+	}
+}
+
+// step makes one call.
+func (f *Follower) step(ctx context.Context) error {
+	sent := f.Now()
+	revision, _ := f.Copy.State()
+	if revision > 0 {
+		changes, next, err := f.Reader.Watch(ctx, revision, watchWait)
+		if err == nil {
+			f.Copy.Apply(revision, changes, next, sent)
+		}
+		if !errors.Is(err, ErrHistoryLost) {
+			return err
+		}
+		sent = f.Now()
+	}
+	all, revision, err := f.Reader.Read(ctx)
+	if err != nil {
+		return err
+	}
+	f.Copy.Replace(all, revision, sent)
+	return nil
+}
+
+func (f *Follower) logOutcome(err error) {
+	switch {
+	case err == nil && f.failures > 0:
+		f.Log.Info().Str("event", "platform_regained").Int("failures", f.failures).Msg("")
+		f.failures = 0
+	case err != nil:
+		f.failures++
+		if f.failures == 1 {
+			f.Log.Warn().Str("event", "platform_lost").Err(err).Msg("")
+		}
+	}
+}
+
+// retryDelay grows with the failures in a row.
+func (f *Follower) retryDelay() time.Duration {
+	return min(minRetryDelay<<min(f.failures, 8), maxRetryDelay)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,145 @@
+// Package roster is an instance's view of the fleet where no list names the
+// instances: it starts from a few seed addresses and learns the rest from peers. It
+// is pure; one goroutine at a time uses a Roster.
+//
+// An instance is known by its address for peers, and its runs by their incarnations.
+// Of two reports on an instance the one that was heard later wins, so that views
+// converge without agreement.
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/clock"
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/wire"
+)
+
+// Times of a Roster.
+const (
+	// AliveFor is how long an instance counts as alive after it was last heard of:
+	// seven heartbeats.
+	AliveFor = 1500 * time.Millisecond
+	// forgetAfter is when an instance that nobody hears of is no longer dialled. Seeds
+	// are dialled for ever.
+	forgetAfter = 30 * time.Second
+	// maxMembers bounds the table.
+	maxMembers = 4096
+)
+
+// Member is one instance of the fleet.
+type Member struct {
+	ID          fleet.InstanceID
+	Incarnation fleet.Incarnation
+	DataCentre  fleet.DataCentreID
+	CallerAddr  string
+	Leaving     bool
+	NotReady    bool
+	// HeardAt is when anyone last heard of the instance, by this machine's clock.
+	HeardAt clock.Instant
+}
+
+// Roster is the table of members.
+type Roster struct {
+	self    Member
+	seeds   []fleet.InstanceID
+	members map[fleet.InstanceID]*Member
+}
+
+// New returns a roster that knows itself and the seeds' addresses.
+func New(self Member, seeds []fleet.InstanceID) *Roster {
+	return &Roster{self: self, seeds: seeds, members: make(map[fleet.InstanceID]*Member)}
+}
+
+// SetSelf changes what this instance says of itself.
+func (r *Roster) SetSelf(leaving, notReady bool) { r.self.Leaving, r.self.NotReady = leaving, notReady }
+
+// SetSeeds replaces the seeds' addresses.
+func (r *Roster) SetSeeds(seeds []fleet.InstanceID) { r.seeds = seeds }
+
+// Merge takes in what a peer says of members, itself with age 0 among them.
+func (r *Roster) Merge(members []wire.Member, now clock.Instant) {
+	for _, m := range members {
+		if m.ID == r.self.ID || m.AgeMillis < 0 {
+			continue
+		}
+		heard := now.Add(-time.Duration(m.AgeMillis) * time.Millisecond)
+		known := r.members[m.ID]
+		if known != nil && known.HeardAt >= heard {
+			continue
+		}
+		if known == nil && (len(r.members) >= maxMembers || now.Sub(heard) > forgetAfter) {
+			continue
+		}
+		r.members[m.ID] = &Member{
+			ID: m.ID, Incarnation: m.Incarnation, DataCentre: m.DataCentre, CallerAddr: m.CallerAddr,
+			Leaving: m.Leaving, NotReady: m.NotReady, HeardAt: heard,
+		}
+	}
+}
+
+// Describe returns this instance and the members that are alive, for peers.
+func (r *Roster) Describe(now clock.Instant) []wire.Member {
+	described := []wire.Member{describe(&r.self, 0)}
+	for _, m := range r.sorted() {
+		if age := now.Sub(m.HeardAt); age <= AliveFor {
+			described = append(described, describe(m, age))
+		}
+	}
+	return described
+}
+
+func describe(m *Member, age time.Duration) wire.Member {
+	return wire.Member{
+		ID: m.ID, Incarnation: m.Incarnation, DataCentre: m.DataCentre, CallerAddr: m.CallerAddr,
+		Leaving: m.Leaving, NotReady: m.NotReady, AgeMillis: age.Milliseconds(),
+	}
+}
+
+// Alive returns the members that are alive, this instance among them, in the order of
+// their ids.
+func (r *Roster) Alive(now clock.Instant) []Member {
+	self := r.self
+	self.HeardAt = now
+	alive := []Member{self}
+	for _, m := range r.members {
+		if now.Sub(m.HeardAt) <= AliveFor {
+			alive = append(alive, *m)
+		}
+	}
+	slices.SortFunc(alive, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return alive
+}
+
+// Peers returns the instances to be connected to: seeds, and members that were heard
+// of lately.
+func (r *Roster) Peers(now clock.Instant) []fleet.ListedInstance {
+	var peers []fleet.ListedInstance
+	for _, seed := range r.seeds {
+		if seed != r.self.ID {
+			peers = append(peers, fleet.ListedInstance{ID: seed, PeerAddr: string(seed), State: fleet.StateLive})
+		}
+	}
+	for id, m := range r.members {
+		if now.Sub(m.HeardAt) > forgetAfter {
+			delete(r.members, id)
+			continue
+		}
+		if !slices.Contains(r.seeds, id) {
+			peers = append(peers, fleet.ListedInstance{ID: id, PeerAddr: string(id), DataCentre: m.DataCentre, State: fleet.StateLive})
+		}
+	}
+	slices.SortFunc(peers, func(a, b fleet.ListedInstance) int { return cmp.Compare(a.ID, b.ID) })
+	return peers
+}
+
+func (r *Roster) sorted() []*Member {
+	all := make([]*Member, 0, len(r.members))
+	for _, m := range r.members {
+		all = append(all, m)
+	}
+	slices.SortFunc(all, func(a, b *Member) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
--- /dev/null
+++ b/internal/scheduler/job.go
@@ -0,0 +1,164 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/catalog"
+	"medlarwind.dev/medlarwind/internal/clock"
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/inventory"
+	"medlarwind.dev/medlarwind/internal/membership"
+	"medlarwind.dev/medlarwind/internal/placement"
+)
+
+// Part is a piece of a prompt that other requests may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Job is a request that is to be started on a target.
+type Job struct {
+	// ID is the caller's id of the request, for logs.
+	ID       string
+	Route    *catalog.Route
+	Service  *catalog.Service
+	Customer fleet.CustomerID
+	// Regions may serve the request; AnyRegion means that all may.
+	Regions   []fleet.RegionID
+	AnyRegion bool
+	// Prompt and Output are the tokens of a generation, 0 for calls of plain services.
+	Prompt, Output int
+	Parts          []Part
+	// Fingerprint identifies the content, to find requests that crash targets.
+	Fingerprint uint64
+	Arrived     clock.Instant
+	// Deadline is when the caller or the route gives up.
+	Deadline clock.Instant
+
+	// excluded are targets that the request was sent to before.
+	excluded []fleet.TargetID
+	// home and prefixes are hashes of the prompt's parts; sharedTokens are the tokens
+	// of all parts but the last.
+	home         uint64
+	prefixes     []uint64
+	sharedTokens int
+	prepared     bool
+}
+
+// minHomeTokens is the length of shared parts from which a prompt has a home; to read
+// less at another target costs less than a round trip between regions.
+const minHomeTokens = 400
+
+// prepare computes the hashes of a job's parts.
+func (j *Job) prepare() {
+	if j.prepared {
+		return
+	}
+	j.prepared = true
+	chain := ""
+	for i, p := range j.Parts {
+		chain += p.ID + ","
+		hash := membership.Hash(chain)
+		j.prefixes = append(j.prefixes, hash)
+		if i < len(j.Parts)-1 {
+			j.sharedTokens += p.Tokens
+			j.home = hash
+		}
+	}
+	if j.sharedTokens < minHomeTokens {
+		j.home = 0
+	}
+}
+
+// cachedTokens returns the tokens of the first n parts, without the last part.
+func (j *Job) cachedTokens(n int) int {
+	tokens := 0
+	for _, p := range j.Parts[:min(n, max(len(j.Parts)-1, 0))] {
+		tokens += p.Tokens
+	}
+	return tokens
+}
+
+// weight is what a request counts in its customer's share: each token read once, each
+// generated one twice.
+func (j *Job) weight() float64 { return float64(j.Prompt - j.sharedTokens + 2*j.Output) }
+
+// request is the job as placement sees it.
+func (j *Job) request() placement.Request {
+	r := placement.Request{Prompt: j.Prompt, Output: j.Output, Shared: j.sharedTokens}
+	if j.Service.Engine == nil {
+		r.Work = plainWork
+	}
+	return r
+}
+
+// Exclude keeps a job from being placed again on a target.
+func (j *Job) Exclude(id fleet.TargetID) { j.excluded = append(j.excluded, id) }
+
+// Reason says why a job is refused.
+type Reason string
+
+// The reasons of a refusal. In all of them the request has not run.
+const (
+	ReasonShare     Reason = "over_share"
+	ReasonBusy      Reason = "busy"
+	ReasonNoTarget  Reason = "no_target"
+	ReasonTooLarge  Reason = "too_large"
+	ReasonBudget    Reason = "retry_budget"
+	ReasonDeadline  Reason = "deadline"
+	ReasonGone      Reason = "caller_gone"
+	ReasonQueueFull Reason = "queue_full"
+	ReasonSuspect   Reason = "crashes_targets"
+	ReasonLeaving   Reason = "leaving"
+)
+
+// Refusal is the error of a job that was not started.
+type Refusal struct {
+	Reason Reason
+	// RetryAfter is when the request is likely to be served.
+	RetryAfter time.Duration
+	// Waited is the time spent in the queue.
+	Waited time.Duration
+}
+
+// Error describes the refusal.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("not run: %s after %s", r.Reason, r.Waited.Round(time.Millisecond))
+}
+
+// Outcome is how a run on a target ended.
+type Outcome int
+
+// The outcomes of a run.
+const (
+	// Completed: the target answered.
+	Completed Outcome = iota
+	// Failed: the target answered with a failure of its own.
+	Failed
+	// Rejected: the target said that it did not run the request.
+	Rejected
+	// Unreachable: no connection came up.
+	Unreachable
+	// Broken: the connection broke, went silent or carried nonsense.
+	Broken
+	// Abandoned: the caller left or its time was up.
+	Abandoned
+)
+
+// Placement is the right to send one job to one target.
+type Placement struct {
+	Target inventory.Target
+	// Wait is the expected time before the target turns to the request.
+	Wait time.Duration
+	// Cached is the number of prompt tokens that the target is believed to hold.
+	Cached int
+
+	scheduler *Scheduler
+	job       *Job
+	load      placement.Load
+	started   clock.Instant
+	reading   bool
+	ended     bool
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -82,6 +82,12 @@
 	Offsets []Offset `json:"o,omitempty"`
 	// Suspects carries fingerprints of requests that may crash targets.
 	Suspects []Suspect `json:"x,omitempty"`
+	// Members, Loads, Usage and Records are whole states of the instances that serve
+	// HTTP callers directly.
+	Members []Member        `json:"mb,omitempty"`
+	Loads   []TargetLoad    `json:"ld,omitempty"`
+	Usage   []CustomerUsage `json:"us,omitempty"`
+	Records *RecordsState   `json:"rc,omitempty"`
 }
 
 // Running counts the sender's work on one target.
@@ -178,3 +184,49 @@
 	// Text is the whole document, compressed with gzip.
 	Text []byte `json:"t,omitempty"`
 }
+
+// Member is what the sender knows of one instance, itself included. Instances that
+// no list names find each other by these.
+type Member struct {
+	// ID is the instance's address for its peers, IP:port.
+	ID          fleet.InstanceID   `json:"i"`
+	Incarnation fleet.Incarnation  `json:"n"`
+	DataCentre  fleet.DataCentreID `json:"d"`
+	// CallerAddr is the IP:port for callers.
+	CallerAddr string `json:"a"`
+	// Leaving says that the instance is stopping; NotReady that it cannot serve yet.
+	Leaving  bool `json:"l,omitempty"`
+	NotReady bool `json:"u,omitempty"`
+	// AgeMillis is the time since the instance was last heard of by anyone, as far as
+	// the sender knows.
+	AgeMillis int64 `json:"g,omitempty"`
+}
+
+// TargetLoad is the work that the sender runs on one target.
+type TargetLoad struct {
+	Target fleet.TargetID `json:"t"`
+	// Running counts the requests.
+	Running int `json:"c"`
+	// Unread is the number of prompt tokens that the target has yet to read before
+	// the first events of these requests.
+	Unread int `json:"p,omitempty"`
+	// Memory is the number of tokens that the requests hold in the target's memory.
+	Memory int `json:"m,omitempty"`
+}
+
+// CustomerUsage counts one customer's tokens at the sender since its start. The
+// counters only grow.
+type CustomerUsage struct {
+	Customer fleet.CustomerID `json:"c"`
+	// Asked counts what arrived, Started what was sent to targets.
+	Asked   int64 `json:"a"`
+	Started int64 `json:"s"`
+}
+
+// RecordsState says how far the sender knows the records that the platform publishes.
+type RecordsState struct {
+	Revision uint64 `json:"r"`
+	// AgeMillis is the time since the sending of the read that proved that the
+	// platform had nothing newer.
+	AgeMillis int64 `json:"a"`
+}
