Keep requests at the homes of their prompts' shared parts

Customers beyond their share were held back while the engines were at 40 % of what they can read.

Ruled out: refusals by memory or slots (none in the log); all were over_share.

Change: reading a shared part elsewhere weighs five times its time; every shared part has a home; customers beyond their share may add up to 250 ms of reading; shares count whole prompts and hinted outputs, as the platform counts them.

--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -146,6 +146,10 @@
 	stopMargin = 500 * time.Millisecond
 	// lifetimesKept is for how many lifetimes callers keep an answer of the directory.
 	lifetimesKept = 3
+	// streamsPart and requestsPart are the parts of a planned stop in which new streams
+	// and other new requests are still served: later ones might not end in time.
+	streamsPart  = 0.3
+	requestsPart = 0.75
 )
 
 // Stop is the planned stop: callers and peers are sent elsewhere at once, while
@@ -154,11 +158,10 @@
 func (g *Gateway) Stop() {
 	began := g.options.Now()
 	g.leaving.Store(true)
-	g.handler.Leave()
-	g.scheduler.SetLeaving()
+	limit := g.options.Settings.StopGrace - stopMargin
+	g.handler.Leave(time.Duration(streamsPart*float64(limit)), time.Duration(requestsPart*float64(limit)))
 	g.options.Log.Info().Str("event", "stopping").Int64("active", g.handler.Active()).Msg("")
 	g.sendRound()
-	limit := g.options.Settings.StopGrace - stopMargin
 	linger := min(lifetimesKept*g.options.Settings.LocateLifetime+heartbeatInterval, limit)
 	wait(linger)
 	ctx, cancel := context.WithTimeout(context.Background(), max(limit-g.options.Now().Sub(began), 0))
--- a/internal/ingress/codec.go
+++ b/internal/ingress/codec.go
@@ -16,14 +16,28 @@
 	Budget time.Duration
 	// Key is the caller's secret.
 	Key string
-	// Prompt and Output are the tokens of a generation: those of the prompt and the
+	// Prompt and MaxOutput are the tokens of a generation: those of the prompt and the
 	// most that are generated. Both are 0 for other calls.
-	Prompt, Output int
-	Parts          []scheduler.Part
+	Prompt, MaxOutput int
+	// OutputHint is the caller's estimate of the tokens generated, 0 if it gives none.
+	OutputHint int
+	Parts      []scheduler.Part
 	// ResumeAfter is the id of the last event that the caller has, empty for none.
 	ResumeAfter string
 }
 
+// unhintedOutput is the part of the most output tokens that is expected of a call
+// without an estimate: lengths vary widely and few calls use their limit.
+const unhintedOutput = 0.35
+
+// expectedOutput is the number of tokens that a call is expected to generate.
+func (c *Call) expectedOutput() int {
+	if c.OutputHint > 0 {
+		return min(c.OutputHint, c.MaxOutput)
+	}
+	return int(unhintedOutput * float64(c.MaxOutput))
+}
+
 // Forwarding is what this instance adds to a request that it sends to a target.
 type Forwarding struct {
 	// Left is the time until the caller or the route gives up.
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -144,6 +144,10 @@
 		return x.unknown(http.StatusNotFound, "no_route")
 	}
 	x.route = route
+	if x.h.stop.refuses(route.Kind == catalog.Stream, o.Now()) {
+		x.refuse(http.StatusServiceUnavailable, string(scheduler.ReasonLeaving), stopRetry)
+		return false
+	}
 	var customer *catalog.Customer
 	if c.HasCustomers() && !route.Anonymous {
 		if customer, ok = c.Customer(call.Key); !ok {
@@ -189,7 +193,7 @@
 	}
 	x.job = &scheduler.Job{
 		ID: x.call.ID, Route: x.route, Service: x.service,
-		Prompt: x.call.Prompt, Output: x.call.Output, Parts: x.call.Parts,
+		Prompt: x.call.Prompt, Output: x.call.expectedOutput(), Parts: x.call.Parts,
 		Arrived: x.arrived, Deadline: x.arrived.Add(timeout),
 	}
 	var regions []fleet.RegionID
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -17,6 +17,10 @@
 	// beside the tokens it generates; published engines read 66 when they do nothing
 	// else.
 	ReadTokensPerMilli = 55.0
+	// rereadWeight is the worth of not reading a shared part again, as a multiple of the
+	// time that it takes: all requests of the target wait for it, and the part pushes
+	// others out of the target's memory.
+	rereadWeight = 5
 	// rankStep keeps routers that leave a busy home from spreading a part over all
 	// targets: the second in rank comes before the third unless that is quicker by
 	// this much.
@@ -87,7 +91,7 @@
 		}
 		wait := c.wait(r)
 		start := wait + reading(r.Prompt-c.Cached) + r.Work + c.Distance
-		cost := start + reading(max(r.Shared-c.Cached, 0)) +
+		cost := start + rereadWeight*reading(max(r.Shared-c.Cached, 0)) +
 			time.Duration(min(c.Rank, maxRankSteps))*rankStep +
 			time.Duration(c.Failing*float64(failurePenalty))
 		if best.Index < 0 || cost < lowest {
--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -22,16 +22,16 @@
 	plainOverbook = 2
 	// memoryUse is the part of an engine's memory given to running requests; the rest
 	// holds shared parts and what outgrows its estimate.
-	memoryUse = 0.85
+	memoryUse = 0.75
 	// regionDistance is a round trip between regions and what the bytes are worth.
-	regionDistance = 60 * time.Millisecond
+	regionDistance = 45 * time.Millisecond
 	// centreDistance is the same between data centres of one region.
 	centreDistance = 5 * time.Millisecond
 	// spareWait is the longest expected wait at a target that a customer beyond its
 	// share may add to.
-	spareWait = 60 * time.Millisecond
+	spareWait = 250 * time.Millisecond
 	// spareSlots is the part of a target's slots that such a customer may fill.
-	spareSlots = 0.7
+	spareSlots = 0.9
 	// shareWait bounds the expected wait at a target for customers within their share,
 	// as a multiple of the route's objective: past it a request waits here, where it
 	// can still go elsewhere.
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -29,6 +29,7 @@
 	Regions   []fleet.RegionID
 	AnyRegion bool
 	// Prompt and Output are the tokens of a generation, 0 for calls of plain services.
+	// Output is what is expected, not the most that is allowed.
 	Prompt, Output int
 	Parts          []Part
 	// Fingerprint identifies the content, to find requests that crash targets.
@@ -47,9 +48,8 @@
 	prepared     bool
 }
 
-// minHomeTokens is the length of shared parts from which a prompt has a home; to read
-// less at another target costs less than a round trip between regions.
-const minHomeTokens = 400
+// minHomeTokens is the length of shared parts from which a prompt has a home.
+const minHomeTokens = 32
 
 // prepare computes the hashes of a job's parts.
 func (j *Job) prepare() {
@@ -81,9 +81,9 @@
 	return tokens
 }
 
-// weight is what a request counts in its customer's share: each token read once, each
-// generated one twice.
-func (j *Job) weight() float64 { return float64(j.Prompt - j.sharedTokens + 2*j.Output) }
+// weight is what a request counts in its customer's share: each token of its prompt
+// once, whether the target holds it or not, and each generated one twice.
+func (j *Job) weight() float64 { return float64(j.Prompt + 2*j.Output) }
 
 // request is the job as placement sees it.
 func (j *Job) request() placement.Request {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -65,7 +65,6 @@
 	usableAt  clock.Instant
 	level     float64
 	levelAt   clock.Instant
-	leaving   bool
 }
 
 // targetState is what this instance knows of one target by its own requests.
@@ -133,13 +132,6 @@
 	s.forgetPeers()
 }
 
-// SetLeaving says that this instance is stopping.
-func (s *Scheduler) SetLeaving() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.leaving = true
-}
-
 // Tick does what depends on time alone: queued jobs, targets that are absent.
 func (s *Scheduler) Tick() {
 	s.mu.Lock()
