Take a target for down only after several failures in a row

Cause: one lost answer made its target count as restarted and cold for five seconds, at two starts a second for each router. With answers reset on half the engines nearly all were paced that way: 724 of 1,376 thousand tokens a second began, the engines idle.

Ruled out: shares (the refused were within theirs), memory and slots.

Change: a target counts as down when no connection comes up, or after three failures in a row without a success; only that is told to peers and starts the cold pace.

--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -17,6 +17,9 @@
 	trialFailures = 2
 	minAvoid      = 300 * time.Millisecond
 	maxAvoid      = 3 * time.Second
+	// downFailures is the number of failures in a row that show that a target is down:
+	// a single broken connection shows only that an answer was lost.
+	downFailures = 3
 	// unreachableAvoid is how long a target to which no connection came up is left
 	// alone at least.
 	unreachableAvoid = 500 * time.Millisecond
@@ -92,7 +95,7 @@
 		s.avoid(t, o, now)
 	case Abandoned:
 	}
-	if o == Broken || o == Unreachable {
+	if o == Unreachable || o == Broken && t.failures >= downFailures {
 		t.brokenAt = now
 		s.inventory.NoteBroken(p.Target.ID, p.job.Service.ColdFor, now)
 	}
