--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -29,7 +29,7 @@
 	centreDistance = 5 * time.Millisecond
 	// spareWait is the longest expected wait at a target that a customer beyond its
 	// share may add to.
-	spareWait = 250 * time.Millisecond
+	spareWait = 60 * time.Millisecond
 	// spareSlots is the part of a target's slots that such a customer may fill.
 	spareSlots = 0.9
 	// shareWait bounds the expected wait at a target for customers within their share,
