--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -31,7 +31,7 @@
 	// share may add to.
 	spareWait = 60 * time.Millisecond
 	// spareSlots is the part of a target's slots that such a customer may fill.
-	spareSlots = 0.9
+	spareSlots = 0.7
 	// shareWait bounds the expected wait at a target for customers within their share,
 	// as a multiple of the route's objective: past it a request waits here, where it
 	// can still go elsewhere.
