Bound callers' connections, and send nothing for a caller that has left

Cause: a flood of refused callers, each try on a new connection, held over 4,000 descriptors in two routers (7,778 in the fleet), since idle connections stayed for a minute.

Ruled out: processor (0.12 of 0.4 cores at most), placement.

Change: callers' connections are bounded by the descriptors: answers close theirs from half of them on, idle ones close at the configured time and earlier when they are three quarters; the caller's end is looked for immediately before the first send.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,9 +47,10 @@
 	// before it fails, and a request is on its way for a while.
 	revokeMargin = 1600 * time.Millisecond
 	// headerTimeout bounds the time a caller takes to send a request's header, and
-	// idleTimeout how long a connection without requests stays.
+	// idleTimeout how long a connection without requests stays where the configuration
+	// states no time.
 	headerTimeout = 10 * time.Second
-	idleTimeout   = 60 * time.Second
+	idleTimeout   = 2 * time.Minute
 	// maxHeaderBytes bounds a request's header.
 	maxHeaderBytes = 64 << 10
 	// bodyPart is the part of the memory limit given to requests' bodies.
@@ -71,6 +72,7 @@
 	handler     *ingress.Handler
 	transport   *peer.Transport
 	metrics     *metrics
+	callers     *callerConns
 	catalog     atomic.Pointer[catalog.Catalog]
 	leaving     atomic.Bool
 
@@ -133,9 +135,10 @@
 	})
 	g.scheduler.SetAlive(g.roster.Alive(o.Now()))
 	g.upstream = upstream.NewClient(o.Dial)
+	g.callers = newCallerConns(s.MaxCallerConns, o.Now)
 	g.handler = ingress.New(ingress.Options{
 		Codec: o.Codec, View: g, Scheduler: g.scheduler, Upstream: g.upstream, Now: o.Now, Log: o.Log,
-		BodyMemory: s.MemoryLimit / bodyPart, Observe: g.metrics.request,
+		BodyMemory: s.MemoryLimit / bodyPart, Observe: g.metrics.request, Crowded: g.callers.crowded,
 	})
 	g.follower = &records.Follower{
 		Copy: g.copy, Reader: o.Reader, Now: o.Now, Log: o.Log,
@@ -248,6 +251,8 @@
 		l.http = append(l.http, opened)
 		g.servers = append(g.servers, newServer(port.handler))
 	}
+	g.servers[0].ConnState = g.callers.track
+	g.servers[0].ConnContext = ingress.WithConn
 	return l, nil
 }
 
@@ -309,10 +314,20 @@
 			return
 		case <-ticker.C:
 			g.upstream.Sweep()
+			g.callers.sweep(g.idleLimit())
 		}
 	}
 }
 
+// idleLimit is the configured idle time of callers' connections, 0 if there is none.
+func (g *Gateway) idleLimit() time.Duration {
+	c := g.catalog.Load()
+	if c == nil {
+		return 0
+	}
+	return c.Limits.IdleTimeout
+}
+
 // Reload takes in changed settings; what cannot change while running is left as it is.
 func (g *Gateway) Reload(s Settings) {
 	g.mu.Lock()
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -32,6 +32,8 @@
 	Seeds []fleet.InstanceID
 	// MemoryLimit is what the process may use, in bytes.
 	MemoryLimit int64
+	// MaxCallerConns bounds the connections of callers, 0 for no bound.
+	MaxCallerConns int
 	// StopGrace is the time between SIGTERM and SIGKILL.
 	StopGrace time.Duration
 	// RevokeWithin is how soon a key that was taken away must stop working, 0 if no
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -112,10 +112,15 @@
 func (x *exchange) attempt(ctx context.Context, p *scheduler.Placement) fate {
 	x.result.Target, x.result.Expected = p.Target.ID, p.Wait
 	if !p.Begin() {
-		p.End(scheduler.Unreachable)
+		p.End(scheduler.Unsent)
 		x.result.Reason = "target_left"
 		return notSent
 	}
+	if callerLeft(x.r.Context()) {
+		p.End(scheduler.Unsent)
+		x.result.Reason = "caller_gone"
+		panic(http.ErrAbortHandler)
+	}
 	o := &x.h.options
 	left := x.job.Deadline.Sub(o.Now())
 	if x.result.Waited == 0 {
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -58,6 +58,9 @@
 	Log       zerolog.Logger
 	// BodyMemory bounds the bytes of all bodies held.
 	BodyMemory int64
+	// Crowded reports whether callers hold so many connections that each answer should
+	// close its own; nil means never.
+	Crowded func() bool
 	// Observe is told of each finished request.
 	Observe func(Report)
 }
@@ -80,7 +83,7 @@
 	defer h.stop.active.Add(-1)
 	x := &exchange{h: h, w: w, r: r, arrived: h.options.Now()}
 	defer x.report()
-	if h.stop.leaving() {
+	if h.stop.leaving() || h.options.Crowded != nil && h.options.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	if !x.identify() || !x.readBody() {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -143,6 +143,8 @@
 	Unreachable
 	// Broken: the connection broke, went silent or carried nonsense.
 	Broken
+	// Unsent: nothing was sent for reasons that say nothing of the target.
+	Unsent
 	// Abandoned: the caller left or its time was up.
 	Abandoned
 )
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -66,7 +66,7 @@
 		Memory:  t.own.Memory - p.load.Memory,
 	}
 	t.trial = false
-	if o == Rejected || o == Unreachable {
+	if o == Rejected || o == Unreachable || o == Unsent {
 		s.takeBack(p, now)
 	}
 	s.note(p, t, o, now)
@@ -93,7 +93,7 @@
 		t.failing += failureWeight * (1 - t.failing)
 		t.failures++
 		s.avoid(t, o, now)
-	case Abandoned:
+	case Abandoned, Unsent:
 	}
 	if o == Unreachable || o == Broken && t.failures >= downFailures {
 		t.brokenAt = now
