--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,70 @@
+package catalog_test
+
+import (
+	"reflect"
+	"testing"
+
+	"medlarwind.dev/medlarwind/internal/catalog"
+	"medlarwind.dev/medlarwind/internal/fleet"
+)
+
+func sample() *catalog.Catalog {
+	return catalog.New(catalog.Content{
+		Version: 7,
+		Routes: []catalog.Route{
+			{Name: "short", Host: "a.example", Prefix: "/x/"},
+			{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+			{Name: "root", Host: "b.example", Prefix: "/"},
+		},
+		Customers: []catalog.Customer{{ID: "c", Keys: []string{"k1", "k2"}}},
+	})
+}
+
+func TestRouteTakesLongestPrefixOfHost(t *testing.T) {
+	c := sample()
+	for _, test := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"A.Example:80", "/x/y/1", "long"},
+		{"a.example", "/x/y", "short"},
+		{"a.example", "/xy/1", ""},
+		{"b.example", "/anything/at/all", "root"},
+		{"c.example", "/x/1", ""},
+		{"a.example", "", ""},
+	} {
+		r, ok := c.Route(test.host, test.path)
+		if ok != (test.want != "") || ok && r.Name != test.want {
+			t.Errorf("Route(%q, %q) = %v, want %q", test.host, test.path, r, test.want)
+		}
+	}
+}
+
+func TestServiceFollowsWeights(t *testing.T) {
+	r := catalog.Route{Shares: []catalog.Share{{Service: "a", Weight: 9}, {Service: "b", Weight: 1}, {Service: "c"}}}
+	counts := map[fleet.ServiceID]int{}
+	for i := range uint64(1000) {
+		id, ok := r.Service(i)
+		if !ok {
+			t.Fatal("no service")
+		}
+		counts[id]++
+	}
+	if counts["a"] != 900 || counts["b"] != 100 {
+		t.Errorf("counts = %v, want 900 and 100", counts)
+	}
+	if _, ok := (&catalog.Route{}).Service(1); ok {
+		t.Error("a route without services has one")
+	}
+}
+
+func TestAllowedRegionsBindTogether(t *testing.T) {
+	regions, any := catalog.AllowedRegions([]fleet.RegionID{"n", "s"}, []fleet.RegionID{"s", "c"})
+	if any || !reflect.DeepEqual(regions, []fleet.RegionID{"s"}) {
+		t.Errorf("AllowedRegions = %v, %v, want only s", regions, any)
+	}
+	if regions, any = catalog.AllowedRegions([]fleet.RegionID{"n"}, []fleet.RegionID{"s"}); any || len(regions) != 0 {
+		t.Errorf("disjoint lists allow %v, %v", regions, any)
+	}
+	if _, any = catalog.AllowedRegions(nil, nil); !any {
+		t.Error("no list forbids a region")
+	}
+}
--- /dev/null
+++ b/internal/pacing/pacing_test.go
@@ -0,0 +1,64 @@
+package pacing_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"medlarwind.dev/medlarwind/internal/clock"
+	"medlarwind.dev/medlarwind/internal/pacing"
+)
+
+// Whatever the number of instances, their shares together stay within the rate.
+func TestColdSharesStayWithinRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(0, 100).Draw(t, "rate")
+		instances := rapid.IntRange(1, 120).Draw(t, "instances")
+		total := 0
+		for rank := range instances {
+			total += pacing.ColdShare(rate, instances, rank)
+		}
+		if float64(total) > rate {
+			t.Fatalf("%d instances start %d a second, the target bears %v", instances, total, rate)
+		}
+	})
+}
+
+func TestStartsCountsOneSecond(t *testing.T) {
+	var s pacing.Starts
+	now := clock.Instant(time.Hour)
+	for range 5 {
+		s.Add(now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	if n := s.Count(now); n != 5 {
+		t.Errorf("Count = %d, want 5", n)
+	}
+	if n := s.Count(now.Add(750 * time.Millisecond)); n != 2 {
+		t.Errorf("Count = %d after 750 ms more, want 2", n)
+	}
+}
+
+func TestBudgetBoundsSecondSends(t *testing.T) {
+	b := pacing.Budget{Window: 10 * time.Second, Ratio: 0.2, Extra: 3}
+	now := clock.Instant(time.Hour)
+	for range 50 {
+		b.First(now)
+	}
+	taken := 0
+	for range 100 {
+		if b.Take(now) {
+			taken++
+		}
+	}
+	if taken != 13 {
+		t.Errorf("%d second sends for 50 first ones, want 0.2·50 + 3", taken)
+	}
+	if b.Take(now.Add(5 * time.Second)) {
+		t.Error("half a window later the budget is full again")
+	}
+	if !b.Take(now.Add(12 * time.Second)) {
+		t.Error("a window later the constant part is not free again")
+	}
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,72 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/placement"
+)
+
+// dossier is a long request with a long shared part.
+var dossier = placement.Request{Prompt: 12000, Output: 400, Shared: 5000}
+
+func TestPickKeepsRequestAtHomeWhileWaitIsShort(t *testing.T) {
+	home := placement.Candidate{Slots: 64, Cached: 5000, Load: placement.Load{Running: 20, Unread: 12000}}
+	idle := placement.Candidate{Slots: 64, Rank: 1}
+	choice, ok := placement.Pick(dossier, []placement.Candidate{idle, home})
+	if !ok || choice.Index != 1 {
+		t.Errorf("a home with 220 ms of work ahead was left for an idle target that reads the part again: %+v", choice)
+	}
+}
+
+func TestPickLeavesHomeThatIsFloodedByOneKey(t *testing.T) {
+	home := placement.Candidate{Slots: 64, Cached: 5000, Load: placement.Load{Running: 40, Unread: 60000}}
+	second := placement.Candidate{Slots: 64, Rank: 1}
+	third := placement.Candidate{Slots: 64, Rank: 2}
+	choice, ok := placement.Pick(dossier, []placement.Candidate{home, third, second})
+	if !ok || choice.Index != 2 {
+		t.Errorf("Pick = %+v, want the second in rank when the home has a second of work ahead", choice)
+	}
+}
+
+func TestPickStartsUnsharedRequestWhereItWaitsLeast(t *testing.T) {
+	query := placement.Request{Prompt: 800, Output: 300}
+	busyNear := placement.Candidate{Slots: 64, Load: placement.Load{Running: 50, Unread: 15000}}
+	idleFar := placement.Candidate{Slots: 64, Distance: 45 * time.Millisecond}
+	idleNear := placement.Candidate{Slots: 64, Load: placement.Load{Running: 5}}
+	choice, _ := placement.Pick(query, []placement.Candidate{busyNear, idleFar, idleNear})
+	if choice.Index != 2 {
+		t.Errorf("Pick = %d, want the idle target nearby", choice.Index)
+	}
+	choice, _ = placement.Pick(query, []placement.Candidate{busyNear, idleFar})
+	if choice.Index != 1 {
+		t.Errorf("Pick = %d, want the idle target of another region over 270 ms of work nearby", choice.Index)
+	}
+}
+
+func TestPickRespectsRoom(t *testing.T) {
+	full := placement.Candidate{Slots: 4, Load: placement.Load{Running: 4}}
+	packed := placement.Candidate{Slots: 64, Memory: 100000, Load: placement.Load{Memory: 95000}}
+	if choice, ok := placement.Pick(dossier, []placement.Candidate{full, packed}); ok {
+		t.Errorf("Pick = %+v, want none: slots and memory are used up", choice)
+	}
+}
+
+func TestPickAvoidsFailingTarget(t *testing.T) {
+	call := placement.Request{Work: 15 * time.Millisecond}
+	grey := placement.Candidate{Slots: 12, Failing: 0.4}
+	sound := placement.Candidate{Slots: 12, Distance: 45 * time.Millisecond, Load: placement.Load{Running: 6}}
+	if choice, _ := placement.Pick(call, []placement.Candidate{grey, sound}); choice.Index != 1 {
+		t.Error("a target that fails 40 % of its requests was preferred to a sound one of another region")
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	candidates := make([]placement.Candidate, 90)
+	for i := range candidates {
+		candidates[i] = placement.Candidate{Slots: 64, Rank: i, Load: placement.Load{Running: i}}
+	}
+	for b.Loop() {
+		placement.Pick(dossier, candidates)
+	}
+}
--- a/internal/records/follower.go
+++ b/internal/records/follower.go
@@ -58,14 +58,21 @@
 			pause(ctx, standbyPoll)
 			continue
 		}
+		before, _ := f.Copy.State()
+		began := f.Now()
 		err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		f.Outcome(err)
 		f.logOutcome(err)
-		if err != nil {
+		after, _ := f.Copy.State()
+		switch {
+		case err != nil:
 			pause(ctx, f.retryDelay())
+		case before == after && f.Now().Sub(began) < minRetryDelay:
+			// A platform that answers at once without news must not be asked in a loop.
+			pause(ctx, minRetryDelay)
 		}
 	}
 }
--- /dev/null
+++ b/internal/records/records_test.go
@@ -0,0 +1,216 @@
+package records_test
+
+import (
+	"context"
+	"reflect"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"medlarwind.dev/medlarwind/internal/clock"
+	"medlarwind.dev/medlarwind/internal/records"
+)
+
+const start = clock.Instant(time.Hour)
+
+func TestCopyNeverGoesBack(t *testing.T) {
+	c := records.NewCopy()
+	c.Replace([]records.Change{{Key: "k", Value: []byte("new"), Revision: 7}}, 7, start)
+	c.Replace([]records.Change{{Key: "k", Value: []byte("old"), Revision: 5}}, 5, start.Add(time.Second))
+	c.Apply(4, []records.Change{{Key: "k", Value: []byte("old"), Revision: 5}}, 5, start.Add(time.Second))
+	if all := c.All(); string(all[0].Value) != "new" {
+		t.Errorf("an older revision replaced a newer one: %q", all[0].Value)
+	}
+	if _, at := c.State(); at != start {
+		t.Error("an older revision confirmed the copy")
+	}
+}
+
+func TestConfirmCountsForItsRevisionOnly(t *testing.T) {
+	c := records.NewCopy()
+	c.Replace(nil, 7, start)
+	c.Confirm(6, start.Add(time.Minute))
+	if _, at := c.State(); at != start {
+		t.Error("what was the newest before is no proof for this revision")
+	}
+	c.Confirm(7, start.Add(time.Minute))
+	c.Confirm(7, start.Add(time.Second))
+	if _, at := c.State(); at != start.Add(time.Minute) {
+		t.Error("the latest proof does not hold")
+	}
+}
+
+func TestApplyDeletes(t *testing.T) {
+	c := records.NewCopy()
+	c.Replace([]records.Change{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}}, 2, start)
+	c.Apply(2, []records.Change{{Key: "a", Revision: 3, Deleted: true}}, 3, start)
+	if all := c.All(); len(all) != 1 || all[0].Key != "b" {
+		t.Errorf("All = %v", all)
+	}
+}
+
+func TestEncodedCopyIsWhole(t *testing.T) {
+	c := records.NewCopy()
+	want := []records.Change{{Key: "a", Value: []byte{0, 1, 255}, Revision: 3}, {Key: "b", Value: []byte("x"), Revision: 9}}
+	c.Replace(want, 9, start)
+	revision, text, err := c.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := records.Decode(text)
+	if err != nil || revision != 9 || !reflect.DeepEqual(got, want) {
+		t.Errorf("revision %d, %v, %v", revision, got, err)
+	}
+	if _, err := records.Decode([]byte("nonsense")); err == nil {
+		t.Error("nonsense decodes")
+	}
+}
+
+// fakeReader is a platform whose answers a test sets.
+type fakeReader struct {
+	mu       sync.Mutex
+	revision uint64
+	value    string
+	err      error
+	reads    int
+}
+
+func (f *fakeReader) all() []records.Change {
+	return []records.Change{{Key: "k", Value: []byte(f.value), Revision: f.revision}}
+}
+
+func (f *fakeReader) set(revision uint64, value string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision, f.value, f.err = revision, value, err
+}
+
+func (f *fakeReader) readCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reads
+}
+
+func (f *fakeReader) Read(context.Context) ([]records.Change, uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	if f.err != nil {
+		return nil, 0, f.err
+	}
+	return f.all(), f.revision, nil
+}
+
+func (f *fakeReader) Watch(ctx context.Context, after uint64, wait time.Duration) ([]records.Change, uint64, error) {
+	changes, revision, err := f.newer(after)
+	if err != nil || revision > after {
+		return changes, revision, err
+	}
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+	return nil, after, nil
+}
+
+func (f *fakeReader) newer(after uint64) ([]records.Change, uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.err != nil || f.revision <= after {
+		return nil, after, f.err
+	}
+	return f.all(), f.revision, nil
+}
+
+func follow(t *testing.T, f *fakeReader, should func() bool, check func(c *records.Copy, now clock.Source)) {
+	synctest.Test(t, func(t *testing.T) {
+		now := clock.System()
+		c := records.NewCopy()
+		follower := &records.Follower{
+			Copy: c, Reader: f, Now: now, Log: zerolog.Nop(), ShouldRead: should, Outcome: func(error) {},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			follower.Run(ctx)
+			close(ended)
+		}()
+		check(c, now)
+		cancel()
+		<-ended
+	})
+}
+
+func always() bool { return true }
+
+func TestFollowerReadsAllAgainWhenHistoryIsLost(t *testing.T) {
+	f := &fakeReader{revision: 3, value: "a"}
+	follow(t, f, always, func(c *records.Copy, _ clock.Source) {
+		time.Sleep(time.Second)
+		f.set(9, "b", records.ErrHistoryLost)
+		time.Sleep(1500 * time.Millisecond)
+		f.set(9, "b", nil)
+		time.Sleep(2 * time.Second)
+		if revision, _ := c.State(); revision != 9 || f.readCount() < 2 {
+			t.Errorf("revision %d after %d reads, want 9 after reading again", revision, f.readCount())
+		}
+	})
+}
+
+// A copy that nobody proved lately grows old, however quiet the failure.
+func TestConfirmationAgesWhilePlatformIsAway(t *testing.T) {
+	f := &fakeReader{revision: 3, value: "a"}
+	follow(t, f, always, func(c *records.Copy, now clock.Source) {
+		time.Sleep(3 * time.Second)
+		if _, at := c.State(); now().Sub(at) > 2*time.Second {
+			t.Errorf("a calm platform leaves the copy unproved for %v", now().Sub(at))
+		}
+		f.set(3, "a", errors.New("down"))
+		time.Sleep(5 * time.Second)
+		if _, at := c.State(); now().Sub(at) < 4*time.Second {
+			t.Errorf("after 5 s without the platform the copy counts as proved %v ago", now().Sub(at))
+		}
+	})
+}
+
+func TestStandbyMakesNoCalls(t *testing.T) {
+	f := &fakeReader{revision: 3, value: "a"}
+	follow(t, f, func() bool { return false }, func(*records.Copy, clock.Source) {
+		time.Sleep(10 * time.Second)
+		if n := f.readCount(); n > 0 {
+			t.Errorf("%d reads by an instance whose duty it is not", n)
+		}
+	})
+}
+
+// eagerReader answers every call at once and never has news.
+type eagerReader struct{ calls int }
+
+func (e *eagerReader) Read(context.Context) ([]records.Change, uint64, error) {
+	e.calls++
+	return nil, 0, nil
+}
+
+func (e *eagerReader) Watch(context.Context, uint64, time.Duration) ([]records.Change, uint64, error) {
+	e.calls++
+	return nil, 0, nil
+}
+
+func TestFollowerDoesNotSpin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &eagerReader{}
+		follower := &records.Follower{
+			Copy: records.NewCopy(), Reader: e, Now: clock.System(), Log: zerolog.Nop(), ShouldRead: always, Outcome: func(error) {},
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		follower.Run(ctx)
+		if e.calls > 101 {
+			t.Errorf("%d calls in 10 s to a platform without records", e.calls)
+		}
+	})
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -62,7 +62,6 @@
 	totals    map[fleet.CustomerID]*totals
 	queue     []*waiter
 	usable    map[fleet.ServiceID][]*inventory.Entry
-	usableAt  clock.Instant
 	level     float64
 	levelAt   clock.Instant
 }
