Divide what engines do beyond the published throughput by need

Ruled out: the view of the others' use (counters agreed within a heartbeat).

Change: a second level of the even share, of what the engines really start. Below it a customer may add to waits of 80 ms, beyond it of 40 ms.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -97,13 +97,23 @@
 func (m *Meter) Level(perSecond float64, now clock.Instant) float64 {
 	demands := make([]float64, 0, len(m.customers))
 	for c := range m.customers {
-		if d := sum(&m.at(c, now).asked); d > 0 {
+		if d := m.Demand(c, now); d > 0 {
 			demands = append(demands, d)
 		}
 	}
 	return Share(demands, perSecond*m.window.Seconds())
 }
 
+// Throughput returns the tokens a second that were started for all customers together
+// within the window. O(customers).
+func (m *Meter) Throughput(now clock.Instant) float64 {
+	total := 0.0
+	for c := range m.customers {
+		total += m.Used(c, now)
+	}
+	return total / m.window.Seconds()
+}
+
 // Share returns the max-min share of capacity between demands: the sum of
 // min(demand, share) is the capacity, or every demand is met.
 func Share(demands []float64, capacity float64) float64 {
--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -28,8 +28,10 @@
 	// centreDistance is the same between data centres of one region.
 	centreDistance = 5 * time.Millisecond
 	// spareWait is the longest expected wait at a target that a customer beyond its
-	// share may add to.
-	spareWait = 60 * time.Millisecond
+	// share may add to, and idleWait the same for one that has also had its share of
+	// what is left over.
+	spareWait = 80 * time.Millisecond
+	idleWait  = 40 * time.Millisecond
 	// spareSlots is the part of a target's slots that such a customer may fill.
 	spareSlots = 0.7
 	// shareWait bounds the expected wait at a target for customers within their share,
@@ -74,20 +76,26 @@
 	return e != nil && e.MemoryTokens > 0 && j.Prompt+j.Output > e.MemoryTokens
 }
 
-// mayStart applies the customers' shares: within its share a customer may fill the
-// targets, beyond it only what would idle.
+// mayStart applies the customers' shares: within its share of the published throughput
+// a customer may fill the targets; within its share of what they really do it may add
+// to short waits; beyond that it gets only what would idle.
 func (s *Scheduler) mayStart(j *Job, c *placement.Candidate, choice placement.Choice, now clock.Instant) bool {
 	if j.Service.Engine == nil {
 		return true
 	}
-	if s.meter.Used(j.Customer, now) < s.shareLevel(now) {
+	used, shares := s.meter.Used(j.Customer, now), s.shares(now)
+	if used < shares.owed {
 		limit := time.Duration(shareWait * float64(j.Route.Objective))
 		if j.Route.Objective == 0 {
 			limit = defaultShareWait
 		}
 		return choice.Wait <= limit
 	}
-	return choice.Wait <= spareWait && float64(c.Load.Running) < spareSlots*float64(c.Slots)
+	limit := idleWait
+	if used < shares.reached {
+		limit = spareWait
+	}
+	return choice.Wait <= limit && float64(c.Load.Running) < spareSlots*float64(c.Slots)
 }
 
 // usableTargets returns the targets of the job's service that may get work at all.
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -46,7 +46,7 @@
 	switch {
 	case len(s.queue) >= maxQueue:
 		return nil, s.refusal(j, ReasonQueueFull, now, now)
-	case j.Prompt > 0 && s.meter.Used(j.Customer, now) > hopelessUse*s.shareLevel(now):
+	case j.Prompt > 0 && s.meter.Used(j.Customer, now) > hopelessUse*s.shares(now).owed:
 		return nil, s.refusal(j, ReasonShare, now, now)
 	}
 	w := &waiter{job: j, since: now, limit: limit, verdict: make(chan verdict, 1)}
@@ -58,7 +58,7 @@
 func (s *Scheduler) refusal(j *Job, reason Reason, since, now clock.Instant) *Refusal {
 	left := j.Deadline.Sub(now)
 	pause := minRetry
-	if j.Prompt > 0 && s.meter.Used(j.Customer, now) > s.shareLevel(now) {
+	if j.Prompt > 0 && s.meter.Used(j.Customer, now) > s.shares(now).owed {
 		pause = shareRetry
 		if reason == ReasonBusy {
 			reason = ReasonShare
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -62,8 +62,7 @@
 	totals    map[fleet.CustomerID]*totals
 	queue     []*waiter
 	usable    map[fleet.ServiceID][]*inventory.Entry
-	level     float64
-	levelAt   clock.Instant
+	levels    levels
 }
 
 // targetState is what this instance knows of one target by its own requests.
@@ -226,21 +225,38 @@
 	return t
 }
 
-// shareLevel returns the even share of a window in tokens, computed a few times a
-// second.
-func (s *Scheduler) shareLevel(now clock.Instant) float64 {
+// levels are even shares of a window, in tokens.
+type levels struct {
+	at clock.Instant
+	// owed is the even share of the published throughput, reached that of what the
+	// engines really do, which is more while prompts are held in their caches.
+	owed, reached float64
+}
+
+// shares returns the even shares, computed a few times a second.
+func (s *Scheduler) shares(now clock.Instant) levels {
 	if s.catalog == nil || s.catalog.Limits.TokensPerSecond <= 0 {
-		return math.Inf(1)
+		return levels{owed: math.Inf(1), reached: math.Inf(1)}
 	}
-	if s.levelAt == 0 || now.Sub(s.levelAt) >= levelInterval {
-		s.level = s.meter.Level(s.catalog.Limits.TokensPerSecond, now)
-		s.levelAt = now
+	if s.levels.at == 0 || now.Sub(s.levels.at) >= levelInterval {
+		published := s.catalog.Limits.TokensPerSecond
+		s.levels = levels{
+			at:      now,
+			owed:    s.meter.Level(published, now),
+			reached: s.meter.Level(max(published, reachMore*s.meter.Throughput(now)), now),
+		}
 	}
-	return s.level
+	return s.levels
 }
 
-// levelInterval is the time between two computations of the even share.
-const levelInterval = 50 * time.Millisecond
+// Constants of the even shares.
+const (
+	// levelInterval is the time between two computations.
+	levelInterval = 50 * time.Millisecond
+	// reachMore lets customers ask for a little more than the engines do now, so that
+	// the share grows while they have room.
+	reachMore = 1.2
+)
 
 // isAlive reports whether an instance is in the view.
 func (s *Scheduler) isAlive(id fleet.InstanceID) bool {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -327,3 +327,30 @@
 		}
 	})
 }
+
+// Several customers ask for more than their share of what the engines do. What is left
+// over goes first to those that have had the least of it.
+func TestLeftoverGoesToThoseThatHadLess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1)
+		// Four seconds in which both asked for far more than the fleet gives, the hog at
+		// other instances got most of it.
+		now := w.now()
+		for customer, started := range map[fleet.CustomerID]float64{"hog": 2400000, "modest": 900000} {
+			w.meter.Asked(customer, 6000000, now)
+			w.meter.Started(customer, started, now)
+		}
+		if s := w.shares(now); 900000 < s.owed || 900000 > s.reached || 2400000 < s.reached {
+			t.Fatalf("shares %+v do not tell the customers apart", s)
+		}
+		// Work ahead of 60 ms.
+		w.Hear("r1", &wire.Heartbeat{Incarnation: 5, Loads: []wire.TargetLoad{{Target: "e0", Running: 1, Unread: 3300}}})
+		hog, modest := w.job("hog", "s", 1000), w.job("modest", "s", 1000)
+		if v := w.decide(hog, now); v.placement != nil {
+			t.Error("a customer that had several shares adds to a target's work")
+		}
+		if v := w.decide(modest, now); v.placement == nil {
+			t.Error("a customer below the share that the engines reach may not add to a short wait")
+		}
+	})
+}
