While not all can be served, serve first what can be on time

Change: the budgets that callers state tell first tries from later ones; beyond the owed share a late request starts only on a target with next to nothing ahead. The advised pause is longer than first budgets differ.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -70,6 +70,8 @@
 	options Options
 	bodies  bodyMemory
 	stop    stopping
+	// patience tells first tries from later ones.
+	patience patience
 }
 
 // New returns a handler.
@@ -199,6 +201,7 @@
 		Prompt: x.call.Prompt, Output: x.call.expectedOutput(), Parts: x.call.Parts,
 		Arrived: x.arrived, Deadline: x.arrived.Add(timeout),
 	}
+	x.job.Elapsed, x.job.Patience = x.h.patience.elapsed(x.route.Name, x.call.Budget, x.arrived)
 	var regions []fleet.RegionID
 	if customer != nil {
 		x.customer, regions = customer.ID, customer.Regions
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -51,7 +51,7 @@
 		line = line.Str("customer", string(x.customer))
 	}
 	line.Str("target", string(r.Target)).Uint64("version", r.Version).
-		Int("prompt", x.call.Prompt).Int("output", x.call.expectedOutput()).
+		Int64("budget_ms", x.call.Budget.Milliseconds()).Int("prompt", x.call.Prompt).Int("output", x.call.expectedOutput()).
 		Int64("waited_ms", r.Waited.Milliseconds()).Int64("expected_ms", r.Expected.Milliseconds()).
 		Int64("first_ms", r.FirstByte.Milliseconds()).Int64("total_ms", r.Total.Milliseconds()).
 		Int("sends", r.Sends).Int("runs", r.Runs).Int("events", r.Events).Msg("")
--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -32,6 +32,9 @@
 	// what is left over.
 	spareWait = 80 * time.Millisecond
 	idleWait  = 40 * time.Millisecond
+	// lateWait is the same for a request that can no longer meet its objective: while
+	// not all can be served, those that can go first.
+	lateWait = 10 * time.Millisecond
 	// spareSlots is the part of a target's slots that such a customer may fill.
 	spareSlots = 0.7
 	// shareWait bounds the expected wait at a target for customers within their share,
@@ -92,7 +95,10 @@
 		return choice.Wait <= limit
 	}
 	limit := idleWait
-	if used < shares.reached {
+	switch {
+	case j.isLate():
+		limit = lateWait
+	case used < shares.reached:
 		limit = spareWait
 	}
 	return choice.Wait <= limit && float64(c.Load.Running) < spareSlots*float64(c.Slots)
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -35,6 +35,9 @@
 	// Fingerprint identifies the content, to find requests that crash targets.
 	Fingerprint uint64
 	Arrived     clock.Instant
+	// Elapsed is the time since the caller's first try, 0 if this may be it; Patience is
+	// how long such callers wait in all, 0 if unknown.
+	Elapsed, Patience time.Duration
 	// Deadline is when the caller or the route gives up.
 	Deadline clock.Instant
 
@@ -85,6 +88,9 @@
 // once, whether the target holds it or not, and each generated one twice.
 func (j *Job) weight() float64 { return float64(j.Prompt + 2*j.Output) }
 
+// isLate reports whether the objective has passed since the caller's first try.
+func (j *Job) isLate() bool { return j.Elapsed > 0 && j.Elapsed >= j.Route.Objective }
+
 // request is the job as placement sees it.
 func (j *Job) request() placement.Request {
 	r := placement.Request{Prompt: j.Prompt, Output: j.Output, Shared: j.sharedTokens}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -23,7 +23,8 @@
 	// retryPart is the longest advised pause, as a part of the job's remaining time.
 	retryPart  = 0.3
 	minRetry   = 200 * time.Millisecond
-	shareRetry = 1500 * time.Millisecond
+	shareRetry = 500 * time.Millisecond
+	sharePause = 0.17
 	// hopelessUse is how far past its share a customer must be for its jobs to be
 	// refused at once: the window will not let it in before the wait is over.
 	hopelessUse = 1.5
@@ -59,7 +60,9 @@
 	left := j.Deadline.Sub(now)
 	pause := minRetry
 	if j.Prompt > 0 && s.meter.Used(j.Customer, now) > s.shares(now).owed {
-		pause = shareRetry
+		// Longer than first tries' budgets differ, so that the caller is known when it
+		// comes back.
+		pause = max(shareRetry, time.Duration(sharePause*float64(j.Patience)))
 		if reason == ReasonBusy {
 			reason = ReasonShare
 		}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -354,3 +354,29 @@
 		}
 	})
 }
+
+// While a customer asks for more than its share, a request that can still meet its
+// objective goes before one that cannot.
+func TestLateRequestOfOverloadedCustomerYields(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1)
+		now := w.now()
+		w.meter.Asked("c", 6000000, now)
+		w.meter.Started("c", 1750000, now)
+		w.Hear("r1", &wire.Heartbeat{Incarnation: 5, Loads: []wire.TargetLoad{{Target: "e0", Running: 1, Unread: 1000}}})
+		late, fresh := w.job("c", "s", 1000), w.job("c", "s", 1000)
+		late.Elapsed = 2 * time.Second
+		if v := w.decide(late, now); v.placement != nil {
+			t.Error("a late request of a customer beyond its share adds to a target's work")
+		}
+		if v := w.decide(fresh, now); v.placement == nil {
+			t.Error("one that can be on time does not start")
+		}
+		// Within its share a customer's late request is served like any other.
+		own := w.job("other", "s", 1000)
+		own.Elapsed = 2 * time.Second
+		if v := w.decide(own, now); v.placement == nil {
+			t.Error("a late request of a customer within its share does not start")
+		}
+	})
+}
