--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -16,6 +16,9 @@
 	// Cause is the error below the reason, empty if there is none.
 	Cause  string
 	Target fleet.TargetID
+	// Cached is the number of prompt tokens that the target was believed to hold, Rank
+	// its position in the order of the request's home.
+	Cached, Rank int
 	// Version is the configuration's.
 	Version uint64
 	// Waited is the time before the first send, Expected the wait that was expected at
@@ -52,6 +55,7 @@
 	}
 	line.Str("target", string(r.Target)).Uint64("version", r.Version).
 		Int64("budget_ms", x.call.Budget.Milliseconds()).Int("prompt", x.call.Prompt).Int("output", x.call.expectedOutput()).
+		Int("cached", r.Cached).Int("rank", r.Rank).
 		Int64("waited_ms", r.Waited.Milliseconds()).Int64("expected_ms", r.Expected.Milliseconds()).
 		Int64("first_ms", r.FirstByte.Milliseconds()).Int64("total_ms", r.Total.Milliseconds()).
 		Int("sends", r.Sends).Int("runs", r.Runs).Int("events", r.Events).Msg("")
--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -231,6 +231,7 @@
 		Target:    e.Target,
 		Wait:      choice.Wait,
 		Cached:    c.Cached,
+		Rank:      c.Rank,
 		scheduler: s,
 		job:       j,
 		started:   now,
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -162,6 +162,8 @@
 	Wait time.Duration
 	// Cached is the number of prompt tokens that the target is believed to hold.
 	Cached int
+	// Rank is the target's position in the rendezvous order of the request's home.
+	Rank int
 
 	scheduler *Scheduler
 	job       *Job
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -18,6 +18,9 @@
 	waitPart = 0.12
 	minWait  = 40 * time.Millisecond
 	maxWait  = 1500 * time.Millisecond
+	// beyondWait bounds the wait of a customer beyond its share, as a part of the route's
+	// objective: started later it would be late, in the place of one that is not.
+	beyondWait = 0.5
 	// pumpMisses bounds the jobs that are looked at in vain in one round.
 	pumpMisses = 12
 	// retryPart is the longest advised pause, as a part of the job's remaining time.
@@ -44,6 +47,9 @@
 func (s *Scheduler) enqueue(j *Job, now clock.Instant) (*waiter, *Refusal) {
 	left := j.Deadline.Sub(now)
 	limit := min(max(time.Duration(waitPart*float64(left)), minWait), maxWait)
+	if j.Prompt > 0 && s.meter.Used(j.Customer, now) > s.shares(now).owed {
+		limit = min(limit, time.Duration(beyondWait*float64(j.Route.Objective)))
+	}
 	switch {
 	case len(s.queue) >= maxQueue:
 		return nil, s.refusal(j, ReasonQueueFull, now, now)
