--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -20,7 +20,7 @@
 	// rereadWeight is the worth of not reading a shared part again, as a multiple of the
 	// time that it takes: all requests of the target wait for it, and the part pushes
 	// others out of the target's memory.
-	rereadWeight = 5
+	rereadWeight = 14
 	// rankStep keeps routers that leave a busy home from spreading a part over all
 	// targets: the second in rank comes before the third unless that is quicker by
 	// this much.
