See the platform's return soon; never block on the log; latency histograms

Keys were also refused earlier than a second of a watch's deafness makes necessary.

Log lines go through a bounded ring that drops and counts; the operators' port serves latency histograms; hangups are caught before anything else happens.

The test of a hanging platform fails before.

--- a/internal/cli/route.go
+++ b/internal/cli/route.go
@@ -40,8 +40,14 @@
 
 // route runs a gateway until ctx ends, then stops it as planned.
 func route(ctx context.Context, s platform.Settings, stdout io.Writer) error {
+	// Before anything else: a hangup ends a process that does not expect one.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	debug.SetMemoryLimit(s.Gateway.MemoryLimit)
-	log := zerolog.New(stdout).With().Timestamp().Str("instance", s.Gateway.Name).Logger()
+	lines := newAsyncLog(stdout)
+	defer lines.Close()
+	log := zerolog.New(lines).With().Timestamp().Str("instance", s.Gateway.Name).Logger()
 	dial := upstream.NewDialer().DialContext
 	g := gateway.New(gateway.Options{
 		Settings:    s.Gateway,
@@ -52,12 +58,13 @@
 		Dial:        dial,
 		Now:         clock.Boot,
 		Log:         log,
+		LogDropped:  lines.Dropped,
 	})
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	ended := make(chan error, 1)
 	go func() { ended <- g.Run(running) }()
-	go reloadOnHangup(running, g, log)
+	go reloadOnHangup(running, hangups, g, log)
 	select {
 	case err := <-ended:
 		return err
@@ -70,10 +77,7 @@
 
 // reloadOnHangup reads the settings again at each SIGHUP. Invalid ones leave the
 // earlier ones in force.
-func reloadOnHangup(ctx context.Context, g *gateway.Gateway, log zerolog.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func reloadOnHangup(ctx context.Context, hangups <-chan os.Signal, g *gateway.Gateway, log zerolog.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,7 +45,7 @@
 	upkeepInterval = 500 * time.Millisecond
 	// revokeMargin is taken off the bound on keys: a watch may be deaf for a second
 	// before it fails, and a request is on its way for a while.
-	revokeMargin = 1600 * time.Millisecond
+	revokeMargin = 1250 * time.Millisecond
 	// headerTimeout bounds the time a caller takes to send a request's header, and
 	// idleTimeout how long a connection without requests stays where the configuration
 	// states no time.
@@ -104,7 +104,7 @@
 		options:     o,
 		incarnation: drawIncarnation(o.Seed),
 		copy:        records.NewCopy(),
-		metrics:     newMetrics(),
+		metrics:     newMetrics(o.LogDropped),
 		heard:       make(map[fleet.InstanceID]*heardPeer),
 		ready:       make(chan struct{}),
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -3,6 +3,10 @@
 import (
 	"expvar"
 	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"medlarwind.dev/medlarwind/internal/ingress"
 )
@@ -13,15 +17,56 @@
 	reasons       expvar.Map
 	platformCalls expvar.Int
 	platformFails expvar.Int
+	logDropped    func() int64
+
+	mu        sync.Mutex
+	firstByte *hdrhistogram.Histogram
+	waited    *hdrhistogram.Histogram
 }
 
-func newMetrics() *metrics {
-	m := &metrics{}
+// Bounds of the latency histograms, in milliseconds.
+const (
+	latencyMin    = 1
+	latencyMax    = 60_000
+	latencyDigits = 2
+)
+
+func newMetrics(logDropped func() int64) *metrics {
+	m := &metrics{
+		logDropped: logDropped,
+		firstByte:  hdrhistogram.New(latencyMin, latencyMax, latencyDigits),
+		waited:     hdrhistogram.New(latencyMin, latencyMax, latencyDigits),
+	}
 	m.requests.Init()
 	m.reasons.Init()
 	return m
 }
 
+// latency is a histogram's summary, in milliseconds.
+type latency struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50"`
+	P95   int64 `json:"p95"`
+	P99   int64 `json:"p99"`
+	Max   int64 `json:"max"`
+}
+
+func (m *metrics) summary(h *hdrhistogram.Histogram) latency {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return latency{
+		Count: h.TotalCount(), P50: h.ValueAtQuantile(50), P95: h.ValueAtQuantile(95), P99: h.ValueAtQuantile(99), Max: h.Max(),
+	}
+}
+
+// record adds a duration to a histogram; what is beyond its range counts at its end.
+func (m *metrics) record(h *hdrhistogram.Histogram, d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	// The value is in range, so that there is no error.
+	_ = h.RecordValue(min(max(d.Milliseconds(), latencyMin), latencyMax))
+}
+
 // request counts a finished request.
 func (m *metrics) request(r ingress.Report) {
 	m.requests.Add("total", 1)
@@ -34,6 +79,10 @@
 	default:
 		m.requests.Add("answered", 1)
 	}
+	if r.FirstByte > 0 && !r.Own {
+		m.record(m.firstByte, r.FirstByte)
+		m.record(m.waited, r.Waited)
+	}
 	if r.Reason != "" {
 		m.reasons.Add(r.Reason, 1)
 	}
@@ -54,6 +103,11 @@
 	all.Set("reasons", &m.reasons)
 	all.Set("platform_calls", &m.platformCalls)
 	all.Set("platform_failures", &m.platformFails)
+	all.Set("first_byte_ms", expvar.Func(func() any { return m.summary(m.firstByte) }))
+	all.Set("waited_ms", expvar.Func(func() any { return m.summary(m.waited) }))
+	if m.logDropped != nil {
+		all.Set("log_lines_dropped", expvar.Func(func() any { return m.logDropped() }))
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -96,6 +96,8 @@
 	Listen      func(addr string) (net.Listener, error)
 	Now         clock.Source
 	Log         zerolog.Logger
+	// LogDropped returns the number of log lines dropped so far; nil if none can be.
+	LogDropped func() int64
 	// Seed makes random choices repeatable; 0 draws one.
 	Seed uint64
 }
--- a/internal/records/follower.go
+++ b/internal/records/follower.go
@@ -30,7 +30,10 @@
 	// minRetryDelay and maxRetryDelay are the pauses after failed calls: calls are
 	// paid for, also those that the platform refuses.
 	minRetryDelay = 100 * time.Millisecond
-	maxRetryDelay = 500 * time.Millisecond
+	maxRetryDelay = 300 * time.Millisecond
+	// failingWait is how long a watch waits after a failed call: a call that hangs while
+	// the platform is away would hide its return.
+	failingWait = time.Millisecond
 	// standbyPoll is how often an instance that leaves the reading to others looks
 	// whether its copy is still confirmed.
 	standbyPoll = 100 * time.Millisecond
@@ -82,7 +85,11 @@
 	sent := f.Now()
 	revision, _ := f.Copy.State()
 	if revision > 0 {
-		changes, next, err := f.Reader.Watch(ctx, revision, watchWait)
+		wait := watchWait
+		if f.failures > 0 {
+			wait = failingWait
+		}
+		changes, next, err := f.Reader.Watch(ctx, revision, wait)
 		if err == nil {
 			f.Copy.Apply(revision, changes, next, sent)
 		}
--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"reflect"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -214,3 +215,50 @@
 		}
 	})
 }
+
+// hangingReader does not answer until its caller gives up, while it is away.
+type hangingReader struct {
+	fakeReader
+	away atomic.Bool
+}
+
+func (h *hangingReader) Watch(ctx context.Context, after uint64, wait time.Duration) ([]records.Change, uint64, error) {
+	if !h.away.Load() {
+		return h.fakeReader.Watch(ctx, after, wait)
+	}
+	const reply = 700 * time.Millisecond
+	select {
+	case <-time.After(wait + reply):
+	case <-ctx.Done():
+	}
+	return nil, 0, errors.New("no answer")
+}
+
+// After a silent outage the copy is proved again within a second of its end.
+func TestReturnOfSilentPlatformIsSeenSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &hangingReader{fakeReader: fakeReader{revision: 3, value: "a"}}
+		now := clock.System()
+		c := records.NewCopy()
+		follower := &records.Follower{
+			Copy: c, Reader: h, Now: now, Log: zerolog.Nop(), ShouldRead: always, Outcome: func(error) {},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			follower.Run(ctx)
+			close(ended)
+		}()
+		time.Sleep(5 * time.Second)
+		h.away.Store(true)
+		time.Sleep(6 * time.Second)
+		h.away.Store(false)
+		returned := now()
+		time.Sleep(1100 * time.Millisecond)
+		if _, at := c.State(); at < returned.Add(-time.Second) {
+			t.Errorf("1.1 s after the platform's return the copy was last proved %v before it", returned.Sub(at))
+		}
+		cancel()
+		<-ended
+	})
+}
