--- a/internal/faults/page_test.go
+++ b/internal/faults/page_test.go
@@ -142,7 +142,7 @@
 
 // testExists looks for a test in the package of that name.
 func testExists(t *testing.T, name, test string) bool {
-	for _, pattern := range []string{"../" + name + "/*_test.go", "../*/" + name + "/*_test.go", "../../cmd/" + name + "/*_test.go"} {
+	for _, pattern := range []string{"../" + name + "/*_test.go", "../*/" + name + "/*_test.go", "../../cmd/" + name + "/*_test.go", "../../" + name + "/*_test.go"} {
 		files, err := filepath.Glob(pattern)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -220,6 +220,8 @@
 	body, err := x.h.bodies.read(x.r, limit)
 	switch {
 	case errors.Is(err, errBodyTooLarge):
+		// Without this net/http would first wait for a part of the body.
+		x.w.Header().Set("Connection", "close")
 		x.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
 		return false
 	case errors.Is(err, errMemoryFull):
