Exchange loads by relays in large fleets

Cause: every instance told every other its state and held a compressor for each: with 89 instances 7,800 heartbeats five times a second and about 80 MB each, which a machine of 112 MB does not have.

Change: up to twelve instances talk as before. Beyond, two relays of each data centre sum up for the others, and read the platform for them. Reading in their place starts 1.5 to 2.5 s after the last proof, spread over the instances, also at the start.

--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -8,39 +8,32 @@
 
 	"medlarwind.dev/medlarwind/internal/clock"
 	"medlarwind.dev/medlarwind/internal/fleet"
-	"medlarwind.dev/medlarwind/internal/membership"
 	"medlarwind.dev/medlarwind/internal/roster"
 )
 
 // Constants of the duties.
 const (
-	// readersPerCentre is how many instances of a data centre read the platform; the
-	// others hear from them, so that calls do not grow with the fleet.
-	readersPerCentre = 2
 	// readAnyway is the age of the records at which an instance reads the platform
-	// itself, whoever's duty it is.
+	// itself, whoever's duty it is; instances differ by up to readSpread, so that they do
+	// not all call at once.
 	readAnyway = 1500 * time.Millisecond
+	readSpread = time.Second
 	// maxLocated bounds the addresses in an answer of the directory.
 	maxLocated = 64
 )
 
-// shouldRead reports whether this instance is to read the platform now.
+// shouldRead reports whether this instance is to read the platform now: relays do, and
+// the others hear from them, so that calls do not grow with the fleet.
 func (g *Gateway) shouldRead() bool {
 	now := g.options.Now()
-	if _, at := g.copy.State(); at == 0 || now.Sub(at) > readAnyway {
-		return true
+	since := g.began
+	if _, at := g.copy.State(); at != 0 {
+		since = at
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var near []fleet.InstanceID
-	for _, m := range g.roster.Alive(now) {
-		if m.DataCentre == g.options.Settings.DataCentre && !m.Leaving {
-			near = append(near, m.ID)
-		}
+	if now.Sub(since) > readAnyway+time.Duration(g.spread*float64(readSpread)) {
+		return true
 	}
-	ranked := membership.Rank(string(g.options.Settings.DataCentre), near)
-	rank := slices.Index(ranked, fleet.InstanceID(g.options.Settings.PeerAddr))
-	return rank >= 0 && rank < readersPerCentre
+	return g.relay.Load()
 }
 
 // noteRead records the outcome of a call to the platform.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,13 @@
 	bodyPart = 4
 	// peerSilence closes connections to peers that carry nothing for this long.
 	peerSilence = 1200 * time.Millisecond
+	// peerGrace is how long a connection to a peer that is no longer needed stays.
+	peerGrace = 2 * time.Second
+	// peerPart is the part of the memory limit for connections to peers, peerMemory what
+	// one takes for its compressor, in bytes, and minPeers how many are always accepted.
+	peerPart   = 0.4
+	peerMemory = 1 << 20
+	minPeers   = 24
 	// shutdownTimeout bounds the end of connections to peers.
 	shutdownTimeout = 300 * time.Millisecond
 )
@@ -75,10 +82,17 @@
 	callers     *callerConns
 	catalog     atomic.Pointer[catalog.Catalog]
 	leaving     atomic.Bool
+	// relay says that this instance speaks for its data centre.
+	relay atomic.Bool
 
 	mu     sync.Mutex
 	roster *roster.Roster
 	heard  map[fleet.InstanceID]*heardPeer
+	// round counts the rounds of heartbeats.
+	round int
+	// began is when the gateway was built; spread, from 0 to 1, tells instances apart.
+	began  clock.Instant
+	spread float64
 	// fetching is set while the records are fetched from a peer.
 	fetching bool
 
@@ -107,6 +121,8 @@
 		metrics:     newMetrics(o.LogDropped),
 		heard:       make(map[fleet.InstanceID]*heardPeer),
 		ready:       make(chan struct{}),
+		began:       o.Now(),
+		spread:      rand.New(rand.NewPCG(o.Seed, 1)).Float64(),
 	}
 	g.build()
 	return g
@@ -149,6 +165,7 @@
 			Protocol: wire.Protocol, Instance: self.ID, Incarnation: g.incarnation, DataCentre: s.DataCentre,
 		},
 		Dial: o.Dial, Handler: g, Log: o.Log, Silence: peerSilence, Seed: o.Seed,
+		UnlistedGrace: peerGrace, MaxLinks: max(minPeers, int(peerPart*float64(s.MemoryLimit)/peerMemory)),
 		Region: func(dc fleet.DataCentreID) fleet.RegionID { return s.Regions[dc] },
 	})
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -7,6 +7,7 @@
 	"medlarwind.dev/medlarwind/internal/clock"
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/records"
+	"medlarwind.dev/medlarwind/internal/roster"
 	"medlarwind.dev/medlarwind/internal/wire"
 )
 
@@ -41,26 +42,43 @@
 	}
 }
 
+// membersEvery is how many heartbeats pass between two that tell of all members, where
+// the fleet is too large to do so each time.
+const membersEvery = 3
+
 // sendRound renews the view of the fleet and sends one heartbeat to each peer.
 func (g *Gateway) sendRound() {
 	now := g.options.Now()
 	state := wire.Heartbeat{Incarnation: g.incarnation, Leaving: g.leaving.Load()}
-	g.scheduler.Describe(&state)
 	if revision, at := g.copy.State(); revision > 0 && at != 0 {
 		state.Records = &wire.RecordsState{Revision: revision, AgeMillis: now.Sub(at).Milliseconds() + 1}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.roster.SetSelf(g.leaving.Load(), !g.isReady())
-	state.Members = g.roster.Describe(now)
-	g.transport.SetPeers(g.roster.Peers(now))
-	g.scheduler.SetAlive(g.roster.Alive(now))
+	alive := g.roster.Alive(now)
+	topology := roster.Plan(fleet.InstanceID(g.options.Settings.PeerAddr), g.options.Settings.DataCentre, alive)
+	if g.round++; len(alive) <= roster.MeshLimit || g.round%membersEvery == 0 {
+		state.Members = g.roster.Describe(now)
+	}
+	g.relay.Store(topology.Relay)
+	g.transport.SetPeers(g.roster.Dial(topology, now))
+	g.scheduler.SetAlive(alive)
 	for _, hello := range g.transport.Connected() {
+		scope, planned := topology.Scopes[hello.Instance]
+		if !planned {
+			scope = wire.ScopeNone
+		}
 		p := g.peerOf(hello.Instance, hello.Incarnation)
 		hb := state
+		if p.sentSeq == 0 {
+			// A newcomer learns the fleet at once.
+			hb.Members = g.roster.Describe(now)
+		}
 		p.sentSeq++
 		hb.Seq, hb.EchoSeq, hb.EchoIncarnation = p.sentSeq, p.seq, p.incarnation
 		p.sentAt[p.sentSeq%sentMemory] = now
+		g.scheduler.Describe(&hb, hello.Instance, scope)
 		g.transport.SendHeartbeat(hello.Instance, &hb)
 	}
 }
@@ -81,7 +99,7 @@
 		return
 	}
 	g.hearMembers(from, hb)
-	g.scheduler.Hear(from.Instance, hb)
+	g.scheduler.Hear(from, hb)
 }
 
 // hearMembers takes in the membership and the state of the records.
@@ -95,6 +113,7 @@
 	}
 	p.seq = hb.Seq
 	g.roster.Merge(hb.Members, now)
+	g.roster.Heard(from.Instance, from.Incarnation, now)
 	if hb.Records != nil {
 		g.hearRecords(from.Instance, p, hb, now)
 	}
--- a/internal/peer/accept.go
+++ b/internal/peer/accept.go
@@ -67,6 +67,11 @@
 
 // accept starts the handshake of an accepted connection.
 func (t *Transport) accept(conn net.Conn) {
+	if t.full() {
+		t.logRefused(conn, failuref(KindQueueFull, "%d connections", t.options.MaxLinks))
+		_ = conn.Close()
+		return
+	}
 	slots := t.handshakeSlots(conn.RemoteAddr())
 	select {
 	case slots <- struct{}{}:
@@ -83,6 +88,13 @@
 	go t.handshake(conn, slots)
 }
 
+// full reports whether no further connection is accepted.
+func (t *Transport) full() bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.options.MaxLinks > 0 && len(t.open) >= t.options.MaxLinks
+}
+
 // handshake is the goroutine of an accepted connection until the peer's hello.
 func (t *Transport) handshake(conn net.Conn, slots <-chan struct{}) {
 	defer t.running.Done()
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -73,6 +73,9 @@
 	Silence time.Duration
 	// UnlistedGrace is how long a peer that is no longer listed stays connected.
 	UnlistedGrace time.Duration
+	// MaxLinks bounds the open connections: further ones are not accepted. 0 for no
+	// bound.
+	MaxLinks int
 	// Seed starts the jitter of redials. It should differ between instances.
 	Seed uint64
 	// Region gives the region of a data centre, for Counters.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -22,6 +22,9 @@
 	// AliveFor is how long an instance counts as alive after it was last heard of:
 	// seven heartbeats.
 	AliveFor = 1500 * time.Millisecond
+	// AliveForRelayed is the same where word passes through relays, which tell of members
+	// less often.
+	AliveForRelayed = 3 * time.Second
 	// forgetAfter is when an instance that nobody hears of is no longer dialled. Seeds
 	// are dialled for ever.
 	forgetAfter = 30 * time.Second
@@ -84,7 +87,7 @@
 func (r *Roster) Describe(now clock.Instant) []wire.Member {
 	described := []wire.Member{describe(&r.self, 0)}
 	for _, m := range r.sorted() {
-		if age := now.Sub(m.HeardAt); age <= AliveFor {
+		if age := now.Sub(m.HeardAt); age <= r.aliveFor() {
 			described = append(described, describe(m, age))
 		}
 	}
@@ -105,7 +108,7 @@
 	self.HeardAt = now
 	alive := []Member{self}
 	for _, m := range r.members {
-		if now.Sub(m.HeardAt) <= AliveFor {
+		if now.Sub(m.HeardAt) <= r.aliveFor() {
 			alive = append(alive, *m)
 		}
 	}
@@ -113,26 +116,20 @@
 	return alive
 }
 
-// Peers returns the instances to be connected to: seeds, and members that were heard
-// of lately.
-func (r *Roster) Peers(now clock.Instant) []fleet.ListedInstance {
-	var peers []fleet.ListedInstance
-	for _, seed := range r.seeds {
-		if seed != r.self.ID {
-			peers = append(peers, fleet.ListedInstance{ID: seed, PeerAddr: string(seed), State: fleet.StateLive})
-		}
+// Heard notes that a peer itself spoke just now.
+func (r *Roster) Heard(id fleet.InstanceID, incarnation fleet.Incarnation, now clock.Instant) {
+	if m := r.members[id]; m != nil && m.Incarnation == incarnation {
+		m.HeardAt = max(m.HeardAt, now)
 	}
-	for id, m := range r.members {
-		if now.Sub(m.HeardAt) > forgetAfter {
-			delete(r.members, id)
-			continue
-		}
-		if !slices.Contains(r.seeds, id) {
-			peers = append(peers, fleet.ListedInstance{ID: id, PeerAddr: string(id), DataCentre: m.DataCentre, State: fleet.StateLive})
-		}
+}
+
+// aliveFor is how long a silent member still counts as alive; word takes longer through
+// relays.
+func (r *Roster) aliveFor() time.Duration {
+	if len(r.members) >= MeshLimit {
+		return AliveForRelayed
 	}
-	slices.SortFunc(peers, func(a, b fleet.ListedInstance) int { return cmp.Compare(a.ID, b.ID) })
-	return peers
+	return AliveFor
 }
 
 func (r *Roster) sorted() []*Member {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -16,6 +16,10 @@
 	return roster.New(roster.Member{ID: "self", DataCentre: "a", CallerAddr: "self:1"}, []fleet.InstanceID{"seed", "self"})
 }
 
+func plan(r *roster.Roster, now clock.Instant) roster.Topology {
+	return roster.Plan("self", "a", r.Alive(now))
+}
+
 func ids(members []roster.Member) []fleet.InstanceID {
 	var ids []fleet.InstanceID
 	for _, m := range members {
@@ -26,11 +30,11 @@
 
 func TestMembersAreLearntFromSeed(t *testing.T) {
 	r := newRoster()
-	if peers := r.Peers(start); len(peers) != 1 || peers[0].ID != "seed" {
+	if peers := r.Dial(plan(r, start), start); len(peers) != 1 || peers[0].ID != "seed" {
 		t.Fatalf("Peers = %v, want the seed alone", peers)
 	}
 	r.Merge([]wire.Member{{ID: "seed"}, {ID: "other", AgeMillis: 200}, {ID: "self"}}, start)
-	if peers := r.Peers(start); len(peers) != 2 {
+	if peers := r.Dial(plan(r, start), start); len(peers) != 2 {
 		t.Errorf("Peers = %v, want the seed and the member it told of", peers)
 	}
 	if alive := ids(r.Alive(start)); len(alive) != 3 {
@@ -60,7 +64,7 @@
 	if described := r.Describe(later); len(described) != 1 {
 		t.Errorf("silent members are passed on: %v", described)
 	}
-	peers := r.Peers(start.Add(time.Hour))
+	peers := r.Dial(plan(r, start.Add(time.Hour)), start.Add(time.Hour))
 	if len(peers) != 1 || peers[0].ID != "seed" {
 		t.Errorf("Peers = %v after an hour, want the seed alone", peers)
 	}
--- /dev/null
+++ b/internal/roster/topology.go
@@ -0,0 +1,122 @@
+package roster
+
+import (
+	"slices"
+
+	"medlarwind.dev/medlarwind/internal/clock"
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/membership"
+	"medlarwind.dev/medlarwind/internal/wire"
+)
+
+const (
+	// MeshLimit is the largest fleet in which every instance talks to every other.
+	MeshLimit = 12
+	// RelaysPerCentre is how many instances of a data centre talk to other data centres
+	// and to the platform, for the others as well.
+	RelaysPerCentre = 2
+)
+
+// Topology is whom an instance talks to, and of whom it tells them.
+type Topology struct {
+	// Scopes has an entry for each peer.
+	Scopes map[fleet.InstanceID]wire.Scope
+	// Relay says that this instance speaks for its data centre.
+	Relay bool
+}
+
+// Relays returns the instances that speak for a data centre: the first in rendezvous
+// order of those that are not stopping. O(members · log).
+func Relays(centre fleet.DataCentreID, members []Member) []fleet.InstanceID {
+	var near []fleet.InstanceID
+	for _, m := range members {
+		if m.DataCentre == centre && !m.Leaving {
+			near = append(near, m.ID)
+		}
+	}
+	ranked := membership.Rank(string(centre), near)
+	return ranked[:min(len(ranked), RelaysPerCentre)]
+}
+
+// Plan returns the topology of an instance in a fleet, itself among the members. In a
+// large fleet the number of its peers is that of its data centre's instances and of the
+// other data centres' relays if it is a relay, and of its own relays if it is not.
+func Plan(self fleet.InstanceID, centre fleet.DataCentreID, members []Member) Topology {
+	p := Topology{Scopes: make(map[fleet.InstanceID]wire.Scope)}
+	near := Relays(centre, members)
+	p.Relay = slices.Contains(near, self)
+	switch {
+	case len(members) <= MeshLimit:
+		for _, m := range members {
+			p.Scopes[m.ID] = wire.ScopeOwn
+		}
+	case p.Relay:
+		p.planRelay(centre, members)
+	}
+	for _, id := range near {
+		p.Scopes[id] = wire.ScopeOwn
+	}
+	delete(p.Scopes, self)
+	return p
+}
+
+// planRelay adds the instances of the data centre and the other data centres' relays.
+func (p *Topology) planRelay(centre fleet.DataCentreID, members []Member) {
+	others := make(map[fleet.DataCentreID]bool)
+	for _, m := range members {
+		if m.DataCentre == centre {
+			p.Scopes[m.ID] = wire.ScopeRest
+		} else {
+			others[m.DataCentre] = true
+		}
+	}
+	for other := range others {
+		for _, id := range Relays(other, members) {
+			p.Scopes[id] = wire.ScopeCentre
+		}
+	}
+}
+
+// Dial returns the instances to be connected to under a topology. Seeds are among them
+// while the instance speaks for its data centre or knows nobody, and so are relays that
+// fell silent lately: parts of a fleet that were cut off find each other by these.
+func (r *Roster) Dial(p Topology, now clock.Instant) []fleet.ListedInstance {
+	wanted := make(map[fleet.InstanceID]bool)
+	for id := range p.Scopes {
+		wanted[id] = true
+	}
+	if p.Relay || len(p.Scopes) == 0 {
+		for _, seed := range r.seeds {
+			wanted[seed] = true
+		}
+		for _, id := range r.silentRelays(now) {
+			wanted[id] = true
+		}
+	}
+	delete(wanted, r.self.ID)
+	peers := make([]fleet.ListedInstance, 0, len(wanted))
+	for id := range wanted {
+		peers = append(peers, fleet.ListedInstance{ID: id, PeerAddr: string(id), State: fleet.StateLive})
+	}
+	return peers
+}
+
+// silentRelays returns those that would be the other data centres' relays if all that
+// were heard of lately were alive, and forgets who was not heard of for long.
+func (r *Roster) silentRelays(now clock.Instant) []fleet.InstanceID {
+	var remembered []Member
+	centres := make(map[fleet.DataCentreID]bool)
+	for id, m := range r.members {
+		if now.Sub(m.HeardAt) > forgetAfter {
+			delete(r.members, id)
+			continue
+		}
+		remembered = append(remembered, *m)
+		centres[m.DataCentre] = true
+	}
+	var relays []fleet.InstanceID
+	for centre := range centres {
+		relays = append(relays, Relays(centre, remembered)...)
+	}
+	return relays
+}
--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -123,7 +123,7 @@
 		if !s.allowed(j, e, now) {
 			continue
 		}
-		candidates = append(candidates, s.candidate(j, e, ranks[i]))
+		candidates = append(candidates, s.candidate(j, e, ranks[i], now))
 		from = append(from, e)
 	}
 	return candidates, from
@@ -187,10 +187,10 @@
 }
 
 // candidate describes a target for placement.
-func (s *Scheduler) candidate(j *Job, e *inventory.Entry, rank int) placement.Candidate {
+func (s *Scheduler) candidate(j *Job, e *inventory.Entry, rank int, now clock.Instant) placement.Candidate {
 	t := s.target(e.ID)
 	c := placement.Candidate{
-		Load:     t.own.Add(s.peerLoad(e.ID)),
+		Load:     t.own.Add(s.exchange.Others(e.ID, now)),
 		Slots:    e.Slots,
 		Rank:     rank,
 		Distance: s.distance(e.DataCentre),
@@ -243,7 +243,7 @@
 		p.load.Memory = placement.Footprint(j.request(), c.Cached)
 		s.cache.Ran(runOf(e), "", j.prefixes)
 		s.meter.Started(j.Customer, j.weight(), now)
-		s.total(j.Customer).started += j.weight()
+		s.count(j.Customer, 0, j.weight())
 	}
 	t.own = t.own.Add(p.load)
 	t.starts.Add(now)
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -79,7 +79,7 @@
 		return
 	}
 	s.meter.Started(p.job.Customer, -p.job.weight(), now)
-	s.total(p.job.Customer).started -= p.job.weight()
+	s.count(p.job.Customer, 0, -p.job.weight())
 }
 
 // note records what an outcome says about the target.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -14,13 +14,13 @@
 import (
 	"context"
 	"math"
-	"slices"
 	"sync"
 	"time"
 
 	"medlarwind.dev/medlarwind/internal/affinity"
 	"medlarwind.dev/medlarwind/internal/catalog"
 	"medlarwind.dev/medlarwind/internal/clock"
+	"medlarwind.dev/medlarwind/internal/exchange"
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/inventory"
 	"medlarwind.dev/medlarwind/internal/pacing"
@@ -56,10 +56,10 @@
 	cache     *affinity.Cache
 	alive     []roster.Member
 	loads     map[fleet.TargetID]*targetState
-	peers     map[fleet.InstanceID]*peerLoads
+	exchange  *exchange.Table
 	budgets   map[fleet.ServiceID]*pacing.Budget
 	suspects  map[uint64]*suspect
-	totals    map[fleet.CustomerID]*totals
+	totals    map[fleet.CustomerID]exchange.Usage
 	queue     []*waiter
 	usable    map[fleet.ServiceID][]*inventory.Entry
 	levels    levels
@@ -79,9 +79,6 @@
 	trial    bool
 }
 
-// totals count a customer's tokens since this instance started.
-type totals struct{ asked, started float64 }
-
 // New returns a scheduler that knows no configuration and no target.
 func New(o Options) *Scheduler {
 	return &Scheduler{
@@ -90,10 +87,10 @@
 		meter:     quota.NewMeter(o.ShareWindow),
 		cache:     affinity.New(),
 		loads:     make(map[fleet.TargetID]*targetState),
-		peers:     make(map[fleet.InstanceID]*peerLoads),
+		exchange:  exchange.New(o.DataCentre),
 		budgets:   make(map[fleet.ServiceID]*pacing.Budget),
 		suspects:  make(map[uint64]*suspect),
-		totals:    make(map[fleet.CustomerID]*totals),
+		totals:    make(map[fleet.CustomerID]exchange.Usage),
 		usable:    make(map[fleet.ServiceID][]*inventory.Entry),
 	}
 }
@@ -127,7 +124,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.alive = alive
-	s.forgetPeers()
+	s.exchange.Forget(s.options.Now())
 }
 
 // Tick does what depends on time alone: queued jobs, targets that are absent.
@@ -157,7 +154,7 @@
 		return
 	}
 	s.meter.Asked(j.Customer, j.weight(), now)
-	s.total(j.Customer).asked += j.weight()
+	s.count(j.Customer, j.weight(), 0)
 }
 
 // Admit waits until the job may be sent to a target. again says that it was sent
@@ -207,13 +204,10 @@
 	minBudgetParts = 8
 )
 
-func (s *Scheduler) total(c fleet.CustomerID) *totals {
-	t := s.totals[c]
-	if t == nil {
-		t = &totals{}
-		s.totals[c] = t
-	}
-	return t
+// count adds to what this instance tells of a customer's tokens.
+func (s *Scheduler) count(c fleet.CustomerID, asked, started float64) {
+	u := s.totals[c]
+	s.totals[c] = exchange.Usage{Asked: u.Asked + asked, Started: u.Started + started}
 }
 
 func (s *Scheduler) target(id fleet.TargetID) *targetState {
@@ -257,8 +251,3 @@
 	// the share grows while they have room.
 	reachMore = 1.2
 )
-
-// isAlive reports whether an instance is in the view.
-func (s *Scheduler) isAlive(id fleet.InstanceID) bool {
-	return slices.ContainsFunc(s.alive, func(m roster.Member) bool { return m.ID == id })
-}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -233,9 +233,9 @@
 		}
 		// Peers hear of it.
 		var hb wire.Heartbeat
-		w.Describe(&hb)
+		w.Describe(&hb, "other", wire.ScopeOwn)
 		other := newWorld(8)
-		other.Hear("r0", &hb)
+		other.Hear(wire.Hello{Instance: "r0", DataCentre: "a"}, &hb)
 		j = other.job("c", "s", 1000)
 		j.Fingerprint = 99
 		if _, err := other.admit(t.Context(), j); err == nil {
@@ -299,7 +299,7 @@
 func TestPeersLoadIsAvoided(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(2)
-		w.Hear("r1", &wire.Heartbeat{Incarnation: 5, Loads: []wire.TargetLoad{{Target: "e0", Running: 64, Unread: 50000}}})
+		w.Hear(wire.Hello{Instance: "r1", Incarnation: 5, DataCentre: "a"}, &wire.Heartbeat{Incarnation: 5, Loads: []wire.TargetLoad{{Target: "e0", Running: 64, Unread: 50000}}})
 		p, err := w.admit(t.Context(), w.job("c", "s", 1000))
 		if err != nil || p.Target.ID != "e1" {
 			t.Errorf("placed on %v, %v; a peer fills e0", p, err)
@@ -344,7 +344,7 @@
 			t.Fatalf("shares %+v do not tell the customers apart", s)
 		}
 		// Work ahead of 60 ms.
-		w.Hear("r1", &wire.Heartbeat{Incarnation: 5, Loads: []wire.TargetLoad{{Target: "e0", Running: 1, Unread: 3300}}})
+		w.Hear(wire.Hello{Instance: "r1", Incarnation: 5, DataCentre: "a"}, &wire.Heartbeat{Incarnation: 5, Loads: []wire.TargetLoad{{Target: "e0", Running: 1, Unread: 3300}}})
 		hog, modest := w.job("hog", "s", 1000), w.job("modest", "s", 1000)
 		if v := w.decide(hog, now); v.placement != nil {
 			t.Error("a customer that had several shares adds to a target's work")
@@ -363,7 +363,7 @@
 		now := w.now()
 		w.meter.Asked("c", 6000000, now)
 		w.meter.Started("c", 1750000, now)
-		w.Hear("r1", &wire.Heartbeat{Incarnation: 5, Loads: []wire.TargetLoad{{Target: "e0", Running: 1, Unread: 1000}}})
+		w.Hear(wire.Hello{Instance: "r1", Incarnation: 5, DataCentre: "a"}, &wire.Heartbeat{Incarnation: 5, Loads: []wire.TargetLoad{{Target: "e0", Running: 1, Unread: 1000}}})
 		late, fresh := w.job("c", "s", 1000), w.job("c", "s", 1000)
 		late.Elapsed = 2 * time.Second
 		if v := w.decide(late, now); v.placement != nil {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -83,7 +83,8 @@
 	// Suspects carries fingerprints of requests that may crash targets.
 	Suspects []Suspect `json:"x,omitempty"`
 	// Members, Loads, Usage and Records are whole states of the instances that serve
-	// HTTP callers directly.
+	// HTTP callers directly. Scope says of whom Loads and Usage tell.
+	Scope   Scope           `json:"sc,omitempty"`
 	Members []Member        `json:"mb,omitempty"`
 	Loads   []TargetLoad    `json:"ld,omitempty"`
 	Usage   []CustomerUsage `json:"us,omitempty"`
@@ -185,6 +186,21 @@
 	Text []byte `json:"t,omitempty"`
 }
 
+// Scope says of which instances a heartbeat tells.
+type Scope string
+
+// The scopes. A relay sums up instances for those that do not hear them.
+const (
+	// ScopeOwn is the sender alone.
+	ScopeOwn Scope = ""
+	// ScopeCentre is all instances of the sender's data centre.
+	ScopeCentre Scope = "centre"
+	// ScopeNone is nobody: the receiver hears of loads elsewhere.
+	ScopeNone Scope = "none"
+	// ScopeRest is the whole fleet without the receiver.
+	ScopeRest Scope = "rest"
+)
+
 // Member is what the sender knows of one instance, itself included. Instances that
 // no list names find each other by these.
 type Member struct {
