--- /dev/null
+++ b/internal/enginemodel/engine_test.go
@@ -0,0 +1,127 @@
+package enginemodel_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"medlarwind.dev/medlarwind/internal/enginemodel"
+)
+
+// firstToken steps until a request's first token and returns the time.
+func firstToken(t *testing.T, e *enginemodel.Engine, r *enginemodel.Request) time.Duration {
+	var total time.Duration
+	for range 100000 {
+		took, events := e.Step()
+		total += took
+		for _, event := range events {
+			if event.Request == r && event.First {
+				return total
+			}
+		}
+	}
+	t.Fatal("no first token")
+	return 0
+}
+
+func request(shared, own uint64, sharedTokens, ownTokens, output int) *enginemodel.Request {
+	return &enginemodel.Request{
+		Parts:  []enginemodel.Part{{Key: shared, Tokens: sharedTokens}, {Key: own, Tokens: ownTokens}},
+		Output: output,
+	}
+}
+
+// A part that was read is kept, so that the next request with it starts sooner.
+func TestKeptPartIsNotReadAgain(t *testing.T) {
+	e := enginemodel.New(enginemodel.Published())
+	first, second := request(1, 2, 5000, 6600, 1), request(1, 3, 5000, 6600, 1)
+	e.Submit(first)
+	cold := firstToken(t, e, first)
+	e.Submit(second)
+	warm := firstToken(t, e, second)
+	if saved := cold - warm; saved < 5000*time.Millisecond/67 {
+		t.Errorf("first token after %v, then %v: reading 5000 tokens takes 75 ms", cold, warm)
+	}
+	if s := e.Stats(); s.Kept != 5000 {
+		t.Errorf("stats %+v", s)
+	}
+}
+
+// A long prompt is read in chunks between the tokens of others.
+func TestLongPromptDelaysOthersByChunks(t *testing.T) {
+	e := enginemodel.New(enginemodel.Published())
+	stream := request(1, 2, 10, 10, 1000)
+	e.Submit(stream)
+	firstToken(t, e, stream)
+	long := request(3, 4, 10, 40000, 1)
+	e.Submit(long)
+	for range 15 {
+		took, events := e.Step()
+		if took > 60*time.Millisecond || len(events) != 1 {
+			t.Fatalf("a step of %v with %d tokens while a long prompt is read", took, len(events))
+		}
+	}
+}
+
+// Memory holds what runs and what is kept, never more than there is; what runs out is
+// put back and still ends.
+func TestMemoryIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := enginemodel.Published()
+		p.MemoryTokens = 3000
+		p.Slots = rapid.IntRange(1, 20).Draw(t, "slots")
+		e := enginemodel.New(p)
+		submitted, ended := 0, 0
+		for i := range rapid.IntRange(1, 40).Draw(t, "requests") {
+			shared := uint64(rapid.IntRange(1, 4).Draw(t, "shared"))
+			r := request(shared, uint64(100+i), 200, rapid.IntRange(1, 1500).Draw(t, "own"), rapid.IntRange(1, 900).Draw(t, "output"))
+			if e.Submit(r) {
+				submitted++
+			}
+		}
+		for range 200000 {
+			if e.Idle() {
+				break
+			}
+			_, events := e.Step()
+			for _, event := range events {
+				if event.Last {
+					ended++
+				}
+			}
+		}
+		if ended != submitted || !e.Idle() {
+			t.Fatalf("%d of %d requests ended", ended, submitted)
+		}
+	})
+}
+
+func TestCancelFreesItsPlace(t *testing.T) {
+	p := enginemodel.Published()
+	p.Slots = 1
+	e := enginemodel.New(p)
+	first, second := request(1, 2, 10, 10, 100000), request(1, 3, 10, 10, 1)
+	e.Submit(first)
+	firstToken(t, e, first)
+	e.Submit(second)
+	e.Cancel(first)
+	firstToken(t, e, second)
+}
+
+func TestImpossibleRequestIsRefused(t *testing.T) {
+	e := enginemodel.New(enginemodel.Published())
+	if e.Submit(request(1, 2, 10, 600000, 1)) {
+		t.Error("a prompt larger than the memory is taken")
+	}
+}
+
+func BenchmarkStep(b *testing.B) {
+	e := enginemodel.New(enginemodel.Published())
+	for i := range 64 {
+		e.Submit(request(1, uint64(i+2), 100, 100, 1<<30))
+	}
+	for b.Loop() {
+		e.Step()
+	}
+}
--- a/internal/roster/topology.go
+++ b/internal/roster/topology.go
@@ -77,19 +77,29 @@
 	}
 }
 
-// Dial returns the instances to be connected to under a topology. Seeds are among them
-// while the instance speaks for its data centre or knows nobody, and so are relays that
-// fell silent lately: parts of a fleet that were cut off find each other by these.
+// Dial returns the instances to be connected to under a topology. Beside its peers, a
+// relay dials the seeds, silent instances of its data centre and the silent relays of
+// others, and an instance that hears nobody dials all that it remembers: parts of a fleet
+// that were cut off, or restarted while the seeds are away, find each other by these.
 func (r *Roster) Dial(p Topology, now clock.Instant) []fleet.ListedInstance {
 	wanted := make(map[fleet.InstanceID]bool)
 	for id := range p.Scopes {
 		wanted[id] = true
 	}
-	if p.Relay || len(p.Scopes) == 0 {
+	remembered := r.remembered(now)
+	alone := len(p.Scopes) == 0
+	if p.Relay || alone {
 		for _, seed := range r.seeds {
 			wanted[seed] = true
 		}
-		for _, id := range r.silentRelays(now) {
+	}
+	for _, m := range remembered {
+		if alone || p.Relay && m.DataCentre == r.self.DataCentre {
+			wanted[m.ID] = true
+		}
+	}
+	if p.Relay {
+		for _, id := range relaysOfAll(remembered) {
 			wanted[id] = true
 		}
 	}
@@ -101,22 +111,28 @@
 	return peers
 }
 
-// silentRelays returns those that would be the other data centres' relays if all that
-// were heard of lately were alive, and forgets who was not heard of for long.
-func (r *Roster) silentRelays(now clock.Instant) []fleet.InstanceID {
-	var remembered []Member
-	centres := make(map[fleet.DataCentreID]bool)
+// remembered returns the members that were heard of lately, and forgets the others.
+func (r *Roster) remembered(now clock.Instant) []Member {
+	all := make([]Member, 0, len(r.members))
 	for id, m := range r.members {
 		if now.Sub(m.HeardAt) > forgetAfter {
 			delete(r.members, id)
 			continue
 		}
-		remembered = append(remembered, *m)
-		centres[m.DataCentre] = true
+		all = append(all, *m)
 	}
+	return all
+}
+
+// relaysOfAll returns the relays of each data centre if all these members were alive.
+func relaysOfAll(members []Member) []fleet.InstanceID {
+	centres := make(map[fleet.DataCentreID]bool)
 	var relays []fleet.InstanceID
-	for centre := range centres {
-		relays = append(relays, Relays(centre, remembered)...)
+	for _, m := range members {
+		if !centres[m.DataCentre] {
+			centres[m.DataCentre] = true
+			relays = append(relays, Relays(m.DataCentre, members)...)
+		}
 	}
 	return relays
 }
