Tell what became of a request from several instances' logs

medlarwind explain ID LOGFILE... joins a request's line with what looks like its caller's other tries, the failures at its target and what its instance believed. Log lines of route carry milliseconds.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -75,6 +75,7 @@
 			DevCommand(stdout, stderr),
 			CallCommand(stdout, stderr),
 			StatusCommand(stdout, stderr),
+			ExplainCommand(stdout, stderr),
 			RulesCommand(stdout, stderr),
 			SettingsCommand(stdout, stderr),
 			StandinCommand(stdout, stderr),
--- a/internal/cli/route.go
+++ b/internal/cli/route.go
@@ -38,6 +38,9 @@
 	}
 }
 
+// logTimeFormat gives log lines milliseconds, to order those of several instances.
+const logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // route runs a gateway until ctx ends, then stops it as planned.
 func route(ctx context.Context, s platform.Settings, stdout io.Writer) error {
 	// Before anything else: a hangup ends a process that does not expect one.
@@ -45,6 +48,7 @@
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
 	debug.SetMemoryLimit(s.Gateway.MemoryLimit)
+	zerolog.TimeFieldFormat = logTimeFormat
 	lines := newAsyncLog(stdout)
 	defer lines.Close()
 	log := zerolog.New(lines).With().Timestamp().Str("instance", s.Gateway.Name).Logger()
