Choose relays by their share of a processor

Change: members tell their share of a processor; relays are the ones with the most. Test: TestRelaysAreTheInstancesWithMostProcessorTime, red before the change.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -142,7 +142,7 @@
 	s := o.Settings
 	self := roster.Member{
 		ID: fleet.InstanceID(s.PeerAddr), Incarnation: g.incarnation,
-		DataCentre: s.DataCentre, CallerAddr: s.CallerAddr, NotReady: true,
+		DataCentre: s.DataCentre, CallerAddr: s.CallerAddr, ProcessorMillis: s.ProcessorMillis, NotReady: true,
 	}
 	g.roster = roster.New(self, s.Seeds)
 	g.scheduler = scheduler.New(scheduler.Options{
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -32,6 +32,8 @@
 	Seeds []fleet.InstanceID
 	// MemoryLimit is what the process may use, in bytes.
 	MemoryLimit int64
+	// ProcessorMillis is the machine's share of a processor, in thousandths of one.
+	ProcessorMillis int
 	// MaxCallerConns bounds the connections of callers, 0 for no bound.
 	MaxCallerConns int
 	// StopGrace is the time between SIGTERM and SIGKILL.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -38,8 +38,10 @@
 	Incarnation fleet.Incarnation
 	DataCentre  fleet.DataCentreID
 	CallerAddr  string
-	Leaving     bool
-	NotReady    bool
+	// ProcessorMillis is the instance's share of a processor, in thousandths of one.
+	ProcessorMillis int
+	Leaving         bool
+	NotReady        bool
 	// HeardAt is when anyone last heard of the instance, by this machine's clock.
 	HeardAt clock.Instant
 }
@@ -78,7 +80,7 @@
 		}
 		r.members[m.ID] = &Member{
 			ID: m.ID, Incarnation: m.Incarnation, DataCentre: m.DataCentre, CallerAddr: m.CallerAddr,
-			Leaving: m.Leaving, NotReady: m.NotReady, HeardAt: heard,
+			ProcessorMillis: m.ProcessorMillis, Leaving: m.Leaving, NotReady: m.NotReady, HeardAt: heard,
 		}
 	}
 }
@@ -97,7 +99,7 @@
 func describe(m *Member, age time.Duration) wire.Member {
 	return wire.Member{
 		ID: m.ID, Incarnation: m.Incarnation, DataCentre: m.DataCentre, CallerAddr: m.CallerAddr,
-		Leaving: m.Leaving, NotReady: m.NotReady, AgeMillis: age.Milliseconds(),
+		ProcessorMillis: m.ProcessorMillis, Leaving: m.Leaving, NotReady: m.NotReady, AgeMillis: age.Milliseconds(),
 	}
 }
 
--- a/internal/roster/topology.go
+++ b/internal/roster/topology.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"cmp"
 	"slices"
 
 	"medlarwind.dev/medlarwind/internal/clock"
@@ -25,16 +26,21 @@
 	Relay bool
 }
 
-// Relays returns the instances that speak for a data centre: the first in rendezvous
-// order of those that are not stopping. O(members · log).
+// Relays returns the instances that speak for a data centre: of those that are not
+// stopping the ones with the largest share of a processor, since a relay sends and hears
+// a heartbeat for each instance of its data centre; among equals the first in rendezvous
+// order. O(members · log).
 func Relays(centre fleet.DataCentreID, members []Member) []fleet.InstanceID {
 	var near []fleet.InstanceID
+	processor := make(map[fleet.InstanceID]int)
 	for _, m := range members {
 		if m.DataCentre == centre && !m.Leaving {
 			near = append(near, m.ID)
+			processor[m.ID] = m.ProcessorMillis
 		}
 	}
 	ranked := membership.Rank(string(centre), near)
+	slices.SortStableFunc(ranked, func(a, b fleet.InstanceID) int { return cmp.Compare(processor[b], processor[a]) })
 	return ranked[:min(len(ranked), RelaysPerCentre)]
 }
 
--- a/internal/roster/topology_test.go
+++ b/internal/roster/topology_test.go
@@ -63,6 +63,22 @@
 	}
 }
 
+// A relay's work grows with its data centre: where machines differ it falls to the ones
+// with the most processor time.
+func TestRelaysAreTheInstancesWithMostProcessorTime(t *testing.T) {
+	members := large(2)
+	for i := range members {
+		members[i].ProcessorMillis = 192
+	}
+	members[3].ProcessorMillis, members[8].ProcessorMillis = 800, 800
+	alive := rosterOf("r1-0", "dc1", members, start).Alive(start)
+	for _, id := range roster.Relays("dc0", alive) {
+		if id != members[3].ID && id != members[8].ID {
+			t.Errorf("%s speaks for its data centre with 192 thousandths of a processor, two others have 800", id)
+		}
+	}
+}
+
 // A stopping instance hands over what it does for others.
 func TestStoppingInstanceIsNoRelay(t *testing.T) {
 	members := large(2)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -210,6 +210,8 @@
 	DataCentre  fleet.DataCentreID `json:"d"`
 	// CallerAddr is the IP:port for callers.
 	CallerAddr string `json:"a"`
+	// ProcessorMillis is the instance's share of a processor, in thousandths of one.
+	ProcessorMillis int `json:"c,omitempty"`
 	// Leaving says that the instance is stopping; NotReady that it cannot serve yet.
 	Leaving  bool `json:"l,omitempty"`
 	NotReady bool `json:"u,omitempty"`
