Read the platform once for each data centre

Change: the first relay of each data centre reads, with watches of 0.7 s in place of 1 s, so that its word is not older than before; the second relay reads itself once that word is 1.4 s old, others at 1.8 to 2.3 s (1.5 to 2.5 s before). Instances that do not read fetch news from a peer at the first heartbeat that tells of it.

--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -14,11 +14,13 @@
 
 // Constants of the duties.
 const (
-	// readAnyway is the age of the records at which an instance reads the platform
-	// itself, whoever's duty it is; instances differ by up to readSpread, so that they do
-	// not all call at once.
-	readAnyway = 1500 * time.Millisecond
-	readSpread = time.Second
+	// relayReads is the age of the records at which a relay reads the platform itself,
+	// whoever's duty it is: the readers' word is up to 1.3 s old (a watch of 0.7 s, two
+	// heartbeats, a third for the echo that dates it). Others wait until the relay may
+	// have told them, and up to othersSpread longer, each for another time.
+	relayReads   = 1400 * time.Millisecond
+	othersRead   = 1800 * time.Millisecond
+	othersSpread = 500 * time.Millisecond
 	// settleTime is how long an instance does not count on its view of who reads: one that
 	// knows nobody yet would take itself for a relay, and in a restart of a fleet all
 	// would. It is shorter than the shortest time after which the platform's bounds hold
@@ -30,19 +32,24 @@
 	maxLocated = 64
 )
 
-// readDuty is this instance's part in reading the platform: relays read, and the others
-// hear from them, so that calls do not grow with the fleet.
+// readDuty is this instance's part in reading the platform: a few instances of each data
+// centre read, and the others hear from them, so that calls do not grow with the fleet.
+// When their word grows old the other relays read first.
 func (g *Gateway) readDuty() records.Duty {
 	now := g.options.Now()
 	revision, at := g.copy.State()
 	since := max(at, g.began)
-	old := now.Sub(since) > readAnyway+time.Duration(g.spread*float64(readSpread))
+	limit := relayReads
+	if !g.relay.Load() {
+		limit = othersRead + time.Duration(g.spread*float64(othersSpread))
+	}
+	old := now.Sub(since) > limit
 	age := now.Sub(g.began)
 	young := age < settleTime && (age < aloneTime || g.hasPeers.Load())
 	switch {
-	case g.relay.Load() && !young:
+	case g.reader.Load() && !young:
 		return records.Read
-	case old, revision == 0 && g.relay.Load():
+	case old, revision == 0 && g.reader.Load():
 		return records.StandIn
 	}
 	return records.Listen
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,8 +83,9 @@
 	callers     *callerConns
 	catalog     atomic.Pointer[catalog.Catalog]
 	leaving     atomic.Bool
-	// relay says that this instance speaks for its data centre.
-	relay atomic.Bool
+	// relay says that this instance speaks for its data centre, and reader that it reads
+	// the platform for it.
+	relay, reader atomic.Bool
 	// hasPeers says that other instances are alive.
 	hasPeers atomic.Bool
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -24,8 +24,8 @@
 	// seq is the highest heartbeat heard, sentSeq the last one sent.
 	seq, sentSeq uint64
 	sentAt       [sentMemory]clock.Instant
-	// behindSince is when the peer was first heard to have newer records.
-	behindSince clock.Instant
+	// behind says that the last heartbeat told of newer records than this instance's.
+	behind bool
 }
 
 // sendHeartbeats tells all connected peers this instance's state.
@@ -62,6 +62,7 @@
 		state.Members = g.roster.Describe(now)
 	}
 	g.relay.Store(topology.Relay)
+	g.reader.Store(topology.Reader)
 	g.hasPeers.Store(len(alive) > 1)
 	g.transport.SetPeers(g.roster.Dial(topology, now))
 	g.scheduler.SetAlive(alive)
@@ -130,11 +131,11 @@
 	revision, _ := g.copy.State()
 	switch {
 	case hb.Records.Revision <= revision:
-		p.behindSince = 0
-	case p.behindSince == 0:
-		p.behindSince = now
+		p.behind = false
+	case !p.behind && g.reader.Load():
+		// The platform may be about to tell this instance as well.
+		p.behind = true
 	case !g.fetching:
-		// Still behind a heartbeat later: the platform has not told this instance.
 		g.fetching = true
 		go g.fetchRecords(from)
 	}
--- a/internal/records/follower.go
+++ b/internal/records/follower.go
@@ -26,7 +26,7 @@
 const (
 	// watchWait is how long one watch waits. Each return proves that the copy is
 	// complete, and a key that was taken away must stop working within seconds.
-	watchWait = time.Second
+	watchWait = 700 * time.Millisecond
 	// minRetryDelay and maxRetryDelay are the pauses after failed calls: calls are
 	// paid for, also those that the platform refuses.
 	minRetryDelay = 100 * time.Millisecond
--- a/internal/roster/topology.go
+++ b/internal/roster/topology.go
@@ -24,6 +24,8 @@
 	Scopes map[fleet.InstanceID]wire.Scope
 	// Relay says that this instance speaks for its data centre.
 	Relay bool
+	// Reader says that it reads the platform for its data centre: its first relay does.
+	Reader bool
 }
 
 // Relays returns the instances that speak for a data centre: of those that are not
@@ -51,6 +53,7 @@
 	p := Topology{Scopes: make(map[fleet.InstanceID]wire.Scope)}
 	near := Relays(centre, members)
 	p.Relay = slices.Contains(near, self)
+	p.Reader = len(near) > 0 && near[0] == self
 	switch {
 	case len(members) <= MeshLimit:
 		for _, m := range members {
--- a/internal/roster/topology_test.go
+++ b/internal/roster/topology_test.go
@@ -63,6 +63,24 @@
 	}
 }
 
+// The number of instances that read the platform grows with the data centres alone, and
+// another relay is there to stand in.
+func TestOneInstanceReadsForEachDataCentre(t *testing.T) {
+	members := large(6)
+	readers := make(map[fleet.DataCentreID]int)
+	for _, m := range members {
+		p := roster.Plan(m.ID, m.DataCentre, rosterOf(m.ID, m.DataCentre, members, start).Alive(start))
+		if p.Reader {
+			readers[m.DataCentre]++
+		}
+	}
+	for _, m := range members {
+		if readers[m.DataCentre] != 1 {
+			t.Fatalf("readers %v", readers)
+		}
+	}
+}
+
 // A relay's work grows with its data centre: where machines differ it falls to the ones
 // with the most processor time.
 func TestRelaysAreTheInstancesWithMostProcessorTime(t *testing.T) {
