Forget targets that are gone

Change: a listing drops targets that are gone, run nothing of this instance's and were not started on within the last second (the window of the bound on cold targets).

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -116,9 +116,22 @@
 	defer s.mu.Unlock()
 	s.inventory.Update(listed, evacuated, s.options.Now())
 	s.forgetProspects()
+	s.forgetTargets()
 	s.pump()
 }
 
+// forgetTargets drops what is known of targets that are gone and run nothing of this
+// instance's: each start of a target has a new id. Recent starts stay counted, since a
+// target whose entry lapsed may come back cold. The mutex is held.
+func (s *Scheduler) forgetTargets() {
+	now := s.options.Now()
+	for id, t := range s.loads {
+		if _, listed := s.inventory.Get(id); !listed && t.own == (placement.Load{}) && t.starts.Count(now) == 0 {
+			delete(s.loads, id)
+		}
+	}
+}
+
 // NoteOutage notes that the listing is out of reach.
 func (s *Scheduler) NoteOutage() {
 	s.mu.Lock()
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -228,6 +228,36 @@
 	})
 }
 
+// Each start of a target has a new id: what is known of those that are gone must not stay.
+func TestTargetsThatAreGoneAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1)
+		var running *Placement
+		for i := range 100 {
+			id := fleet.TargetID(fmt.Sprint("run", i))
+			w.SetTargets([]inventory.Target{{ID: id, Started: 1, Service: "lm", Addr: "10.0.0.1:80", DataCentre: "a", Slots: 64, Revision: uint64(i + 2)}}, nil)
+			p, err := w.admit(t.Context(), w.job("c", "part", 1000))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if i == 50 {
+				running = p
+				continue
+			}
+			p.End(Completed)
+			time.Sleep(2 * time.Second)
+		}
+		if known := len(w.loads); known != 2 {
+			t.Errorf("%d targets are known, want the listed one and the one that still runs a request", known)
+		}
+		running.End(Completed)
+		w.SetTargets(engineList(1), nil)
+		if known := len(w.loads); known > 1 {
+			t.Errorf("%d targets are known, one is listed", known)
+		}
+	})
+}
+
 func TestRequestThatCrashesTargetsIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(8)
