Bound callers' connections without hiding their sockets

Change: a listener of our own that waits for room with the count that net/http keeps up to date, and returns the listener's own connections.

--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -32,10 +32,54 @@
 	mu   sync.Mutex
 	open int
 	idle map[net.Conn]clock.Instant
+	// room is signalled when a connection ends, and when stopped is set.
+	room    *sync.Cond
+	stopped bool
 }
 
 func newCallerConns(limit int, now clock.Source) *callerConns {
-	return &callerConns{limit: limit, now: now, idle: make(map[net.Conn]clock.Instant)}
+	c := &callerConns{limit: limit, now: now, idle: make(map[net.Conn]clock.Instant)}
+	c.room = sync.NewCond(&c.mu)
+	return c
+}
+
+// awaitRoom waits until one more connection may be taken.
+func (c *callerConns) awaitRoom() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.open >= c.limit && !c.stopped {
+		c.room.Wait()
+	}
+}
+
+// stop ends all waiting for room.
+func (c *callerConns) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+	c.room.Broadcast()
+}
+
+// boundedListener leaves connections beyond a bound in the kernel's queue: callers there
+// try another address after a second, while accepted they would take memory and wait for
+// the processor. Its connections are the listener's own, so that their sockets can be
+// asked whether the caller has left; netutil.LimitListener hides them.
+type boundedListener struct {
+	net.Listener
+	conns *callerConns
+}
+
+// Accept implements net.Listener. net/http counts a connection before it accepts the
+// next.
+func (l *boundedListener) Accept() (net.Conn, error) {
+	l.conns.awaitRoom()
+	return l.Listener.Accept()
+}
+
+// Close implements net.Listener.
+func (l *boundedListener) Close() error {
+	l.conns.stop()
+	return l.Listener.Close()
 }
 
 // track is the ConnState hook of callers' server.
@@ -50,6 +94,7 @@
 		c.idle[conn] = c.now()
 	case http.StateClosed, http.StateHijacked:
 		c.open--
+		c.room.Signal()
 	case http.StateActive:
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,7 +20,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/net/netutil"
 
 	"medlarwind.dev/medlarwind/internal/catalog"
 	"medlarwind.dev/medlarwind/internal/clock"
@@ -273,9 +272,7 @@
 		g.servers = append(g.servers, newServer(port.handler))
 	}
 	if s.MaxCallerConns > 0 {
-		// Beyond the bound callers wait in the listener's queue and try another address
-		// after a second; accepted, they would take memory and wait for the processor.
-		l.http[0] = netutil.LimitListener(l.http[0], s.MaxCallerConns)
+		l.http[0] = &boundedListener{Listener: l.http[0], conns: g.callers}
 	}
 	g.servers[0].ConnState = g.callers.track
 	g.servers[0].ConnContext = ingress.WithConn
