Hash requests' content with xxhash

Ruled out: decisions (8 us) and the queue, which refuses over_share at once. Change: github.com/cespare/xxhash/v2 in place of hash/fnv. Before and after: BenchmarkFingerprint 19.5 to 1.3 us. Test: TestFingerprintTellsContentApart.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -17,6 +17,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
@@ -239,9 +240,11 @@
 // fingerprint identifies a request by its customer and content: a caller that sends it
 // again uses another id.
 func (x *exchange) fingerprint() uint64 {
-	sum := fnv.New64a()
+	var sum xxhash.Digest
+	sum.Reset()
 	for _, part := range []string{x.r.Method, x.r.Host, x.r.RequestURI, string(x.customer)} {
-		_, _ = sum.Write([]byte(part))
+		// A Digest's writes do not fail.
+		_, _ = sum.WriteString(part)
 		_, _ = sum.Write([]byte{0})
 	}
 	_, _ = sum.Write(x.body.bytes)
