Correct how old a reader's word may be

Cause: read again: the comment gave 1.3 s; a copy is as old as the watch before and the wait of the present one, 1.4 s, before heartbeats add to it. The times stay: a later stand-in could miss the bound on configurations.

--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -15,9 +15,11 @@
 // Constants of the duties.
 const (
 	// relayReads is the age of the records at which a relay reads the platform itself,
-	// whoever's duty it is: the readers' word is up to 1.3 s old (a watch of 0.7 s, two
-	// heartbeats, a third for the echo that dates it). Others wait until the relay may
-	// have told them, and up to othersSpread longer, each for another time.
+	// whoever's duty it is. A reader's own copy is up to 1.4 s old (two watches of 0.7 s),
+	// and heartbeats add to that, so that the relay reads at times in calm as well: later
+	// it might miss the bound on configurations, 2.5 s, when the reader is gone. Others
+	// wait until the relay may have told them, and up to othersSpread longer, each for
+	// another time.
 	relayReads   = 1400 * time.Millisecond
 	othersRead   = 1800 * time.Millisecond
 	othersSpread = 500 * time.Millisecond
