Log the inputs of each refusal

The scheduler returns these values with its refusal, and the request line holds them. What placement found is kept in the job at each decision, so that nothing is sought again for the log; a decision still allocates nothing. Retry budgets say how much of them is used. No decision changes.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -120,6 +120,15 @@
 	return growth
 }
 
+// Included returns the number of reports that the totals are made of and the age of the
+// oldest of them, which is the time since it was received.
+func (t *Table) Included(now clock.Instant) (reports int, oldest time.Duration) {
+	for _, r := range t.included {
+		oldest = max(oldest, now.Sub(r.receivedAt))
+	}
+	return len(t.included), oldest
+}
+
 // PeerLoad returns the load that all other instances put on a target.
 func (t *Table) PeerLoad(id fleet.TargetID, now clock.Instant) placement.Load {
 	if now.Sub(t.summedAt) > reportTTL/4 {
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -82,12 +82,12 @@
 		x.fail(ctx)
 		return
 	}
-	x.result.Reason, x.result.Waited = string(refusal.Reason), refusal.Waited
+	x.recordRefusal(refusal)
 	if x.runs > 0 || x.headerWritten {
 		x.fail(ctx)
 		return
 	}
-	x.refuse(http.StatusServiceUnavailable, string(refusal.Reason), refusal.RetryAfter)
+	x.refuse(http.StatusServiceUnavailable, x.result.Reason, refusal.RetryAfter)
 }
 
 // fail ends a request that got no complete response from a target. It responds with 503
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/scheduler"
 )
 
 // Report is the result of one request, for the log and the metrics.
@@ -15,6 +18,8 @@
 	// Reason says why the request was refused or its last unsuccessful attempt failed, empty
 	// if neither happened.
 	Reason string
+	// Refusal is the scheduler's refusal that ended the request, nil if there was none.
+	Refusal *scheduler.Refusal
 	// Cause is the underlying error of Reason, empty if there is none.
 	Cause  string
 	Target fleet.TargetID
@@ -34,6 +39,12 @@
 	Sends, Runs, Events int
 }
 
+// recordRefusal records that the scheduler refused the request or its retry.
+func (x *exchange) recordRefusal(refusal *scheduler.Refusal) {
+	x.result.Refusal = refusal
+	x.result.Reason, x.result.Waited = string(refusal.Reason), refusal.Waited
+}
+
 // report completes the request's report, passes it to Observe and logs it.
 func (x *exchange) report() {
 	o := &x.h.options
@@ -53,6 +64,9 @@
 	if r.Cause != "" {
 		line = line.Str("cause", r.Cause)
 	}
+	if r.Refusal != nil {
+		line = appendInputs(line, r.Refusal)
+	}
 	if x.route != nil {
 		line = line.Str("route", x.route.Name)
 	}
@@ -66,3 +80,26 @@
 		Int64("first_ms", r.FirstByte.Milliseconds()).Int64("total_ms", r.Total.Milliseconds()).
 		Int("sends", r.Sends).Int("runs", r.Runs).Int("events", r.Events).Msg("")
 }
+
+// appendInputs adds the inputs of a refusal to a log line, without those that do not apply.
+func appendInputs(line *zerolog.Event, refusal *scheduler.Refusal) *zerolog.Event {
+	in := &refusal.Inputs
+	if in.Metered {
+		line = line.Int64("used", int64(in.Used)).Int("reports", in.Reports).Int64("reports_age_ms", in.OldestReport.Milliseconds())
+	}
+	if in.Limited {
+		line = line.Int64("nominal", int64(in.Nominal)).Int64("effective", int64(in.Effective))
+	}
+	if in.Decisions > 0 {
+		line = line.Int("decisions", in.Decisions).Int64("decided_ago_ms", in.LastDecision.Milliseconds())
+	}
+	if in.Preferred != "" {
+		line = line.Str("preferred", string(in.Preferred)).Int64("preferred_wait_ms", in.PreferredWait.Milliseconds()).
+			Int64("wait_limit_ms", in.WaitLimit.Milliseconds()).Int64("shortest_wait_ms", in.ShortestWait.Milliseconds()).
+			Int("preferred_running", in.PreferredRunning).Int("preferred_slots", in.PreferredSlots)
+	}
+	if refusal.Reason == scheduler.ReasonRetryBudget {
+		line = line.Int64("retries", int64(in.Retries)).Int64("retries_allowed", int64(in.RetriesAllowed))
+	}
+	return line
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -85,18 +85,23 @@
 	// Wait is the expected time before the target starts on the request, TimeToFirstEvent
 	// the expected time to its first event.
 	Wait, TimeToFirstEvent time.Duration
+	// ShortestWait is the shortest wait at any candidate with room.
+	ShortestWait time.Duration
 }
 
 // Pick returns the candidate with the lowest cost, or false if none has room.
 func Pick(r Request, candidates []Candidate) (Choice, bool) {
 	best := Choice{Index: -1}
-	var lowestCost time.Duration
+	var lowestCost, shortest time.Duration
 	for i := range candidates {
 		c := &candidates[i]
 		if !c.hasRoom(r) {
 			continue
 		}
 		wait := c.wait(r)
+		if best.Index < 0 || wait < shortest {
+			shortest = wait
+		}
 		firstEvent := wait + prefillTime(r.Prompt-c.Cached) + r.ServiceTime + c.Distance
 		cost := firstEvent + recomputeWeight*prefillTime(max(r.Shared-c.Cached, 0)) +
 			time.Duration(min(c.Rank, MaxRank))*rankPenalty +
@@ -105,6 +110,7 @@
 			best, lowestCost = Choice{Index: i, Wait: wait, TimeToFirstEvent: firstEvent}, cost
 		}
 	}
+	best.ShortestWait = shortest
 	return best, best.Index >= 0
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -70,3 +70,14 @@
 		placement.Pick(longRequest, candidates)
 	}
 }
+
+// The shortest wait is that of any target with room, also if another is chosen.
+func TestPickReportsShortestWait(t *testing.T) {
+	home := placement.Candidate{Slots: 64, Cached: 5000, Load: placement.Load{Running: 20, Unread: 12000}}
+	idle := placement.Candidate{Slots: 64, Rank: 1, Load: placement.Load{Running: 2}}
+	full := placement.Candidate{Slots: 1, Rank: 2, Load: placement.Load{Running: 1}}
+	choice, ok := placement.Pick(longRequest, []placement.Candidate{home, full, idle})
+	if !ok || choice.Index != 0 || choice.ShortestWait != time.Millisecond {
+		t.Errorf("Pick = %+v, want the home and a shortest wait of 1 ms", choice)
+	}
+}
--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -52,14 +52,15 @@
 func (s *Scheduler) decide(j *Job, now clock.Instant) decision {
 	switch {
 	case now >= j.Deadline:
-		return decision{refusal: &Refusal{Reason: ReasonDeadline}}
+		return decision{refusal: &Refusal{Reason: ReasonDeadline, Inputs: s.inputs(j, now)}}
 	case s.isSuspect(j.Fingerprint, now):
-		return decision{refusal: &Refusal{Reason: ReasonCrashesTargets}}
+		return decision{refusal: &Refusal{Reason: ReasonCrashesTargets, Inputs: s.inputs(j, now)}}
 	case s.tooLarge(j):
-		return decision{refusal: &Refusal{Reason: ReasonTooLarge}}
+		return decision{refusal: &Refusal{Reason: ReasonTooLarge, Inputs: s.inputs(j, now)}}
 	}
 	candidates, from := s.candidates(j, s.targetListFor(j, now), now)
 	choice, ok := placement.Pick(j.request(), candidates)
+	j.considered.record(candidates, from, choice, now)
 	if !ok || !s.shareAllows(j, &candidates[choice.Index], choice, now) {
 		return decision{}
 	}
@@ -86,6 +87,7 @@
 		if j.Route.FirstByteSLO == 0 {
 			limit = defaultNominalShareWait
 		}
+		j.considered.waitLimit = limit
 		return choice.Wait <= limit
 	}
 	limit := excessWait
@@ -95,6 +97,7 @@
 	case used < shares.effective:
 		limit = effectiveShareWait
 	}
+	j.considered.waitLimit = limit
 	return choice.Wait <= limit && float64(c.Load.Running) < overShareSlotFraction*float64(c.Slots)
 }
 
--- /dev/null
+++ b/internal/scheduler/inputs.go
@@ -0,0 +1,82 @@
+package scheduler
+
+import (
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/clock"
+	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/placement"
+)
+
+// Inputs are the values on which the refusal of a job rests.
+type Inputs struct {
+	// Used is the number of tokens that the customer used within the share window, Nominal
+	// and Effective are its shares. Metered is false if the job counts towards no share,
+	// and Limited if no limit is configured; the shares are then 0.
+	Metered, Limited         bool
+	Used, Nominal, Effective float64
+	// Reports is the number of peers' reports that Used includes, and OldestReport the time
+	// since the oldest of them was received.
+	Reports      int
+	OldestReport time.Duration
+	// Decisions counts the decisions on the job since it was admitted or queued. The fields
+	// below describe the last of them, which was made LastDecision before the refusal.
+	Decisions    int
+	LastDecision time.Duration
+	// Preferred is the target that placement chose, empty if no candidate had room.
+	// PreferredWait is the expected wait there and WaitLimit the longest wait at which the
+	// shares would have let the job start.
+	Preferred                fleet.TargetID
+	PreferredWait, WaitLimit time.Duration
+	// PreferredRunning and PreferredSlots are the numbers of running requests and of slots
+	// of the preferred target.
+	PreferredRunning, PreferredSlots int
+	// ShortestWait is the shortest expected wait at any candidate with room.
+	ShortestWait time.Duration
+	// Retries and RetriesAllowed are the state of the retry budget that refused a retry.
+	Retries, RetriesAllowed float64
+}
+
+// consideration is what a decision on a job rested on. It is kept in the job, so that it
+// need not be computed again if the job is refused later.
+type consideration struct {
+	decisions      int
+	decidedAt      clock.Instant
+	preferred      fleet.TargetID
+	choice         placement.Choice
+	waitLimit      time.Duration
+	running, slots int
+}
+
+// record replaces the description of the last decision.
+func (c *consideration) record(candidates []placement.Candidate, from []*usableTarget, choice placement.Choice, now clock.Instant) {
+	*c = consideration{decisions: c.decisions + 1, decidedAt: now}
+	if choice.Index >= 0 {
+		chosen := &candidates[choice.Index]
+		c.preferred, c.choice = from[choice.Index].entry.ID, choice
+		c.running, c.slots = chosen.Load.Running, chosen.Slots
+	}
+}
+
+// inputs returns the values that a refusal of the job at this time rests on. s.mu must be
+// held.
+func (s *Scheduler) inputs(j *Job, now clock.Instant) Inputs {
+	c := &j.considered
+	in := Inputs{
+		Decisions: c.decisions, Preferred: c.preferred, PreferredWait: c.choice.Wait, WaitLimit: c.waitLimit,
+		PreferredRunning: c.running, PreferredSlots: c.slots, ShortestWait: c.choice.ShortestWait,
+	}
+	if c.decisions > 0 {
+		in.LastDecision = now.Sub(c.decidedAt)
+	}
+	if j.Prompt == 0 && j.Service.Engine == nil {
+		return in
+	}
+	in.Metered, in.Used = true, s.meter.Usage(j.Customer, now)
+	in.Reports, in.OldestReport = s.exchange.Included(now)
+	if s.hasTokenLimit() {
+		shares := s.shares(now)
+		in.Limited, in.Nominal, in.Effective = true, shares.nominal, shares.effective
+	}
+	return in
+}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -58,6 +58,8 @@
 	// fewer targets.
 	rankedTargets    [placement.MaxRank]int
 	rankedGeneration uint64
+	// considered describes the last decision on the job within the current call of Admit.
+	considered consideration
 }
 
 // minHomeTokens is the minimum number of shared tokens for a prompt to have a home target.
@@ -178,6 +180,8 @@
 	RetryAfter time.Duration
 	// Waited is the time spent in the queue.
 	Waited time.Duration
+	// Inputs are the values that led to the refusal, for logs.
+	Inputs Inputs
 }
 
 // Error returns the reason and the time spent in the queue.
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -83,7 +83,7 @@
 		}
 	}
 	pause = min(pause, time.Duration(retryFraction*float64(remaining)))
-	return &Refusal{Reason: reason, RetryAfter: max(pause, 0), Waited: now.Sub(enqueuedAt)}
+	return &Refusal{Reason: reason, RetryAfter: max(pause, 0), Waited: now.Sub(enqueuedAt), Inputs: s.inputs(j, now)}
 }
 
 // await waits for the decision on a queued job, until the job's wait limit passes or ctx
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -197,9 +197,12 @@
 	j.prepare()
 	s.mu.Lock()
 	now := s.options.Now()
+	j.considered = consideration{}
 	if retry && !s.retryBudget(j.Service.ID).AllowRetry(now) {
+		refusal := &Refusal{Reason: ReasonRetryBudget, Inputs: s.inputs(j, now)}
+		refusal.Inputs.Retries, refusal.Inputs.RetriesAllowed = s.retryBudget(j.Service.ID).State(now)
 		s.mu.Unlock()
-		return nil, &Refusal{Reason: ReasonRetryBudget}
+		return nil, refusal
 	}
 	decision := s.decide(j, now)
 	if decision.placement != nil || decision.refusal != nil {
@@ -266,10 +269,16 @@
 	nominal, effective float64
 }
 
+// hasTokenLimit reports whether a throughput is configured, which the shares divide. s.mu
+// must be held.
+func (s *Scheduler) hasTokenLimit() bool {
+	return s.catalog != nil && s.catalog.Limits.TokensPerSecond > 0
+}
+
 // shares returns the fair shares, which are recomputed every shareInterval. s.mu must be
 // held.
 func (s *Scheduler) shares(now clock.Instant) fairShares {
-	if s.catalog == nil || s.catalog.Limits.TokensPerSecond <= 0 {
+	if !s.hasTokenLimit() {
 		return fairShares{nominal: math.Inf(1), effective: math.Inf(1)}
 	}
 	if s.fairShares.computedAt == 0 || now.Sub(s.fairShares.computedAt) >= shareInterval {
