Log a target's failure and the refusal of the retry apart

After a target failed and the scheduler refused another, the request line's reason was the scheduler's and the cause the target's, and waited_ms the wait of the retry in place of that before the first send.

reason and cause now keep the target's failure, as the body of the caller's 502 and the metrics do; retry_refused and retry_waited_ms are the scheduler's. This changes what OPERATIONS.md said of retry_budget in reason: one field held two answers, and requests that were never sent keep the refusal in reason. Status codes and delays stay.

--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -18,6 +18,9 @@
 	// Reason says why the request was refused or its last unsuccessful attempt failed, empty
 	// if neither happened.
 	Reason string
+	// RetryRefused says why the scheduler refused to retry a request that was sent before,
+	// empty if it did not. Reason then says why the last attempt failed.
+	RetryRefused string
 	// Refusal is the scheduler's refusal that ended the request, nil if there was none.
 	Refusal *scheduler.Refusal
 	// Cause is the underlying error of Reason, empty if there is none.
@@ -42,6 +45,10 @@
 // recordRefusal records that the scheduler refused the request or its retry.
 func (x *exchange) recordRefusal(refusal *scheduler.Refusal) {
 	x.result.Refusal = refusal
+	if x.sends > 0 {
+		x.result.RetryRefused = string(refusal.Reason)
+		return
+	}
 	x.result.Reason, x.result.Waited = string(refusal.Reason), refusal.Waited
 }
 
@@ -64,6 +71,9 @@
 	if r.Cause != "" {
 		line = line.Str("cause", r.Cause)
 	}
+	if r.RetryRefused != "" {
+		line = line.Str("retry_refused", r.RetryRefused).Int64("retry_waited_ms", r.Refusal.Waited.Milliseconds())
+	}
 	if r.Refusal != nil {
 		line = appendInputs(line, r.Refusal)
 	}
