Log the shares once a second and what is not counted of peers' usage

Each instance now writes one line a second while there is demand, with at most 8 customers, and a line for each change of the relay whose report is used and for each baseline that hides growth. The scheduler and the exchange return values; the gateway writes them. No decision changes.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -62,6 +62,10 @@
 	// totalUsage is the growth of all included counters, and dataCentreUsage the part of it
 	// reported from this data centre.
 	totalUsage, dataCentreUsage map[fleet.CustomerID]Usage
+	// relays holds, for each data centre, the included report of a relay on it; that on the
+	// rest of the fleet has the key "".
+	relays  map[fleet.DataCentreID]relayInUse
+	changes Changes
 }
 
 // New returns an empty table for an instance in the given data centre.
@@ -72,6 +76,7 @@
 		peerLoads:       make(map[fleet.TargetID]placement.Load),
 		totalUsage:      make(map[fleet.CustomerID]Usage),
 		dataCentreUsage: make(map[fleet.CustomerID]Usage),
+		relays:          make(map[fleet.DataCentreID]relayInUse),
 	}
 }
 
@@ -80,18 +85,24 @@
 // baseline, because the time over which its counters grew is unknown.
 func (t *Table) HandleHeartbeat(from wire.Hello, hb *wire.Heartbeat, now clock.Instant) map[fleet.CustomerID]Usage {
 	r := t.reports[from.Instance]
-	if r == nil {
+	cause, since := missingBaseline(r, from, hb.Scope), time.Duration(0)
+	if r != nil {
+		since = now.Sub(r.receivedAt)
+	} else {
 		r = &peerReport{id: from.Instance, contributed: make(map[fleet.CustomerID]Usage)}
 		t.reports[from.Instance] = r
 	}
-	hasBaseline := r.incarnation == from.Incarnation && r.scope == hb.Scope
 	r.dataCentre, r.incarnation, r.scope, r.receivedAt = from.DataCentre, from.Incarnation, hb.Scope, now
 	r.loads = make(map[fleet.TargetID]placement.Load, len(hb.Loads))
 	for _, l := range hb.Loads {
 		r.loads[l.Target] = placement.Load{Running: l.Running, Unread: l.Unread, Memory: l.Memory}
 	}
 	t.recomputeTotals(now)
-	return t.updateCounters(r, hb.Usage, hasBaseline && slices.Contains(t.included, r))
+	growth := t.updateCounters(r, hb.Usage, cause == "" && slices.Contains(t.included, r))
+	if cause != "" {
+		t.recordBaseline(r, cause, since)
+	}
+	return growth
 }
 
 // updateCounters replaces a report's counters. If count is set it returns by how much
@@ -142,6 +153,7 @@
 func (t *Table) recomputeTotals(now clock.Instant) {
 	t.summedAt = now
 	t.included = t.selectReports(now)
+	t.recordRelays(now)
 	clear(t.peerLoads)
 	for _, r := range t.included {
 		for id, l := range r.loads {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -156,3 +157,80 @@
 		t.Errorf("received %v tokens, want 530: 500 before the restart and 30 above the baseline set after it", got)
 	}
 }
+
+// relayHeartbeat returns a relay's report with one customer's counters.
+func relayHeartbeat(scope wire.Scope, requested int64) *wire.Heartbeat {
+	return &wire.Heartbeat{Scope: scope, Usage: []wire.CustomerUsage{{Customer: "c", Requested: requested}}}
+}
+
+// Which relay's report is used decides what an instance knows of other data centres. A
+// change must be reported once, with the age of the report that is no longer used.
+func TestRelayChangesAreReported(t *testing.T) {
+	table := exchange.New("dc0")
+	now := clock.Instant(time.Hour)
+	first := wire.Hello{Instance: "r1", Incarnation: 1, DataCentre: "dc1"}
+	second := wire.Hello{Instance: "r2", Incarnation: 2, DataCentre: "dc1"}
+	for range 3 {
+		table.HandleHeartbeat(first, relayHeartbeat(wire.ScopeDataCentre, 10), now)
+		table.HandleHeartbeat(second, relayHeartbeat(wire.ScopeDataCentre, 10), now)
+		now = now.Add(200 * time.Millisecond)
+	}
+	want := []exchange.RelayChange{{DataCentre: "dc1", To: "r1"}}
+	if got := table.TakeChanges().Relays; !slices.Equal(got, want) {
+		t.Errorf("changes %+v, want %+v", got, want)
+	}
+	now = now.Add(1900 * time.Millisecond)
+	table.HandleHeartbeat(second, relayHeartbeat(wire.ScopeDataCentre, 10), now)
+	want = []exchange.RelayChange{{DataCentre: "dc1", From: "r1", To: "r2", Age: 2100 * time.Millisecond}}
+	if got := table.TakeChanges().Relays; !slices.Equal(got, want) {
+		t.Errorf("changes %+v, want %+v", got, want)
+	}
+	now = now.Add(200 * time.Millisecond)
+	table.HandleHeartbeat(second, relayHeartbeat(wire.ScopeRest, 10), now)
+	want = []exchange.RelayChange{{To: "r2"}, {DataCentre: "dc1", From: "r2", Age: 200 * time.Millisecond}}
+	if got := table.TakeChanges().Relays; !slices.Equal(got, want) {
+		t.Errorf("changes %+v, want %+v", got, want)
+	}
+}
+
+// Growth that is not counted must be reported, because the instance then knows less usage
+// than there was. Counters of 0 hide no growth.
+func TestMissingBaselinesAreReported(t *testing.T) {
+	table := exchange.New("dc0")
+	now := clock.Instant(time.Hour)
+	from := wire.Hello{Instance: "r1", Incarnation: 1, DataCentre: "dc1"}
+	var got []exchange.Baseline
+	handle := func(hb *wire.Heartbeat) {
+		table.HandleHeartbeat(from, hb, now)
+		got = append(got, table.TakeChanges().Baselines...)
+		now = now.Add(200 * time.Millisecond)
+	}
+	handle(relayHeartbeat(wire.ScopeOwn, 0))
+	handle(relayHeartbeat(wire.ScopeOwn, 30))
+	handle(relayHeartbeat(wire.ScopeDataCentre, 100))
+	handle(relayHeartbeat(wire.ScopeDataCentre, 150))
+	from.Incarnation = 2
+	handle(relayHeartbeat(wire.ScopeDataCentre, 40))
+	from.Instance = "r2"
+	handle(relayHeartbeat(wire.ScopeOwn, 7))
+	want := []exchange.Baseline{
+		{Peer: "r1", Scope: wire.ScopeDataCentre, Cause: exchange.NewScope, Since: 200 * time.Millisecond, Customers: 1, Total: exchange.Usage{Requested: 100}},
+		{Peer: "r1", Scope: wire.ScopeDataCentre, Cause: exchange.NewIncarnation, Since: 200 * time.Millisecond, Customers: 1, Total: exchange.Usage{Requested: 40}},
+		{Peer: "r2", Scope: wire.ScopeOwn, Cause: exchange.FirstReport, Customers: 1, Total: exchange.Usage{Requested: 7}},
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("baselines %+v, want %+v", got, want)
+	}
+}
+
+// Changes that nobody takes must not grow without bound.
+func TestUntakenChangesAreBounded(t *testing.T) {
+	table := exchange.New("dc0")
+	for i := range 100 {
+		from := wire.Hello{Instance: fleet.InstanceID(fmt.Sprint("r", i)), Incarnation: 1, DataCentre: "dc1"}
+		table.HandleHeartbeat(from, relayHeartbeat(wire.ScopeOwn, 5), clock.Instant(time.Hour))
+	}
+	if c := table.TakeChanges(); len(c.Baselines)+c.Dropped != 100 || c.Dropped == 0 {
+		t.Errorf("%d changes are kept and %d dropped, want 100 in all and some dropped", len(c.Baselines), c.Dropped)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,8 @@
 	tickInterval = 20 * time.Millisecond
 	// maintenanceInterval is the time between two runs of the cheap cleanup in maintain.
 	maintenanceInterval = 500 * time.Millisecond
+	// shareLogInterval is the time between two log lines on the shares of customers.
+	shareLogInterval = time.Second
 	// revokeMargin is subtracted from Settings.RevokeWithin, because a watch may receive
 	// nothing for a second before it fails, and a request takes time to reach its target.
 	revokeMargin = 1250 * time.Millisecond
@@ -343,14 +345,19 @@
 // request is queued.
 const idleTicksPerUpdate = 5
 
-// maintain closes idle connections to targets and from callers until ctx ends.
+// maintain closes idle connections to targets and from callers, and logs the shares of
+// customers, until ctx ends.
 func (g *Gateway) maintain(ctx context.Context) {
 	ticker := time.NewTicker(maintenanceInterval)
 	defer ticker.Stop()
+	shareTicker := time.NewTicker(shareLogInterval)
+	defer shareTicker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-shareTicker.C:
+			g.logShares()
 		case <-ticker.C:
 			g.upstream.Sweep()
 			g.callers.sweep(g.callerIdleTimeout())
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -105,7 +105,7 @@
 		return
 	}
 	g.applyHeartbeat(from, hb)
-	g.scheduler.HandleHeartbeat(from, hb)
+	g.logExchangeChanges(g.scheduler.HandleHeartbeat(from, hb))
 }
 
 // applyHeartbeat applies the membership and the state of the records that a heartbeat
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -121,6 +121,31 @@
 	return total / m.window.Seconds()
 }
 
+// CustomerTokens are the tokens that a customer demanded and used within the window.
+type CustomerTokens struct {
+	Customer      fleet.CustomerID
+	Demand, Usage float64
+}
+
+// Largest returns the n customers with the largest demand, in descending order, and the
+// number of customers with any demand. It takes O(m·n) time for m customers.
+func (m *Meter) Largest(n int, now clock.Instant) (largest []CustomerTokens, customers int) {
+	for c := range m.customers {
+		demand := m.Demand(c, now)
+		if demand <= 0 {
+			continue
+		}
+		customers++
+		if len(largest) == n && demand <= largest[n-1].Demand {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(largest, demand, func(e CustomerTokens, d float64) int { return cmp.Compare(d, e.Demand) })
+		largest = slices.Insert(largest, at, CustomerTokens{Customer: c, Demand: demand, Usage: m.Usage(c, now)})
+		largest = largest[:min(len(largest), n)]
+	}
+	return largest, customers
+}
+
 // MaxMinShare returns the max-min fair share of capacity between demands: either the sum
 // of min(demand, share) equals the capacity, or every demand is met. It sorts demands in
 // place.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"medlarwind.dev/medlarwind/internal/clock"
+	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/quota"
 )
 
@@ -64,3 +66,18 @@
 		t.Errorf("usage after a minute without requests is %v, want 50", used)
 	}
 }
+
+func TestLargestAreOrderedByDemand(t *testing.T) {
+	m := quota.NewMeter(4 * time.Second)
+	now := clock.Instant(time.Hour)
+	for i, demand := range []float64{30, 10, 50, 0, 40, 20} {
+		customer := fleet.CustomerID(rune('a' + i))
+		m.AddDemand(customer, demand, now)
+		m.AddUsage(customer, demand/2, now)
+	}
+	largest, customers := m.Largest(3, now)
+	want := []quota.CustomerTokens{{"c", 50, 25}, {"e", 40, 20}, {"a", 30, 15}}
+	if !slices.Equal(largest, want) || customers != 5 {
+		t.Errorf("largest %v of %d customers, want %v of 5", largest, customers, want)
+	}
+}
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"medlarwind.dev/medlarwind/internal/clock"
+	"medlarwind.dev/medlarwind/internal/exchange"
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/placement"
 	"medlarwind.dev/medlarwind/internal/wire"
@@ -54,8 +55,9 @@
 	}
 }
 
-// HandleHeartbeat applies a heartbeat received from a peer.
-func (s *Scheduler) HandleHeartbeat(from wire.Hello, hb *wire.Heartbeat) {
+// HandleHeartbeat applies a heartbeat received from a peer. It returns what changed in
+// the use of peers' reports.
+func (s *Scheduler) HandleHeartbeat(from wire.Hello, hb *wire.Heartbeat) exchange.Changes {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.options.Now()
@@ -68,6 +70,7 @@
 		s.raiseCrashCount(x.Fingerprint, x.Crashes, now)
 	}
 	s.startQueued()
+	return s.exchange.TakeChanges()
 }
 
 // avoidBrokenTargets avoids targets that a peer reported as broken, and treats them as
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -63,8 +63,10 @@
 	retryBudgets map[fleet.ServiceID]*pacing.RetryBudget
 	suspects     map[uint64]*suspect
 	usageTotals  map[fleet.CustomerID]exchange.Usage
-	queue        []*waiter
-	fairShares   fairShares
+	// recentUsage is the growth of usageTotals since the last ShareReport.
+	recentUsage map[fleet.CustomerID]exchange.Usage
+	queue       []*waiter
+	fairShares  fairShares
 	// targetLists holds the usable targets of each service. generation increases whenever
 	// the lists become invalid.
 	targetLists map[fleet.ServiceID]*targetList
@@ -102,6 +104,7 @@
 		retryBudgets: make(map[fleet.ServiceID]*pacing.RetryBudget),
 		suspects:     make(map[uint64]*suspect),
 		usageTotals:  make(map[fleet.CustomerID]exchange.Usage),
+		recentUsage:  make(map[fleet.CustomerID]exchange.Usage),
 		targetLists:  make(map[fleet.ServiceID]*targetList),
 		generation:   1,
 	}
@@ -246,8 +249,10 @@
 // addUsage adds to the token counters of a customer that are reported to peers. s.mu must
 // be held.
 func (s *Scheduler) addUsage(c fleet.CustomerID, requested, started float64) {
-	u := s.usageTotals[c]
-	s.usageTotals[c] = exchange.Usage{Requested: u.Requested + requested, Started: u.Started + started}
+	for _, totals := range []map[fleet.CustomerID]exchange.Usage{s.usageTotals, s.recentUsage} {
+		u := totals[c]
+		totals[c] = exchange.Usage{Requested: u.Requested + requested, Started: u.Started + started}
+	}
 }
 
 // target returns the state of a target, creating it if needed. s.mu must be held.
--- /dev/null
+++ b/internal/scheduler/sharereport.go
@@ -0,0 +1,67 @@
+package scheduler
+
+import (
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/exchange"
+	"medlarwind.dev/medlarwind/internal/fleet"
+)
+
+// maxReportedCustomers limits the customers in a ShareReport.
+const maxReportedCustomers = 8
+
+// ShareReport describes the shares of customers as this instance knows them.
+type ShareReport struct {
+	// Nominal and Effective are the shares within Window, in tokens. Limited is false if no
+	// throughput is configured; they are then 0.
+	Limited            bool
+	Nominal, Effective float64
+	Window             time.Duration
+	// Throughput is the number of tokens per second that all customers used.
+	Throughput float64
+	// Instances is the number of live instances, this one included. Reports is the number
+	// of peers' reports in use, and OldestReport the time since the oldest was received.
+	Instances, Reports int
+	OldestReport       time.Duration
+	// Queued is the number of waiting jobs of this instance.
+	Queued int
+	// Customers is the number of customers with a demand, and Largest those with the
+	// largest.
+	Customers int
+	Largest   []CustomerShare
+}
+
+// CustomerShare is the demand and usage of one customer, in tokens.
+type CustomerShare struct {
+	Customer fleet.CustomerID
+	// Demand and Used are what the customer requested and used within the window over the
+	// whole fleet.
+	Demand, Used float64
+	// Own is what this instance counted since the last ShareReport.
+	Own exchange.Usage
+}
+
+// ShareReport returns the shares of the customers with the largest demand. It returns
+// false if no customer has a demand.
+func (s *Scheduler) ShareReport() (ShareReport, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Now()
+	r := ShareReport{Window: s.options.ShareWindow, Instances: len(s.alive), Queued: len(s.queue)}
+	largest, customers := s.meter.Largest(maxReportedCustomers, now)
+	r.Customers = customers
+	for _, c := range largest {
+		r.Largest = append(r.Largest, CustomerShare{Customer: c.Customer, Demand: c.Demand, Used: c.Usage, Own: s.recentUsage[c.Customer]})
+	}
+	clear(s.recentUsage)
+	if customers == 0 {
+		return r, false
+	}
+	r.Throughput = s.meter.Throughput(now)
+	r.Reports, r.OldestReport = s.exchange.Included(now)
+	if s.hasTokenLimit() {
+		shares := s.shares(now)
+		r.Limited, r.Nominal, r.Effective = true, shares.nominal, shares.effective
+	}
+	return r, true
+}
