--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -24,8 +24,8 @@
 	idleMargin = time.Second
 )
 
-// callerConns tracks the open connections of callers and which of them are idle. It is
-// safe for concurrent use.
+// callerConns tracks the open connections of callers, which of them are idle and which
+// carry a request. It is safe for concurrent use.
 type callerConns struct {
 	// limit bounds the open connections; 0 for no bound.
 	limit int
@@ -35,13 +35,23 @@
 	open int
 	// idle maps each idle connection to the time at which it became idle.
 	idle map[net.Conn]clock.Instant
+	// busy maps each connection with an unanswered request to the time at which its header
+	// was read.
+	busy map[net.Conn]clock.Instant
+	// swept holds the connections closed by sweep until net/http has noticed.
+	swept map[net.Conn]struct{}
+	// closing is set when the server is about to close all connections.
+	closing bool
+	// onUnanswered is called for each connection from which a request, or a part of its
+	// header, was read although sweep or the shutdown closes it. c.mu is not held.
+	onUnanswered func(unansweredConn)
 	// slotFree is signalled when a connection closes and when stopped is set.
 	slotFree *sync.Cond
 	stopped  bool
 }
 
 func newCallerConns(limit int, now clock.Source) *callerConns {
-	c := &callerConns{limit: limit, now: now, idle: make(map[net.Conn]clock.Instant)}
+	c := &callerConns{limit: limit, now: now, idle: make(map[net.Conn]clock.Instant), busy: make(map[net.Conn]clock.Instant), swept: make(map[net.Conn]struct{})}
 	c.slotFree = sync.NewCond(&c.mu)
 	return c
 }
@@ -88,9 +98,18 @@
 
 // track is the http.Server.ConnState hook of the callers' server.
 func (c *callerConns) track(conn net.Conn, state http.ConnState) {
+	if closer := c.record(conn, state); closer != "" && c.onUnanswered != nil {
+		c.onUnanswered(unansweredConn{caller: remoteAddr(conn), closer: closer})
+	}
+}
+
+// record records the state of a connection. If a request was read from it although this
+// instance has closed it or is about to, it returns what closes it.
+func (c *callerConns) record(conn net.Conn, state http.ConnState) connCloser {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.idle, conn)
+	delete(c.busy, conn)
 	switch state {
 	case http.StateNew:
 		c.open++
@@ -98,9 +117,73 @@
 		c.idle[conn] = c.now()
 	case http.StateClosed, http.StateHijacked:
 		c.open--
+		delete(c.swept, conn)
 		c.slotFree.Signal()
 	case http.StateActive:
+		c.busy[conn] = c.now()
+		if _, swept := c.swept[conn]; swept {
+			return closedBySweep
+		}
+		if c.closing {
+			return closedByShutdown
+		}
+	}
+	return ""
+}
+
+// connCloser is what closed a connection.
+type connCloser string
+
+// What closes a connection with an unanswered request.
+const (
+	closedBySweep    connCloser = "sweep"
+	closedByShutdown connCloser = "shutdown"
+	// closedByAbort is the request's own handler, which had no complete answer.
+	closedByAbort connCloser = "abort"
+)
+
+// unansweredConn is a connection that is closed while a request on it is unanswered.
+type unansweredConn struct {
+	// caller is the caller's address.
+	caller string
+	closer connCloser
+	// since is the time since the request was read.
+	since time.Duration
+}
+
+// remoteAddr returns the address of a connection's other end.
+func remoteAddr(conn net.Conn) string {
+	if conn == nil {
+		return ""
+	}
+	return conn.RemoteAddr().String()
+}
+
+// connCounts are numbers of connections: open counts all, idle those without a request
+// after their first, busy those with an unanswered request.
+type connCounts struct{ open, idle, busy int }
+
+// counts returns the current numbers of connections.
+func (c *callerConns) counts() connCounts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return connCounts{open: c.open, idle: len(c.idle), busy: len(c.busy)}
+}
+
+// beginClose must be called before the server closes all connections. It returns those
+// with an unanswered request, the oldest first; onUnanswered is called for connections
+// from which a request is read afterwards.
+func (c *callerConns) beginClose() (connCounts, []unansweredConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+	now := c.now()
+	unanswered := make([]unansweredConn, 0, len(c.busy))
+	for conn, since := range c.busy {
+		unanswered = append(unanswered, unansweredConn{caller: remoteAddr(conn), closer: closedByShutdown, since: now.Sub(since)})
 	}
+	slices.SortFunc(unanswered, func(a, b unansweredConn) int { return cmp.Compare(b.since, a.since) })
+	return connCounts{open: c.open, idle: len(c.idle), busy: len(c.busy)}, unanswered
 }
 
 // crowded reports whether connections should be closed after their response.
@@ -142,5 +225,6 @@
 // closeIdle closes an idle connection. c.mu must be held.
 func (c *callerConns) closeIdle(conn net.Conn) {
 	delete(c.idle, conn)
+	c.swept[conn] = struct{}{}
 	_ = conn.Close()
 }
--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -3,8 +3,10 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"syscall"
 	"testing"
+	"time"
 
 	"medlarwind.dev/medlarwind/internal/clock"
 )
@@ -55,3 +57,50 @@
 		t.Error("Accept on a closed listener returned no error")
 	}
 }
+
+// pipeConn returns a connection and discards its other end.
+func pipeConn() net.Conn {
+	conn, _ := net.Pipe()
+	return conn
+}
+
+// A request can arrive on an idle connection while it is being closed, by a sweep or at
+// the end of the process. Its caller gets no answer, so it must be reported.
+func TestRequestOnClosingConnectionIsReported(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	c := newCallerConns(8, func() clock.Instant { return now })
+	var reported []connCloser
+	c.onUnanswered = func(u unansweredConn) { reported = append(reported, u.closer) }
+	swept, kept, busy := pipeConn(), pipeConn(), pipeConn()
+	for _, conn := range []net.Conn{swept, kept, busy} {
+		c.track(conn, http.StateNew)
+		c.track(conn, http.StateActive)
+		if conn != busy {
+			c.track(conn, http.StateIdle)
+		}
+		if conn == swept {
+			now = now.Add(time.Minute)
+		}
+	}
+	c.sweep(time.Second)
+	c.track(swept, http.StateActive)
+	if !slices.Equal(reported, []connCloser{closedBySweep}) {
+		t.Errorf("reported %v for a request on a swept connection, want %s", reported, closedBySweep)
+	}
+	c.track(swept, http.StateClosed)
+	now = now.Add(300 * time.Millisecond)
+	counts, unanswered := c.beginClose()
+	want := unansweredConn{caller: remoteAddr(busy), closer: closedByShutdown, since: 300 * time.Millisecond}
+	if (counts != connCounts{open: 2, idle: 1, busy: 1}) || !slices.Equal(unanswered, []unansweredConn{want}) {
+		t.Errorf("counts %+v, unanswered %+v, want one idle connection and one with a request", counts, unanswered)
+	}
+	c.track(kept, http.StateActive)
+	if !slices.Equal(reported, []connCloser{closedBySweep, closedByShutdown}) {
+		t.Errorf("reported %v, want also the request that was read at the shutdown", reported)
+	}
+	c.track(kept, http.StateClosed)
+	c.track(busy, http.StateClosed)
+	if counts := c.counts(); counts != (connCounts{}) || len(c.swept) > 0 {
+		t.Errorf("counts %+v and %d swept connections after all are closed", counts, len(c.swept))
+	}
+}
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -190,7 +190,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), max(limit-g.options.Now().Sub(start), 0))
 	defer cancel()
 	err := g.handler.AwaitIdle(ctx)
+	conns := g.callers.counts()
 	g.options.Log.Info().Str("event", "stop_done").Int64("active", g.handler.Active()).
+		Int("conns_open", conns.open).Int("conns_idle", conns.idle).Int("conns_busy", conns.busy).
 		Int64("after_ms", sinceMillis(g.options.Now, start)).Err(err).Msg("")
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -167,6 +167,7 @@
 	g.scheduler.SetAlive(g.roster.Alive(o.Now()))
 	g.upstream = upstream.NewClient(o.Dial)
 	g.callers = newCallerConns(s.MaxCallerConns, o.Now)
+	g.callers.onUnanswered = g.noteUnanswered
 	g.handler = ingress.New(ingress.Options{
 		Codec: o.Codec, ConfigSource: g, Scheduler: g.scheduler, Upstream: g.upstream, Now: o.Now, Log: o.Log,
 		BodyMemory: s.MemoryLimit / bodyMemoryDivisor, Observe: g.metrics.recordRequest, TooManyConns: g.callers.crowded,
@@ -227,9 +228,10 @@
 	g.options.Log.Info().Str("event", "started").Str("data_centre", string(g.options.Settings.DataCentre)).
 		Str("peer_addr", g.options.Settings.PeerAddr).Str("incarnation", g.incarnation.String()).Msg("")
 	<-ctx.Done()
-	g.shutdown()
+	conns := g.shutdown()
 	group.Wait()
-	g.options.Log.Info().Str("event", "stopped").Msg("")
+	g.options.Log.Info().Str("event", "stopped").
+		Int("conns_open", conns.open).Int("conns_idle", conns.idle).Int("conns_busy", conns.busy).Msg("")
 	return nil
 }
 
@@ -240,8 +242,11 @@
 	}
 }
 
-// shutdown closes the servers and all connections to peers and targets.
-func (g *Gateway) shutdown() {
+// shutdown closes the servers and all connections to peers and targets. It returns the
+// numbers of callers' connections that this closed.
+func (g *Gateway) shutdown() connCounts {
+	conns, unanswered := g.callers.beginClose()
+	ids := g.handler.Unanswered()
 	for _, server := range g.servers {
 		_ = server.Close()
 	}
@@ -249,6 +254,28 @@
 	defer cancel()
 	_ = g.transport.Close(ctx)
 	g.upstream.Close()
+	for _, c := range unanswered[:min(len(unanswered), maxUnansweredLines)] {
+		g.logUnanswered(c, ids[c.caller])
+	}
+	g.metrics.addUnanswered(closedByShutdown, len(unanswered))
+	return conns
+}
+
+// maxUnansweredLines limits the lines on connections that are closed at shutdown.
+const maxUnansweredLines = 64
+
+// noteUnanswered counts and logs a connection on which a request was read although it is
+// being closed.
+func (g *Gateway) noteUnanswered(c unansweredConn) {
+	g.metrics.addUnanswered(c.closer, 1)
+	g.logUnanswered(c, "")
+}
+
+// logUnanswered logs a connection that is closed while a request on it is unanswered. id
+// is the request's, empty if no handler has it: it has not begun or has just ended.
+func (g *Gateway) logUnanswered(c unansweredConn, id string) {
+	g.options.Log.Warn().Str("event", "closed_unanswered").Str("by", string(c.closer)).Str("caller", c.caller).
+		Str("id", id).Int64("since_ms", c.since.Milliseconds()).Msg("")
 }
 
 // listeners are the open listeners: http in the order of Gateway.servers, callers first.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,7 @@
 type metrics struct {
 	requests         expvar.Map
 	reasons          expvar.Map
+	closedUnanswered expvar.Map
 	platformCalls    expvar.Int
 	platformFailures expvar.Int
 	logDropped       func() int64
@@ -40,6 +41,7 @@
 	}
 	m.requests.Init()
 	m.reasons.Init()
+	m.closedUnanswered.Init()
 	return m
 }
 
@@ -89,8 +91,15 @@
 	if r.Reason != "" {
 		m.reasons.Add(r.Reason, 1)
 	}
+	if r.Aborted {
+		m.addUnanswered(closedByAbort, 1)
+	}
 }
 
+// addUnanswered counts connections that were closed while a request on them was
+// unanswered.
+func (m *metrics) addUnanswered(by connCloser, n int) { m.closedUnanswered.Add(string(by), int64(n)) }
+
 // recordPlatformCall counts a call to the platform and, if err is not nil, its failure.
 func (m *metrics) recordPlatformCall(err error) {
 	m.platformCalls.Add(1)
@@ -104,6 +113,7 @@
 	all := new(expvar.Map).Init()
 	all.Set("requests", &m.requests)
 	all.Set("reasons", &m.reasons)
+	all.Set("closed_unanswered", &m.closedUnanswered)
 	all.Set("platform_calls", &m.platformCalls)
 	all.Set("platform_failures", &m.platformFailures)
 	all.Set("first_byte_ms", expvar.Func(func() any { return m.summary(m.firstByte) }))
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -75,6 +75,7 @@
 	drain   drainState
 	// callerTimeouts estimates how long callers wait, to detect their retries.
 	callerTimeouts callerTimeouts
+	unanswered     unansweredRequests
 }
 
 // New returns a handler with the given options.
@@ -91,7 +92,12 @@
 	if h.drain.started() || h.options.TooManyConns != nil && h.options.TooManyConns() {
 		w.Header().Set("Connection", "close")
 	}
-	if !x.identify() || !x.readBody() {
+	if !x.identify() {
+		return
+	}
+	h.unanswered.add(r.RemoteAddr, x.call.ID)
+	defer h.unanswered.remove(r.RemoteAddr)
+	if !x.readBody() {
 		return
 	}
 	defer x.body.release()
@@ -238,7 +244,7 @@
 		x.refuse(http.StatusServiceUnavailable, "memory_full", staleRetryAfter)
 		return false
 	case err != nil:
-		x.result.Reason = "body_incomplete"
+		x.result.Reason = reasonBodyIncomplete
 		panic(http.ErrAbortHandler)
 	}
 	x.body = body
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -18,6 +18,9 @@
 	// Reason says why the request was refused or its last unsuccessful attempt failed, empty
 	// if neither happened.
 	Reason string
+	// Aborted reports whether the handler closed the caller's connection, as far as it knows
+	// not left by the caller, because it had no complete answer.
+	Aborted bool
 	// RetryRefused says why the scheduler refused to retry a request that was sent before,
 	// empty if it did not. Reason then says why the last attempt failed.
 	RetryRefused string
@@ -52,8 +55,19 @@
 	x.result.Reason, x.result.Waited = string(refusal.Reason), refusal.Waited
 }
 
-// report completes the request's report, passes it to Observe and logs it.
+// Reasons for aborting the connection of a caller that has left or sends no more.
+const (
+	reasonCallerGone     = string(scheduler.ReasonCallerGone)
+	reasonBodyIncomplete = "body_incomplete"
+)
+
+// report completes the request's report, passes it to Observe and logs it. It must be
+// deferred.
 func (x *exchange) report() {
+	abort := recover()
+	if abort != nil {
+		x.result.Aborted = x.r.Context().Err() == nil && x.result.Reason != reasonCallerGone && x.result.Reason != reasonBodyIncomplete
+	}
 	o := &x.h.options
 	r := &x.result
 	r.Total = o.Now().Sub(x.arrived)
@@ -65,6 +79,9 @@
 	if r.OwnAnswer {
 		line = line.Bool("own", true)
 	}
+	if r.Aborted {
+		line = line.Bool("aborted", true)
+	}
 	if r.Reason != "" {
 		line = line.Str("reason", r.Reason)
 	}
@@ -89,6 +106,9 @@
 		Int64("waited_ms", r.Waited.Milliseconds()).Int64("expected_ms", r.ExpectedWait.Milliseconds()).
 		Int64("first_ms", r.FirstByte.Milliseconds()).Int64("total_ms", r.Total.Milliseconds()).
 		Int("sends", r.Sends).Int("runs", r.Runs).Int("events", r.Events).Msg("")
+	if abort != nil {
+		panic(abort)
+	}
 }
 
 // appendInputs adds the inputs of a refusal to a log line, without those that do not apply.
