--- a/internal/pacing/pacing.go
+++ b/internal/pacing/pacing.go
@@ -68,24 +68,24 @@
 	requests, retries counter
 }
 
+// State returns the number of retries within the window and how many are allowed.
+func (b *RetryBudget) State(now clock.Instant) (used, allowed float64) {
+	return b.retries.sum(b.Window, now), b.Ratio*b.requests.sum(b.Window, now) + b.Extra
+}
+
 // AddRequest counts a new request.
 func (b *RetryBudget) AddRequest(now clock.Instant) { b.requests.add(b.Window, now) }
 
 // AllowRetry reports whether a request may be retried now, and counts the retry if so.
 func (b *RetryBudget) AllowRetry(now clock.Instant) bool {
-	used, allowed := b.State(now)
-	if used+1 > allowed {
+	allowed := b.Ratio*b.requests.sum(b.Window, now) + b.Extra
+	if b.retries.sum(b.Window, now)+1 > allowed {
 		return false
 	}
 	b.retries.add(b.Window, now)
 	return true
 }
 
-// State returns the number of retries within the window and how many are allowed.
-func (b *RetryBudget) State(now clock.Instant) (used, allowed float64) {
-	return b.retries.sum(b.Window, now), b.Ratio*b.requests.sum(b.Window, now) + b.Extra
-}
-
 // counterBuckets is the number of buckets in a window.
 const counterBuckets = 10
 
