Count refused retries, and serve the shares and the age of reports

A run given up for its target's silence is told from a broken one by its error; the request line says gave_up. No decision changes.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -4,11 +4,13 @@
 	"expvar"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"medlarwind.dev/medlarwind/internal/ingress"
+	"medlarwind.dev/medlarwind/internal/scheduler"
 )
 
 // metrics holds the counters and latency histograms of one gateway.
@@ -16,6 +18,11 @@
 	requests         expvar.Map
 	reasons          expvar.Map
 	closedUnanswered expvar.Map
+	// retriesRefused counts the refusals of retries, and gaveUp those that followed an
+	// attempt which this instance had given up, both by the reason of the refusal.
+	retriesRefused   expvar.Map
+	gaveUp           expvar.Map
+	shares           atomic.Pointer[scheduler.ShareReport]
 	platformCalls    expvar.Int
 	platformFailures expvar.Int
 	logDropped       func() int64
@@ -24,6 +31,8 @@
 	mu        sync.Mutex
 	firstByte *hdrhistogram.Histogram
 	waited    *hdrhistogram.Histogram
+	// reportAge is the age of the oldest peer's report in use, once a second.
+	reportAge *hdrhistogram.Histogram
 }
 
 // Range of the latency histograms in milliseconds, and their number of significant digits.
@@ -38,10 +47,14 @@
 		logDropped: logDropped,
 		firstByte:  hdrhistogram.New(latencyMin, latencyMax, latencyDigits),
 		waited:     hdrhistogram.New(latencyMin, latencyMax, latencyDigits),
+		reportAge:  hdrhistogram.New(latencyMin, latencyMax, latencyDigits),
 	}
 	m.requests.Init()
 	m.reasons.Init()
 	m.closedUnanswered.Init()
+	m.retriesRefused.Init()
+	m.gaveUp.Init()
+	m.shares.Store(&scheduler.ShareReport{})
 	return m
 }
 
@@ -91,6 +104,12 @@
 	if r.Reason != "" {
 		m.reasons.Add(r.Reason, 1)
 	}
+	if r.RetryRefused != "" {
+		m.retriesRefused.Add(r.RetryRefused, 1)
+		if r.GaveUp {
+			m.gaveUp.Add(r.RetryRefused, 1)
+		}
+	}
 	if r.Aborted {
 		m.addUnanswered(closedByAbort, 1)
 	}
@@ -108,12 +127,42 @@
 	}
 }
 
+// recordShares replaces the gauges of the shares and records the age of the reports.
+func (m *metrics) recordShares(r scheduler.ShareReport) {
+	m.shares.Store(&r)
+	if r.Reports > 0 {
+		m.recordDuration(m.reportAge, r.OldestReport)
+	}
+}
+
+// shareGauges are the latest shares, in tokens, and what they rest on.
+type shareGauges struct {
+	Nominal    int64 `json:"nominal"`
+	Effective  int64 `json:"effective"`
+	Throughput int64 `json:"throughput"`
+	Customers  int   `json:"customers"`
+	Instances  int   `json:"instances"`
+	Reports    int   `json:"reports"`
+}
+
+func (m *metrics) shareGauges() shareGauges {
+	r := m.shares.Load()
+	return shareGauges{
+		Nominal: int64(r.Nominal), Effective: int64(r.Effective), Throughput: int64(r.Throughput),
+		Customers: r.Customers, Instances: r.Instances, Reports: r.Reports,
+	}
+}
+
 // handler returns a handler that serves the metrics as JSON.
 func (m *metrics) handler() http.Handler {
 	all := new(expvar.Map).Init()
 	all.Set("requests", &m.requests)
 	all.Set("reasons", &m.reasons)
 	all.Set("closed_unanswered", &m.closedUnanswered)
+	all.Set("retries_refused", &m.retriesRefused)
+	all.Set("gave_up_unreplaced", &m.gaveUp)
+	all.Set("shares", expvar.Func(func() any { return m.shareGauges() }))
+	all.Set("report_age_ms", expvar.Func(func() any { return m.summary(m.reportAge) }))
 	all.Set("platform_calls", &m.platformCalls)
 	all.Set("platform_failures", &m.platformFailures)
 	all.Set("first_byte_ms", expvar.Func(func() any { return m.summary(m.firstByte) }))
--- a/internal/gateway/sharelog.go
+++ b/internal/gateway/sharelog.go
@@ -8,9 +8,11 @@
 	"medlarwind.dev/medlarwind/internal/exchange"
 )
 
-// logShares logs the shares of the customers with the largest demand, if there is any.
+// logShares updates the metrics of the shares, and logs the customers with the largest
+// demand if there is any.
 func (g *Gateway) logShares() {
 	r, ok := g.scheduler.ShareReport()
+	g.metrics.recordShares(r)
 	if !ok {
 		return
 	}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -114,7 +114,7 @@
 // attempt sends the request to one target and relays the response.
 func (x *exchange) attempt(ctx context.Context, p *scheduler.Placement) attemptResult {
 	x.result.Target, x.result.ExpectedWait = p.Target.ID, p.Wait
-	x.result.Cached, x.result.Rank = p.Cached, p.Rank
+	x.result.Cached, x.result.Rank, x.result.GaveUp = p.Cached, p.Rank, false
 	if !p.Valid() {
 		p.End(scheduler.Unsent)
 		x.result.Reason = "target_left"
@@ -190,7 +190,7 @@
 		x.result.Reason = "target_unreachable"
 		return notSent
 	}
-	x.result.Cause = err.Error()
+	x.result.Cause, x.result.GaveUp = err.Error(), isSilence(err)
 	if ctx.Err() != nil {
 		p.End(scheduler.Abandoned)
 	} else {
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -85,7 +85,7 @@
 func (x *exchange) markBroken(ctx context.Context, p *scheduler.Placement, err error) attemptResult {
 	x.result.Reason = "answer_broken"
 	if err != nil {
-		x.result.Cause = err.Error()
+		x.result.Cause, x.result.GaveUp = err.Error(), isSilence(err)
 	}
 	if ctx.Err() != nil {
 		p.End(scheduler.Abandoned)
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -1,8 +1,10 @@
 package ingress
 
 import (
+	"os"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"medlarwind.dev/medlarwind/internal/fleet"
@@ -24,6 +26,9 @@
 	// RetryRefused says why the scheduler refused to retry a request that was sent before,
 	// empty if it did not. Reason then says why the last attempt failed.
 	RetryRefused string
+	// GaveUp reports whether the last unsuccessful attempt that may have run was ended by
+	// this instance, because its target sent nothing for too long.
+	GaveUp bool
 	// Refusal is the scheduler's refusal that ended the request, nil if there was none.
 	Refusal *scheduler.Refusal
 	// Cause is the underlying error of Reason, empty if there is none.
@@ -55,6 +60,12 @@
 	x.result.Reason, x.result.Waited = string(refusal.Reason), refusal.Waited
 }
 
+// isSilence reports whether an attempt failed with err because its target sent nothing for
+// too long, and not because the target or the connection failed.
+func isSilence(err error) bool {
+	return errors.Is(err, errFirstByteTimeout) || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // Reasons for aborting the connection of a caller that has left or sends no more.
 const (
 	reasonCallerGone     = string(scheduler.ReasonCallerGone)
@@ -91,6 +102,9 @@
 	if r.RetryRefused != "" {
 		line = line.Str("retry_refused", r.RetryRefused).Int64("retry_waited_ms", r.Refusal.Waited.Milliseconds())
 	}
+	if r.RetryRefused != "" && r.GaveUp {
+		line = line.Bool("gave_up", true)
+	}
 	if r.Refusal != nil {
 		line = appendInputs(line, r.Refusal)
 	}
--- a/internal/ingress/report_test.go
+++ b/internal/ingress/report_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"bytes"
+	"io"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"medlarwind.dev/medlarwind/internal/scheduler"
+	"medlarwind.dev/medlarwind/internal/upstream"
 )
 
 // A refused request's line holds the inputs of the refusal, without those that do not
@@ -38,3 +43,22 @@
 		}
 	}
 }
+
+// An attempt that this instance ended because its target was silent must be told from one
+// that the target or the connection ended: only the first could have gone on.
+func TestSilenceIsToldFromBrokenConnection(t *testing.T) {
+	for _, test := range []struct {
+		err  error
+		want bool
+	}{
+		{&upstream.Error{Sent: true, Err: errFirstByteTimeout}, true},
+		{errors.Wrap(os.ErrDeadlineExceeded, "read body"), true},
+		{&upstream.Error{Sent: true, Err: io.ErrUnexpectedEOF}, false},
+		{syscall.ECONNRESET, false},
+		{nil, false},
+	} {
+		if got := isSilence(test.err); got != test.want {
+			t.Errorf("isSilence(%v) is %v, want %v", test.err, got, test.want)
+		}
+	}
+}
--- a/internal/scheduler/sharereport.go
+++ b/internal/scheduler/sharereport.go
@@ -42,7 +42,7 @@
 }
 
 // ShareReport returns the shares of the customers with the largest demand. It returns
-// false if no customer has a demand.
+// false, and no shares, if no customer has a demand.
 func (s *Scheduler) ShareReport() (ShareReport, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -54,11 +54,11 @@
 		r.Largest = append(r.Largest, CustomerShare{Customer: c.Customer, Demand: c.Demand, Used: c.Usage, Own: s.recentUsage[c.Customer]})
 	}
 	clear(s.recentUsage)
+	r.Reports, r.OldestReport = s.exchange.Included(now)
 	if customers == 0 {
 		return r, false
 	}
 	r.Throughput = s.meter.Throughput(now)
-	r.Reports, r.OldestReport = s.exchange.Included(now)
 	if s.hasTokenLimit() {
 		shares := s.shares(now)
 		r.Limited, r.Nominal, r.Effective = true, shares.nominal, shares.effective
