explain: tell in words what a refusal rested on

The command showed a refusal's reason and no more. It now tells the usage, the shares and the reports behind them, the target that was preferred and whether another idled, the retry budget, and what each instance knew of the customer's usage at that time. The shares lines no longer crowd out the events at the instance.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -58,12 +58,22 @@
 	Runs         int       `json:"runs"`
 	Events       int       `json:"events"`
 	Error        string    `json:"error"`
+	RetryRefused string    `json:"retry_refused"`
+	RetryWaitMS  int64     `json:"retry_waited_ms"`
+	GaveUp       bool      `json:"gave_up"`
+	Aborted      bool      `json:"aborted"`
+
+	refusalInputs
+	shareState
 
 	raw string
 }
 
-// eventRequest is the event that an instance logs when a request ends.
-const eventRequest = "request"
+// Events that instances log when a request ends, and once a second while there is demand.
+const (
+	eventRequest = "request"
+	eventShares  = "shares"
+)
 
 // Read reads the lines of one log. It ignores text before the JSON object of a line.
 // skipped is the number of lines without a valid JSON object. Read fails if reading from
@@ -101,10 +111,14 @@
 	w.line("  prompt %d tokens, expected output %d tokens, caller timeout %d ms (0 if not stated)", l.PromptTokens, l.OutputTokens, l.BudgetMS)
 	w.line("  %s", answerText(l))
 	w.line("  %s", diagnosis(l))
+	for _, text := range refusalTexts(l) {
+		w.line("  %s", text)
+	}
 	if l.Target != "" {
 		w.line("  target %s: waited %d ms at the instance, %d ms expected at the target; %d prompt tokens expected in its cache, rank %d in the prompt's rendezvous order",
 			l.Target, l.WaitedMS, l.ExpectedMS, l.CachedTokens, l.Rank)
 	}
+	w.shares(lines, l)
 	w.section("probable retries by the same caller (same customer, route and sizes)", callerRetries(lines, l))
 	w.section("other failures at the target", targetFailures(lines, l))
 	w.section("events at the instance", instanceEvents(lines, l))
@@ -149,6 +163,8 @@
 	switch {
 	case l.Status == 0:
 		b.WriteString("the caller's connection was closed without an answer")
+	case l.Aborted:
+		fmt.Fprintf(&b, "answered %d by the target, first byte after %d ms, %d events, and then aborted by the instance", l.Status, l.FirstByteMS, l.Events)
 	case l.OwnAnswer:
 		fmt.Fprintf(&b, "answered %d by the instance", l.Status)
 	default:
@@ -222,7 +238,7 @@
 
 func instanceEvents(lines []Line, l Line) []Line {
 	return filter(lines, func(other Line) bool {
-		return other.Instance == l.Instance && other.Event != "" && other.Event != eventRequest && within(other, l, instanceEventWindow)
+		return other.Instance == l.Instance && other.Event != "" && other.Event != eventRequest && other.Event != eventShares && within(other, l, instanceEventWindow)
 	})
 }
 
