--- a/internal/pacing/pacing.go
+++ b/internal/pacing/pacing.go
@@ -68,6 +68,11 @@
 	requests, retries counter
 }
 
+// State returns the number of retries within the window and how many are allowed.
+func (b *RetryBudget) State(now clock.Instant) (used, allowed float64) {
+	return b.retries.sum(b.Window, now), b.Ratio*b.requests.sum(b.Window, now) + b.Extra
+}
+
 // AddRequest counts a new request.
 func (b *RetryBudget) AddRequest(now clock.Instant) { b.requests.add(b.Window, now) }
 
