upstream: limit what a target may send before a response's body

An instance that sent a request to a target with an endless response head ended for lack of memory, and with it all requests on it. readHeader passed the connection to http.ReadResponse, which reads a status line, a header line and any number of header lines without a limit, skipped informational responses without a limit on their number, and discarded the body of a response to another request to its end.

Bytes of a head, of a skipped body and the number of informational responses are now limited.

--- /dev/null
+++ b/internal/upstream/export_test.go
@@ -0,0 +1,7 @@
+package upstream
+
+// The limits, for tests.
+const (
+	MaxHeadBytes        = maxHeadBytes
+	MaxSkippedBodyBytes = maxSkippedBodyBytes
+)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -42,6 +42,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// limit limits what reader reads from the connection.
+	limit *limitedReader
 	// addr is the target's IP:port, the key of the connection in the pool.
 	addr string
 	// reused reports whether the connection has carried a request before.
@@ -108,7 +110,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), addr: addr}, nil
+	limit := newLimitedReader(raw)
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(limit, readBufferSize), limit: limit, addr: addr}, nil
 }
 
 // take removes the most recently used idle connection from the pool and returns it. It
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -176,15 +176,22 @@
 	return nil
 }
 
-// readHeader reads the headers of the response that belongs to the request. It skips
-// informational responses and up to maxSkippedResponses responses to other requests.
+// readHeader reads the headers of the response that belongs to the request. It skips up to
+// maxInformational informational responses and up to maxSkippedResponses responses to other
+// requests.
 func (resp *Response) readHeader(r Request) error {
-	for skipped := 0; ; {
+	limit := resp.conn.limit
+	defer limit.removeLimit()
+	limit.setLimit(partHead, maxHeadBytes)
+	for informational, skipped := 0, 0; ; {
 		response, err := http.ReadResponse(resp.conn.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return err
 		}
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
+			if informational++; informational > maxInformational {
+				return newCountError("informational responses", informational, maxInformational)
+			}
 			continue
 		}
 		if r.Matches == nil || r.Matches(response.Header) {
@@ -196,9 +203,11 @@
 		if skipped++; skipped > maxSkippedResponses || response.Close {
 			return errors.New("response belongs to another request")
 		}
+		limit.setLimit(partSkippedBody, maxSkippedBodyBytes)
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return err
 		}
+		limit.setLimit(partHead, maxHeadBytes)
 	}
 }
 
