upstream: keep the interruption of a response when its read timeout is removed

A stream that may not be resumed again has no read timeout, and its relay removes it after each event. If the request's context had ended just before, this also removed the deadline that interrupts the connection; the next read then ended only when the target closed the connection, and the request kept its goroutine and its place at the target. SetReadTimeout checked the context only when it set a timeout. It now checks it in both cases.

Evidence: TestContextEndOutlastsRemovalOfReadTimeout before the change:

read of the body ended after 10m0s with error unexpected EOF, want an error at once

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -215,10 +215,15 @@
 // the limit.
 func (resp *Response) SetReadTimeout(d time.Duration) {
 	if d == 0 {
-		_ = resp.conn.SetReadDeadline(time.Time{})
+		resp.setReadDeadline(time.Time{})
 		return
 	}
-	_ = resp.conn.SetReadDeadline(time.Now().Add(d))
+	resp.setReadDeadline(time.Now().Add(d))
+}
+
+// setReadDeadline sets the deadline of reads, none for the zero time, unless ctx has ended.
+func (resp *Response) setReadDeadline(deadline time.Time) {
+	_ = resp.conn.SetReadDeadline(deadline)
 	if resp.ctx.Err() != nil {
 		// The context may have ended just before, and the deadline set here has then replaced
 		// the one that interrupts the connection.
