upstream: limit the time of a response's head

A target that sends its head byte by byte stays below the limit on its size, and there was no read timeout while a head is awaited. A request that may not be repeated then held its place until its deadline. The time from the first byte of a response to the end of its headers is now limited to 10 s, as is that of a response to another request to the end of its body; there is no limit on silence before the first byte.

Evidence: TestSlowEndlessHeadIsCutOff before the change, for all four parts:

header: Send returned after 10m0s, want 10s at most

TestSilentTargetIsNotCutOff, in which a target is silent and reports progress by informational responses, passes before and after.

--- a/internal/upstream/export_test.go
+++ b/internal/upstream/export_test.go
@@ -4,4 +4,5 @@
 const (
 	MaxHeadBytes        = maxHeadBytes
 	MaxSkippedBodyBytes = maxSkippedBodyBytes
+	HeadTimeout         = headTimeout
 )
--- a/internal/upstream/limit.go
+++ b/internal/upstream/limit.go
@@ -4,7 +4,11 @@
 	"fmt"
 	"io"
 	"math"
+	"os"
 	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Limits of what a target may send before the body of its response. Bodies are not limited
@@ -18,6 +22,10 @@
 	maxInformational = 16
 	// maxSkippedBodyBytes limits the body of a skipped response to another request.
 	maxSkippedBodyBytes = 256 << 10
+	// headTimeout limits the time from the first byte of a response to the end of its
+	// headers, and to the end of its body if it is skipped. Targets send headers in one
+	// piece; the time allows for packets that are lost.
+	headTimeout = 10 * time.Second
 )
 
 // The parts of a response that are limited in bytes, as named in a LimitError.
@@ -45,6 +53,15 @@
 	return &LimitError{Part: part, Got: strconv.Itoa(n), Limit: strconv.Itoa(limit)}
 }
 
+// asHeadTimeout converts a missed deadline to a LimitError; it returns other errors as they
+// are.
+func asHeadTimeout(part string, err error) error {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	return &LimitError{Part: part, Got: headTimeout.String() + " without its end", Limit: headTimeout.String()}
+}
+
 // limitedReader limits how many bytes are read for one part of a response. Unlike an
 // io.LimitedReader, it returns a LimitError at the limit.
 type limitedReader struct {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -184,7 +184,7 @@
 	defer limit.removeLimit()
 	limit.setLimit(partHead, maxHeadBytes)
 	for informational, skipped := 0, 0; ; {
-		response, err := http.ReadResponse(resp.conn.reader, &http.Request{Method: r.Method})
+		response, err := resp.readOneHeader(r.Method)
 		if err != nil {
 			return err
 		}
@@ -197,6 +197,7 @@
 		if r.Matches == nil || r.Matches(response.Header) {
 			resp.response, resp.Status, resp.Header = response, response.StatusCode, response.Header
 			resp.Body, resp.Length = response.Body, response.ContentLength
+			resp.setReadDeadline(time.Time{})
 			return nil
 		}
 		// This is a late, second response to an earlier request on this connection.
@@ -205,12 +206,26 @@
 		}
 		limit.setLimit(partSkippedBody, maxSkippedBodyBytes)
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
-			return err
+			return asHeadTimeout(partSkippedBody, err)
 		}
 		limit.setLimit(partHead, maxHeadBytes)
 	}
 }
 
+// readOneHeader waits for the next response and reads its headers. The read deadline that it
+// sets remains, for a body that is skipped.
+func (resp *Response) readOneHeader(method string) (*http.Response, error) {
+	resp.setReadDeadline(time.Time{})
+	if _, err := resp.conn.reader.Peek(1); errors.Is(err, io.EOF) {
+		return nil, io.ErrUnexpectedEOF
+	} else if err != nil {
+		return nil, err
+	}
+	resp.setReadDeadline(time.Now().Add(headTimeout))
+	response, err := http.ReadResponse(resp.conn.reader, &http.Request{Method: method})
+	return response, asHeadTimeout(partHead, err)
+}
+
 // SetReadTimeout limits the wait for the next bytes of the body to d from now; 0 removes
 // the limit.
 func (resp *Response) SetReadTimeout(d time.Duration) {
