ingress: limit every event of a stream

The limit on the size of an event was checked only for lines longer than the read buffer of 4 KiB. A target that sends shorter lines without an empty line between them made the instance keep all of them. The size is now checked before each part of an event is kept.

The limit itself goes from 1 MiB to 256 KiB, as much as is kept of any other response: each stream may hold an event, and an instance has 112 MB. Events carry a few tokens.

Evidence: TestEndlessEventIsCutOff before the change, for four kinds of short lines and for an event after an empty line:

lines: read bytes of an event, want at most 1052672 lines: an event takes bytes of memory, want at most 2097152

These are all the bytes that the test sends. TestEndlessEmptyLinesAreNotAccumulated passed before: each pair of empty lines is passed on.

--- a/internal/ingress/events.go
+++ b/internal/ingress/events.go
@@ -3,13 +3,21 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 
 	"github.com/pkg/errors"
+
+	"medlarwind.dev/medlarwind/internal/upstream"
 )
 
-// maxEventBytes limits the size of one event of a stream, in bytes.
-const maxEventBytes = 1 << 20
+// Sizes in bytes.
+const (
+	// maxEventBytes limits one event of a stream. Each stream may hold one in memory.
+	maxEventBytes = 256 << 10
+	// readBufferBytes is the size of the read buffer. Longer lines are read in several parts.
+	readBufferBytes = 4 << 10
+)
 
 // errTruncatedEvent is returned when a stream ended within an event.
 var errTruncatedEvent = errors.New("stream ended within an event")
@@ -22,7 +30,7 @@
 
 // newEventReader returns a reader of the events in r.
 func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{in: bufio.NewReaderSize(r, 4<<10)}
+	return &eventReader{in: bufio.NewReaderSize(r, readBufferBytes)}
 }
 
 // event is a complete event. Its slices are valid until the next event is read.
@@ -34,19 +42,22 @@
 }
 
 // next returns the next complete event. The error is io.EOF if the stream ended between
-// events, and errTruncatedEvent if it ended within one.
+// events, errTruncatedEvent if it ended within one, and an *upstream.LimitError if an event
+// exceeds maxEventBytes.
 func (r *eventReader) next() (event, error) {
 	r.raw = r.raw[:0]
 	var idStart, idEnd int
 	for {
 		line, err := r.in.ReadSlice('\n')
 		start := len(r.raw)
+		if start+len(line) > maxEventBytes {
+			return event{}, &upstream.LimitError{
+				Part: "event", Got: fmt.Sprintf("%d bytes", start+len(line)), Limit: fmt.Sprintf("%d bytes", maxEventBytes),
+			}
+		}
 		r.raw = append(r.raw, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
-			if len(r.raw) > maxEventBytes {
-				return event{}, errors.New("event exceeds the size limit")
-			}
 			continue
 		case err == io.EOF && len(r.raw) == 0:
 			return event{}, io.EOF
