ingress: read a line of an event that exceeds the read buffer as one line

A line longer than 4 KiB is read in parts, and each part but the first was taken for a line of its own. If the rest of a line looked like an id, that id became the one from which the stream is resumed at another target; if only the line end was left, the event was passed on without the empty line that ends it, as if it were complete. The lines of an event are now cut from what was received, at line ends only.

Evidence: TestPartOfLongLineIsNotLine before the change:

like an id: got an event of 4110 bytes with id "99", error <nil>; want 4110 bytes and id 7 line end: got an event of 4103 bytes with id "7", error <nil>; want 4104 bytes and id 7 line end of the first: got an event of 4097 bytes with id "", error <nil>; want 4104 bytes and id 7

--- a/internal/ingress/events.go
+++ b/internal/ingress/events.go
@@ -46,16 +46,15 @@
 // exceeds maxEventBytes.
 func (r *eventReader) next() (event, error) {
 	r.raw = r.raw[:0]
-	var idStart, idEnd int
+	var idStart, idEnd, lineStart int
 	for {
-		line, err := r.in.ReadSlice('\n')
-		start := len(r.raw)
-		if start+len(line) > maxEventBytes {
+		part, err := r.in.ReadSlice('\n')
+		if size := len(r.raw) + len(part); size > maxEventBytes {
 			return event{}, &upstream.LimitError{
-				Part: "event", Got: fmt.Sprintf("%d bytes", start+len(line)), Limit: fmt.Sprintf("%d bytes", maxEventBytes),
+				Part: "event", Got: fmt.Sprintf("%d bytes", size), Limit: fmt.Sprintf("%d bytes", maxEventBytes),
 			}
 		}
-		r.raw = append(r.raw, line...)
+		r.raw = append(r.raw, part...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
@@ -66,19 +65,16 @@
 		case err != nil:
 			return event{}, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
-			if start == 0 {
-				// This empty line ends no event. It is kept and passed on with the next event.
-				continue
-			}
+		text := bytes.TrimRight(r.raw[lineStart:], "\r\n")
+		// An empty line at the start ends no event. It is kept and passed on with the next event.
+		if len(text) == 0 && lineStart > 0 {
 			return event{raw: r.raw, id: r.raw[idStart:idEnd]}, nil
 		}
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			trimmed := bytes.TrimPrefix(value, []byte(" "))
-			idEnd = start + len(text)
-			idStart = idEnd - len(trimmed)
+			idEnd = lineStart + len(text)
+			idStart = idEnd - len(bytes.TrimPrefix(value, []byte(" ")))
 		}
+		lineStart = len(r.raw)
 	}
 }
 
--- a/internal/ingress/events_test.go
+++ b/internal/ingress/events_test.go
@@ -93,3 +93,21 @@
 		t.Errorf("got an event of %d bytes with id %q, error %v; want %d bytes and id 3", len(e.raw), e.id, err, len(text))
 	}
 }
+
+// A line that is longer than the read buffer is read in several parts. No part must be taken
+// for a line of its own: its text may look like an id, from which the stream would be resumed,
+// or like the empty line that ends an event.
+func TestPartOfLongLineIsNotLine(t *testing.T) {
+	data := "data: " + strings.Repeat("x", readBufferBytes-len("data: "))
+	for name, text := range map[string]string{
+		"like an id":            "id: 7\n" + data + "id: 99\n\n",
+		"line end":              "id: 7\n" + data + "\n\n",
+		"line end of the first": data + "\nid: 7\n\n",
+		"CRLF":                  data + "\r\nid: 7\r\n\r\n",
+	} {
+		e, err := newEventReader(strings.NewReader(text)).next()
+		if err != nil || string(e.id) != "7" || string(e.raw) != text {
+			t.Errorf("%s: got an event of %d bytes with id %q, error %v; want %d bytes and id 7", name, len(e.raw), e.id, err, len(text))
+		}
+	}
+}
