ingress: do not let a retry wait for the body of a refusal

When a target refuses a request without running it, its body is read so that the connection can be reused, and only then the request is retried at another target. The bytes were limited, the time was not: a target that sends the body slowly or not at all kept the request until its deadline. The read now ends after 100 ms, the limit that the client of engines has, and the connection is closed.

Evidence: TestEndlessBodyOfRefusalIsCutOff before the change:

slow: discarded for 1m0s, complete false; want 100ms at most, incomplete silent: discarded for 1m0s, complete false; want 100ms at most, incomplete

--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -21,6 +21,8 @@
 	// maxDiscardBytes limits how much of a response that is not passed on is read so that
 	// its connection can be reused.
 	maxDiscardBytes = 16 << 10
+	// discardTimeout limits the time for that, since a retry may wait for it.
+	discardTimeout = 100 * time.Millisecond
 	// stallFactor and minStallTimeout set the pause between events after which a resumable
 	// stream is resumed on another target: this multiple of the route's gap objective, but
 	// at least minStallTimeout.
@@ -28,9 +30,10 @@
 	minStallTimeout = time.Second
 )
 
-// discardRest reads and discards up to maxDiscardBytes of the body. It reports whether the
-// body was read to its end.
+// discardRest reads and discards up to maxDiscardBytes of the body for up to discardTimeout.
+// It reports whether the body was read to its end.
 func discardRest(resp *upstream.Response) bool {
+	resp.SetReadTimeout(discardTimeout)
 	n, err := io.CopyN(io.Discard, resp.Body, maxDiscardBytes)
 	return n < maxDiscardBytes && errors.Is(err, io.EOF)
 }
