entry: do not decompress a message beyond its limit

A compressed message whose text exceeds the limit was refused, but connect first decompressed all of it to report its length: a message of 1 MB, the most that a caller may send, can take 1 GB of output and as much processor time. The decompressor now fails one byte after the limit.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -148,7 +148,7 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	path, handler := medlarwindv1connect.NewRouterServiceHandler(s, connect.WithReadMaxBytes(MaxMessageBytes),
-		connect.WithCompressMinBytes(compressMinBytes))
+		connect.WithCompressMinBytes(compressMinBytes), connect.WithCompression("gzip", newDecompressor, newCompressor))
 	mux.Handle(path, newBodyLimiter(s, handler))
 	return mux
 }
