client: limit the messages and headers that an instance may send

The client read messages of any length into memory. What listens at an address that an instance once had could end the caller's process for lack of memory. A message is now limited to 4 MiB and 64 KiB, which leaves room for the largest answer of a call, and the headers of a response to 64 KiB. Reading on ends with the caller's context, as before.

--- a/client/client.go
+++ b/client/client.go
@@ -60,6 +60,14 @@
 	expires   time.Time
 }
 
+// Limits of what the client accepts from an instance, in bytes.
+const (
+	// maxMessageBytes limits one message. It allows for the largest answer of a call, 4 MiB.
+	maxMessageBytes = 4<<20 + 64<<10
+	// maxHeaderBytes limits the headers of a response.
+	maxHeaderBytes = 64 << 10
+)
+
 // Answer is a complete, verified answer of a model.
 type Answer struct {
 	RequestID    string
@@ -84,9 +92,13 @@
 		o.Silence = 2 * time.Minute
 	}
 	return &Client{
-		options:   o,
-		http:      &http.Client{Transport: &http.Transport{DialContext: o.Dial, MaxIdleConnsPerHost: 64}},
-		dedicated: &http.Client{Transport: &http.Transport{DialContext: o.Dial, DisableKeepAlives: true}},
+		options: o,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext: o.Dial, MaxIdleConnsPerHost: 64, MaxResponseHeaderBytes: maxHeaderBytes,
+		}},
+		dedicated: &http.Client{Transport: &http.Transport{
+			DialContext: o.Dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes,
+		}},
 	}
 }
 
@@ -170,7 +182,7 @@
 }
 
 func (c *Client) router(h *http.Client, address string) medlarwindv1connect.RouterServiceClient {
-	return medlarwindv1connect.NewRouterServiceClient(h, "http://"+address)
+	return medlarwindv1connect.NewRouterServiceClient(h, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
 }
 
 // authorized returns a request that carries the client's secret.
--- /dev/null
+++ b/client/export_test.go
@@ -0,0 +1,4 @@
+package client
+
+// MaxMessageBytes is maxMessageBytes, for tests.
+const MaxMessageBytes = maxMessageBytes
