client: limit the answer of a model

Generate collected frames for as long as they came. An answer is now limited by Options.MaxAnswerBytes, 64 MiB by default; a longer one fails with ErrAnswerTooLong and the stream is closed.

--- a/client/client.go
+++ b/client/client.go
@@ -36,6 +36,8 @@
 	// Silence is the time without a frame after which a stream is closed; 0 means 2
 	// minutes.
 	Silence time.Duration
+	// MaxAnswerBytes is the maximum size of an answer of a model; 0 means 64 MiB.
+	MaxAnswerBytes int
 }
 
 // Errors returned by this package in addition to *RequestError.
@@ -43,6 +45,8 @@
 	// ErrIncomplete means that frames of an answer are missing or belong to another request,
 	// or that the checksum of the answer does not match.
 	ErrIncomplete = errors.New("the answer is incomplete")
+	// ErrAnswerTooLong means that an answer exceeds Options.MaxAnswerBytes.
+	ErrAnswerTooLong = errors.New("the answer is too long")
 	// ErrNoAddress means that no instance returned an address.
 	ErrNoAddress = errors.New("no instance returned an address")
 )
@@ -66,6 +70,8 @@
 	maxMessageBytes = 4<<20 + 64<<10
 	// maxHeaderBytes limits the headers of a response.
 	maxHeaderBytes = 64 << 10
+	// defaultMaxAnswerBytes is the default of Options.MaxAnswerBytes.
+	defaultMaxAnswerBytes = 64 << 20
 )
 
 // Answer is a complete, verified answer of a model.
@@ -91,6 +97,9 @@
 	if o.Silence == 0 {
 		o.Silence = 2 * time.Minute
 	}
+	if o.MaxAnswerBytes == 0 {
+		o.MaxAnswerBytes = defaultMaxAnswerBytes
+	}
 	return &Client{
 		options: o,
 		http: &http.Client{Transport: &http.Transport{
@@ -253,6 +262,7 @@
 // assembler collects the frames of an answer in order and verifies the trailer.
 type assembler struct {
 	answer   Answer
+	limit    int
 	next     int64
 	checksum uint32
 	done     bool
@@ -261,7 +271,7 @@
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
 // add appends the data of a frame. It ignores a repeated frame and returns ErrIncomplete for
-// a missing one.
+// a missing one, and ErrAnswerTooLong if the answer exceeds the limit.
 func (a *assembler) add(f *medlarwindv1.Frame, onData func([]byte)) error {
 	if a.answer.RequestID == "" {
 		a.answer.RequestID = f.RequestId
@@ -276,6 +286,9 @@
 	if f.Trailer != nil {
 		return a.finish(f)
 	}
+	if size := len(a.answer.Data) + len(f.Data); size > a.limit {
+		return errors.Wrapf(ErrAnswerTooLong, "%d bytes, want at most %d", size, a.limit)
+	}
 	a.answer.Data = append(a.answer.Data, f.Data...)
 	a.checksum = crc32.Update(a.checksum, castagnoli, f.Data)
 	if onData != nil {
@@ -298,7 +311,7 @@
 // generateAt runs the request at one address. If the stream breaks, it attaches once more
 // and continues with the next missing frame.
 func (c *Client) generateAt(ctx context.Context, address string, r *medlarwindv1.GenerateRequest, onData func([]byte)) (*Answer, error) {
-	a := &assembler{answer: Answer{Address: address}}
+	a := &assembler{answer: Answer{Address: address}, limit: c.options.MaxAnswerBytes}
 	start := time.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/client/endless_test.go
+++ b/client/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"medlarwind.dev/medlarwind/client"
@@ -148,3 +150,24 @@
 		})
 	}
 }
+
+// An answer may have frames without end, each of them short.
+func TestEndlessAnswerIsCutOff(t *testing.T) {
+	const limit = 1 << 20
+	data := make([]byte, 1000)
+	received := 0
+	c := newEndlessClient(t, client.Options{MaxAnswerBytes: limit}, streamHead, func(i int) []byte {
+		frame, err := proto.Marshal(&medlarwindv1.Frame{RequestId: "r", Sequence: int64(i), Data: data})
+		if err != nil {
+			t.Error(err)
+		}
+		return append(binary.BigEndian.AppendUint32([]byte{0}, uint32(len(frame))), frame...)
+	})
+	_, err := c.Generate(t.Context(), &medlarwindv1.GenerateRequest{Model: "m"}, func(b []byte) { received += len(b) })
+	if !errors.Is(err, client.ErrAnswerTooLong) {
+		t.Errorf("Generate error = %v, want ErrAnswerTooLong", err)
+	}
+	if received > limit {
+		t.Errorf("received %d bytes of the answer, want at most %d", received, limit)
+	}
+}
--- a/client/errors.go
+++ b/client/errors.go
@@ -66,9 +66,9 @@
 
 // requestError converts a Connect error into a *RequestError. Without an outcome detail the
 // kind is Unknown, except that a failed dial sent nothing and is therefore NotRun. A nil
-// err and ErrIncomplete are returned as they are.
+// err, ErrIncomplete and ErrAnswerTooLong are returned as they are.
 func requestError(err error) error {
-	if err == nil || errors.Is(err, ErrIncomplete) {
+	if err == nil || isUnsound(err) {
 		return err
 	}
 	if outcome := outcomeDetail(err); outcome != nil {
@@ -86,9 +86,14 @@
 	return &RequestError{Kind: Unknown, Reason: reasonConnection, Err: err}
 }
 
+// isUnsound reports whether err describes an answer rather than a failure to get one.
+func isUnsound(err error) bool {
+	return errors.Is(err, ErrIncomplete) || errors.Is(err, ErrAnswerTooLong)
+}
+
 // connectionBroken reports whether the connection failed rather than the request.
 func connectionBroken(err error) bool {
-	return outcomeDetail(err) == nil && !errors.Is(err, ErrIncomplete)
+	return outcomeDetail(err) == nil && !isUnsound(err)
 }
 
 // outcomeDetail returns the outcome that an instance attached to err, or nil.
