target: do not let a refusal wait for the end of its body

The body of a refusal is read so that the connection can be reused, before the refusal is returned. The bytes were limited, the time only by the request: a target that sends the body slowly kept a request that had not run, and could run elsewhere. The read now ends after drainTimeout, 100 ms, as at the end of an answer.

--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -263,9 +263,11 @@
 	return body, nil
 }
 
-// discardRefusal reads at most maxHeaderBytes of the body and closes it, so that the
-// connection can be reused if little was left to read.
+// discardRefusal reads at most maxHeaderBytes of the body for at most drainTimeout and closes
+// it, so that the connection can be reused if little was left to read.
 func discardRefusal(resp *http.Response) {
+	timer := time.AfterFunc(drainTimeout, func() { _ = resp.Body.Close() })
+	defer timer.Stop()
 	_, _ = io.CopyN(io.Discard, resp.Body, maxHeaderBytes)
 	_ = resp.Body.Close()
 }
--- /dev/null
+++ b/internal/target/export_test.go
@@ -0,0 +1,4 @@
+package target
+
+// DrainTimeout is drainTimeout, for tests.
+const DrainTimeout = drainTimeout
--- a/internal/target/generate.go
+++ b/internal/target/generate.go
@@ -19,7 +19,8 @@
 	// streamBufferBytes is the size of a stream's read buffer; longer lines are
 	// assembled in a separate buffer.
 	streamBufferBytes = 4 << 10
-	// drainTimeout bounds the wait for the end of a body after the last frame.
+	// drainTimeout bounds the wait for the end of a body after the last frame, and for that of
+	// the body of a refusal.
 	drainTimeout = 100 * time.Millisecond
 )
 
