records: limit the number of records from a peer

The bytes of a peer's records were limited, their number was not: a list of empty records takes 100 times its size in memory. 50,000 records are now the most that are decoded at once. A copy of more than 16 MiB is reported as such.

--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -24,6 +24,9 @@
 const (
 	// maxDecodedBytes bounds the decompressed size of a copy received from a peer.
 	maxDecodedBytes = 16 << 20
+	// maxDecodedRecords bounds the number of records received from a peer at once. An empty
+	// record takes 100 times its size in memory.
+	maxDecodedRecords = 50000
 	// maxRecentChanges bounds the changes kept for peers that lag behind. It covers 20 s at
 	// 12 changes a second, four times the mean rate of changes to the targets of large sites.
 	maxRecentChanges = 256
@@ -171,8 +174,20 @@
 
 // DecodeChanges decodes the output of EncodeChanges.
 func DecodeChanges(text []byte) ([]Change, error) {
-	var changes []Change
-	return changes, errors.Wrap(json.Unmarshal(text, &changes), "decode changes")
+	changes, err := unmarshal(text)
+	return changes, errors.Wrap(err, "decode changes")
+}
+
+// unmarshal decodes a JSON list of records. It returns an error before it allocates memory for
+// more than maxDecodedRecords.
+func unmarshal(text []byte) ([]Change, error) {
+	// Each record is an object. Braces in keys count, too; values are base64 and have none.
+	if n := bytes.Count(text, []byte("{")); n > maxDecodedRecords {
+		return nil, errors.Errorf("%d records, want at most %d", n, maxDecodedRecords)
+	}
+	var all []Change
+	err := json.Unmarshal(text, &all)
+	return all, err
 }
 
 // Encode encodes the whole copy for a peer and returns it with its revision. The text is
@@ -210,9 +225,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "decompress records")
 	}
-	var all []Change
-	if err := json.NewDecoder(io.LimitReader(r, maxDecodedBytes)).Decode(&all); err != nil {
-		return nil, errors.Wrap(err, "decode records")
+	decoded, err := io.ReadAll(io.LimitReader(r, maxDecodedBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress records")
+	}
+	if len(decoded) > maxDecodedBytes {
+		return nil, errors.Errorf("decode records: more than %d bytes, want at most %d", maxDecodedBytes, maxDecodedBytes)
 	}
-	return all, nil
+	all, err := unmarshal(decoded)
+	return all, errors.Wrap(err, "decode records")
 }
