--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -114,7 +114,7 @@
 // attempt sends the request to one target and relays the response.
 func (x *exchange) attempt(ctx context.Context, p *scheduler.Placement) attemptResult {
 	x.result.Target, x.result.ExpectedWait = p.Target.ID, p.Wait
-	x.result.Cached, x.result.Rank, x.result.GaveUp = p.Cached, p.Rank, false
+	x.result.Cached, x.result.Rank = p.Cached, p.Rank
 	if !p.Valid() {
 		p.End(scheduler.Unsent)
 		x.result.Reason = "target_left"
@@ -202,6 +202,7 @@
 // relay passes a response on to the caller, or discards it if it cannot be passed on.
 func (x *exchange) relay(ctx context.Context, p *scheduler.Placement, resp *upstream.Response, cancel context.CancelCauseFunc) attemptResult {
 	info := x.h.options.Codec.DecodeResponse(resp.Status, resp.Header)
+	x.result.GaveUp = false
 	switch {
 	case info.NotRun:
 		resp.Finish(discardRest(resp))
