--- a/internal/faults/page_test.go
+++ b/internal/faults/page_test.go
@@ -37,6 +37,14 @@
 	{"an old fencing number", "requests to targets", "`target.TestEngineChecks`"},
 	{"peers without the key, malformed or oversized messages, silent peers", "the peer protocol",
 		"`peer.TestHostilePeerIsCutOff`, `peer.TestOnlyKeyHoldersSpeak`, `peer.TestSilentConnectionIsReplaced`"},
+	{"a target sends without end", "status line, headers, informational answers, a skipped answer, framing of a body",
+		"`upstream.TestEndlessResponseHeadIsCutOff`, `upstream.TestEndlessFramingOfBodyIsCutOff`, `upstream.TestSlowEndlessHeadIsCutOff`"},
+	{"a target sends without end", "events, the body of a refusal, an answer, a line of an answer",
+		"`ingress.TestEndlessEventIsCutOff`, `ingress.TestEndlessBodyOfRefusalIsCutOff`, `target.TestEndlessBodyOfRefusalIsCutOff`, `target.TestEndlessAnswerIsCutOff`"},
+	{"the store or a peer sends without end, or very many records", "reading records",
+		"`platform.TestEndlessStoreAnswerIsCutOff`, `platform.TestEndlessStorePagesAreCutOff`, `records.TestRecordsFromPeerFitInMemory`"},
+	{"a caller's compressed message has a very long text", "any request", "`entry.TestCompressedMessageIsNotDecompressedBeyondLimit`"},
+	{"an instance sends without end", "any answer to a caller", "`client.TestEndlessMessageIsNotKept`, `client.TestEndlessAnswerIsCutOff`"},
 }
 
 // notCovered lists the required cells that no test covers yet.
