--- a/internal/faults/page_test.go
+++ b/internal/faults/page_test.go
@@ -42,7 +42,7 @@
 	{"a target sends without end", "events, the body of a refusal, an answer, a line of an answer",
 		"`ingress.TestEndlessEventIsCutOff`, `ingress.TestEndlessBodyOfRefusalIsCutOff`, `target.TestEndlessBodyOfRefusalIsCutOff`, `target.TestEndlessAnswerIsCutOff`"},
 	{"the store or a peer sends without end, or very many records", "reading records",
-		"`platform.TestEndlessStoreAnswerIsCutOff`, `platform.TestEndlessStorePagesAreCutOff`, `records.TestRecordsFromPeerFitInMemory`"},
+		"`platform.TestEndlessStoreAnswerIsCutOff`, `platform.TestEndlessStorePagesAreCutOff`, `publisher.TestEndlessReplyIsCutOff`, `records.TestRecordsFromPeerFitInMemory`"},
 	{"a caller's compressed message has a very long text", "any request", "`entry.TestCompressedMessageIsNotDecompressedBeyondLimit`"},
 	{"an instance sends without end", "any answer to a caller", "`client.TestEndlessMessageIsNotKept`, `client.TestEndlessAnswerIsCutOff`"},
 }
