ingress: keep a silent run until its replacement is admitted

Callers of repeatable requests got 502, or a stream that ended midway, while a sound target was still at work on their request: an attempt without a first byte in twice its objective, or with a pause of three times the gap objective, was cancelled first, and only then was the scheduler asked for another target. When it refused (retry budget, queue full, over share, no other target), the run that had been given up was the only one there was.

Cause: attemptContext and the read deadline of relayStream ended the attempt by time alone. The last of the three attempts could be ended so, too, after which none can follow.

Now a watch of the attempt asks Scheduler.Replace, which places the request at once or not at all: it does not queue, and draws on the retry budget only for a placement that it returns. Only then is the attempt cancelled; its connection is closed before the next send. Without a placement the attempt goes on, and the watch asks again every 500 ms of further silence.

Not changed: a silent run that is replaced still counts as broken for its target and for the crash count of its request.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -17,9 +17,9 @@
 	// maxSends limits the attempts of one request that reach a target, including those that
 	// did not run.
 	maxSends = 3
-	// firstByteFactor and minFirstByteTimeout limit the wait for the first byte of a response
-	// while the request can still be retried on another target: the limit is this multiple
-	// of the route's first-byte objective, but at least minFirstByteTimeout.
+	// firstByteFactor and minFirstByteTimeout set the wait for the first byte of a response
+	// after which another target is to take the request over: this multiple of the route's
+	// first-byte objective, but at least minFirstByteTimeout.
 	firstByteFactor     = 2
 	minFirstByteTimeout = 300 * time.Millisecond
 	// busyRetryAfter is the retry delay sent to a caller if no target ran its request.
@@ -42,15 +42,15 @@
 
 // serve makes attempts until the caller has a response or no retry is allowed.
 func (x *exchange) serve(ctx context.Context) {
+	defer x.withdrawReplacement()
 	for retry := false; ; {
-		p, err := x.h.options.Scheduler.Admit(ctx, x.job, retry)
+		p, err := x.place(ctx, retry)
 		if err != nil {
 			x.handleRefusal(ctx, err)
 			return
 		}
-		result := x.attempt(ctx, p)
 		x.job.Exclude(p.Target.ID)
-		switch result {
+		switch x.attempt(ctx, p) {
 		case answered:
 			return
 		case notSent:
@@ -74,6 +74,23 @@
 	}
 }
 
+// place returns the placement for the next attempt.
+func (x *exchange) place(ctx context.Context, retry bool) (*scheduler.Placement, error) {
+	if p := x.replacement; p != nil {
+		x.replacement = nil
+		return p, nil
+	}
+	return x.h.options.Scheduler.Admit(ctx, x.job, retry)
+}
+
+// withdrawReplacement releases a replacement that is not needed any more.
+func (x *exchange) withdrawReplacement() {
+	if x.replacement != nil {
+		x.replacement.Withdraw()
+		x.replacement = nil
+	}
+}
+
 // handleRefusal ends a request for which the scheduler returned err instead of a target.
 func (x *exchange) handleRefusal(ctx context.Context, err error) {
 	var refusal *scheduler.Refusal
@@ -130,8 +147,11 @@
 	if x.result.Waited == 0 {
 		x.result.Waited = o.Now().Sub(x.arrived)
 	}
-	attemptCtx, cancel := x.attemptContext(ctx, p)
+	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	x.silence = x.newSilenceWatch(cancel)
+	defer func() { x.replacement = x.silence.stop() }()
+	x.silence.await(x.firstByteTimeout(p))
 	resp, err := o.Upstream.Send(attemptCtx, upstream.Request{
 		Addr:   p.Target.Addr,
 		Method: x.r.Method,
@@ -146,7 +166,7 @@
 	if err != nil {
 		return x.sendFailed(ctx, p, err)
 	}
-	return x.relay(ctx, p, resp, cancel)
+	return x.relay(ctx, p, resp)
 }
 
 // resumeAfter returns the id of the event after which the target should resume the stream,
@@ -158,25 +178,6 @@
 	return x.call.ResumeAfter
 }
 
-// errFirstByteTimeout is the cause with which an attempt's context is cancelled if the first
-// byte does not arrive in time and the request can be retried on another target.
-var errFirstByteTimeout = errors.New("target sent no response in time")
-
-// attemptContext returns the context of an attempt. If another attempt is allowed, the
-// context ends when the first byte does not arrive in time, unless stopFirstByteTimer is
-// called before. The returned function cancels the context. It may be called with a nil
-// cause after the first byte, since the timer has been stopped by then.
-func (x *exchange) attemptContext(ctx context.Context, p *scheduler.Placement) (context.Context, context.CancelCauseFunc) {
-	attemptCtx, cancel := context.WithCancelCause(ctx)
-	if !x.route.Repeatable() || x.runs+1 >= x.route.MaxTargets {
-		return attemptCtx, cancel
-	}
-	timeout := max(firstByteFactor*x.route.FirstByteSLO, minFirstByteTimeout) + p.Wait
-	timer := time.AfterFunc(timeout, func() { cancel(errFirstByteTimeout) })
-	x.cancelFirstByteTimer = timer.Stop
-	return attemptCtx, cancel
-}
-
 // sendFailed ends a placement whose attempt got no response, and returns the result.
 func (x *exchange) sendFailed(ctx context.Context, p *scheduler.Placement, err error) attemptResult {
 	x.result.Reason = "target_broken"
@@ -200,7 +201,7 @@
 }
 
 // relay passes a response on to the caller, or discards it if it cannot be passed on.
-func (x *exchange) relay(ctx context.Context, p *scheduler.Placement, resp *upstream.Response, cancel context.CancelCauseFunc) attemptResult {
+func (x *exchange) relay(ctx context.Context, p *scheduler.Placement, resp *upstream.Response) attemptResult {
 	info := x.h.options.Codec.DecodeResponse(resp.Status, resp.Header)
 	switch {
 	case info.NotRun:
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -127,10 +127,11 @@
 	headerWritten bool
 	// lastEvent is the id of the last event written.
 	lastEvent string
-	// cancelFirstByteTimer stops the timer for the first byte of the current attempt; nil if
-	// there is none.
-	cancelFirstByteTimer func() bool
-	result               Report
+	// silence watches the current attempt. replacement is the placement that it obtained for
+	// the next one, nil for none.
+	silence     *silenceWatch
+	replacement *scheduler.Placement
+	result      Report
 }
 
 // identify decodes the caller's headers, finds the route, customer and service and creates
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -21,9 +21,9 @@
 	// maxDiscardBytes limits how much of a response that is not passed on is read so that
 	// its connection can be reused.
 	maxDiscardBytes = 16 << 10
-	// stallFactor and minStallTimeout set the pause between events after which a resumable
-	// stream is resumed on another target: this multiple of the route's gap objective, but
-	// at least minStallTimeout.
+	// stallFactor and minStallTimeout set the pause between events after which another target
+	// is to resume a resumable stream: this multiple of the route's gap objective, but at
+	// least minStallTimeout.
 	stallFactor     = 3
 	minStallTimeout = time.Second
 )
@@ -43,7 +43,7 @@
 		resp.Finish(false)
 		return x.markBroken(ctx, p, err)
 	}
-	x.stopFirstByteTimer()
+	x.silence.received()
 	p.PrefillDone()
 	header := x.w.Header()
 	for name, values := range x.h.options.Codec.ResponseHeader(resp.Header) {
@@ -84,6 +84,9 @@
 // markBroken records a response that broke off before its end. err may be nil.
 func (x *exchange) markBroken(ctx context.Context, p *scheduler.Placement, err error) attemptResult {
 	x.result.Reason = "answer_broken"
+	if x.silence.stop() != nil {
+		err = errTargetSilent
+	}
 	if err != nil {
 		x.result.Cause = err.Error()
 	}
@@ -101,6 +104,7 @@
 	flusher := http.NewResponseController(x.w)
 	for first := true; ; first = false {
 		e, err := events.next()
+		x.silence.received()
 		if errors.Is(err, io.EOF) && (x.headerWritten || !first) {
 			resp.Finish(true)
 			p.End(scheduler.Completed)
@@ -111,7 +115,6 @@
 			return x.markBroken(ctx, p, err)
 		}
 		if first {
-			x.stopFirstByteTimer()
 			p.PrefillDone()
 			x.writeStreamHeader(resp)
 		}
@@ -120,7 +123,7 @@
 			p.End(scheduler.Abandoned)
 			return mayHaveRun
 		}
-		resp.SetReadTimeout(x.stallTimeout())
+		x.silence.await(x.stallTimeout())
 	}
 }
 
@@ -153,20 +156,3 @@
 	}
 	return flusher.Flush()
 }
-
-// stallTimeout returns the pause after which a stream counts as broken, 0 if it cannot be
-// resumed on another target.
-func (x *exchange) stallTimeout() time.Duration {
-	if !x.route.Resumable || x.runs+1 >= x.route.MaxTargets {
-		return 0
-	}
-	return max(stallFactor*x.route.GapSLO, minStallTimeout)
-}
-
-// stopFirstByteTimer stops the timer for the first byte of the current attempt.
-func (x *exchange) stopFirstByteTimer() {
-	if x.cancelFirstByteTimer != nil {
-		x.cancelFirstByteTimer()
-		x.cancelFirstByteTimer = nil
-	}
-}
--- a/internal/pacing/pacing.go
+++ b/internal/pacing/pacing.go
@@ -73,14 +73,26 @@
 
 // AllowRetry reports whether a request may be retried now, and counts the retry if so.
 func (b *RetryBudget) AllowRetry(now clock.Instant) bool {
-	allowed := b.Ratio*b.requests.sum(b.Window, now) + b.Extra
-	if b.retries.sum(b.Window, now)+1 > allowed {
+	if !b.HasRetry(now) {
 		return false
 	}
 	b.retries.add(b.Window, now)
 	return true
 }
 
+// HasRetry reports whether a request may be retried now, without counting a retry.
+func (b *RetryBudget) HasRetry(now clock.Instant) bool {
+	allowed := b.Ratio*b.requests.sum(b.Window, now) + b.Extra
+	return b.retries.sum(b.Window, now)+1 <= allowed
+}
+
+// ReturnRetry takes back a retry that was counted at the given time and is not made. It has
+// no effect once the bucket of that time is no longer the current one: taken from a later
+// bucket, the retry would be missing there after its own bucket has left the window.
+func (b *RetryBudget) ReturnRetry(counted, now clock.Instant) {
+	b.retries.remove(b.Window, counted, now)
+}
+
 // counterBuckets is the number of buckets in a window.
 const counterBuckets = 10
 
@@ -108,6 +120,15 @@
 	c.buckets[c.last%int64(len(c.buckets))]++
 }
 
+// remove takes back an event that was added at the given time if that time is still in the
+// current bucket.
+func (c *counter) remove(window time.Duration, added, now clock.Instant) {
+	c.advance(window, now)
+	if int64(time.Duration(added)/(window/counterBuckets)) == c.last {
+		c.buckets[c.last%int64(len(c.buckets))]--
+	}
+}
+
 // sum returns the number of events in the window.
 func (c *counter) sum(window time.Duration, now clock.Instant) float64 {
 	c.advance(window, now)
--- a/internal/pacing/pacing_test.go
+++ b/internal/pacing/pacing_test.go
@@ -63,3 +63,27 @@
 		t.Error("retry refused a window later, want it allowed by the constant part")
 	}
 }
+
+// A retry that is not made must not use up the budget, and taking it back must never allow
+// more retries than the budget.
+func TestReturnedRetryIsAllowedAgain(t *testing.T) {
+	b := pacing.RetryBudget{Window: 10 * time.Second, Extra: 1}
+	counted := clock.Instant(time.Hour)
+	if !b.HasRetry(counted) || !b.AllowRetry(counted) || b.HasRetry(counted) {
+		t.Fatal("want exactly one retry")
+	}
+	b.ReturnRetry(counted, counted.Add(100*time.Millisecond))
+	if !b.AllowRetry(counted.Add(200 * time.Millisecond)) {
+		t.Error("retry refused after another was returned")
+	}
+	b.ReturnRetry(counted.Add(200*time.Millisecond), counted.Add(5*time.Second))
+	for _, at := range []time.Duration{5 * time.Second, 12 * time.Second} {
+		taken := 0
+		for b.AllowRetry(counted.Add(at)) {
+			taken++
+		}
+		if limit := int(at / (10 * time.Second)); taken > limit {
+			t.Errorf("%d retries allowed after %v, want at most %d", taken, at, limit)
+		}
+	}
+}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -75,6 +75,16 @@
 	s.startQueued()
 }
 
+// Withdraw releases a placement by Replace that is not used, and returns its retry to the
+// budget.
+func (p *Placement) Withdraw() {
+	p.End(Unsent)
+	s := p.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retryBudget(p.job.Service.ID).ReturnRetry(p.started, s.options.Now())
+}
+
 // refundUsage returns the tokens that were charged to the customer for a request that did
 // not run. s.mu must be held.
 func (s *Scheduler) refundUsage(p *Placement, now clock.Instant) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -217,6 +217,25 @@
 	return s.await(ctx, w)
 }
 
+// Replace places a job that already runs on a target, which must be excluded, on another
+// one. It returns nil if the job may not start there now; it never waits. Only a returned
+// placement draws on the retry budget.
+func (s *Scheduler) Replace(j *Job) *Placement {
+	j.prepare()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Now()
+	budget := s.retryBudget(j.Service.ID)
+	if !budget.HasRetry(now) {
+		return nil
+	}
+	p := s.decide(j, now).placement
+	if p != nil {
+		budget.AllowRetry(now)
+	}
+	return p
+}
+
 // retryBudget returns the retry budget of a service, with its limits updated to the
 // number of live instances. s.mu must be held.
 func (s *Scheduler) retryBudget(id fleet.ServiceID) *pacing.RetryBudget {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -430,3 +430,39 @@
 		}
 	})
 }
+
+// A replacement draws on the retry budget only if there is a target for it, and no longer
+// once it is withdrawn.
+func TestOnlyUsedReplacementsDrawOnRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ts := newTestScheduler(2)
+		j := ts.job("c", "part", 1000)
+		p, err := ts.admit(t.Context(), j)
+		if err != nil {
+			t.Fatal(err)
+		}
+		j.Exclude(p.Target.ID)
+		for range 100 {
+			replacement := ts.Replace(j)
+			if replacement == nil || replacement.Target.ID == p.Target.ID {
+				t.Fatalf("got replacement %+v for a job on %s", replacement, p.Target.ID)
+			}
+			replacement.Withdraw()
+		}
+		ts.SetTargets(engineList(0), nil)
+		for range 100 {
+			if replacement := ts.Replace(j); replacement != nil {
+				t.Fatalf("got replacement %s without a target", replacement.Target.ID)
+			}
+		}
+		ts.SetTargets(engineList(2), nil)
+		replacements := 0
+		for ts.Replace(j) != nil {
+			replacements++
+		}
+		// The limit is a part of RetryExtra (50) and RetryRatio (0.2) for one request.
+		if limit := 50 / minBudgetDivisor; replacements == 0 || replacements > limit {
+			t.Errorf("%d replacements, want some and at most %d", replacements, limit)
+		}
+	})
+}
