gateway: close callers' connections one by one at the end of a stop

Callers that sent a request on a kept connection while an instance ended a planned stop had it passed on to a target and then their connection closed without an answer.

Cause: Stop returned as soon as no handler was active, and Run then closed every connection, whatever was being read from it. A request that arrived between the two was read and passed on, and a request of which only the header's first part had been read was not counted at all. On a slow processor the time between the two is long.

Now Stop closes the listener after the linger, closes the connections that are idle, and waits until the others have had their answer, which closes them, too. Nothing is left for Run to cut unless the grace period ends first. net/http counts a connection as active only once the whole header of a request is read, so that the connections are wrapped: the first byte that is read ends the idle state, under the lock under which idle connections are closed. Bytes read at the moment of the close are discarded rather than handled. The linger is bounded by the time for which requests are accepted, so that the rest of the grace period is left for closing.

TestCallerConnExposesSocket now asks for the socket itself, since the wrapper always has the method; TestCloseUnblocksFullListener takes its slot by add.

--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -2,12 +2,16 @@
 
 import (
 	"cmp"
+	"context"
 	"net"
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"medlarwind.dev/medlarwind/internal/clock"
 )
 
@@ -24,6 +28,9 @@
 	idleMargin = time.Second
 )
 
+// drainPollInterval is how often drain closes the connections that have become idle.
+const drainPollInterval = 20 * time.Millisecond
+
 // callerConns tracks the open connections of callers and which of them are idle. It is
 // safe for concurrent use.
 type callerConns struct {
@@ -33,28 +40,91 @@
 
 	mu   sync.Mutex
 	open int
-	// idle maps each idle connection to the time at which it became idle.
-	idle map[net.Conn]clock.Instant
+	// fresh holds the connections on which nothing has arrived yet. idle maps each
+	// connection between two requests to the time at which the first of them ended.
+	fresh map[*callerConn]struct{}
+	idle  map[*callerConn]clock.Instant
 	// slotFree is signalled when a connection closes and when stopped is set.
 	slotFree *sync.Cond
 	stopped  bool
 }
 
 func newCallerConns(limit int, now clock.Source) *callerConns {
-	c := &callerConns{limit: limit, now: now, idle: make(map[net.Conn]clock.Instant)}
+	c := &callerConns{
+		limit: limit, now: now,
+		fresh: make(map[*callerConn]struct{}), idle: make(map[*callerConn]clock.Instant),
+	}
 	c.slotFree = sync.NewCond(&c.mu)
 	return c
 }
 
+// callerConn is a connection of a caller. net/http reports a request only once its header
+// is complete; callerConn reports its first byte, so that the connection does not count as
+// idle while a request arrives.
+type callerConn struct {
+	net.Conn
+	conns *callerConns
+	// closed is set once conns has closed the connection. conns.mu guards it.
+	closed bool
+}
+
+// Read implements net.Conn. It discards what it reads if the connection was closed as idle at
+// the same time: the request could not be answered.
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && !c.conns.received(c) {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// CloseWrite closes the sending side, if the connection has one that can be closed alone.
+// net/http does so before it closes a connection with an unread request body, which would
+// otherwise be reset.
+func (c *callerConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return errors.New("connection has no half-close")
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *callerConn) SyscallConn() (syscall.RawConn, error) {
+	if sc, ok := c.Conn.(syscall.Conn); ok {
+		return sc.SyscallConn()
+	}
+	return nil, errors.New("connection has no socket")
+}
+
 // awaitSlot blocks until one more connection may be accepted or stop is called.
 func (c *callerConns) awaitSlot() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for c.open >= c.limit && !c.stopped {
+	for c.limit > 0 && c.open >= c.limit && !c.stopped {
 		c.slotFree.Wait()
 	}
 }
 
+// add tracks an accepted connection.
+func (c *callerConns) add(inner net.Conn) *callerConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn := &callerConn{Conn: inner, conns: c}
+	c.open++
+	c.fresh[conn] = struct{}{}
+	return conn
+}
+
+// received records that bytes were read from a connection, which therefore is not idle. It
+// returns false if the connection was closed before.
+func (c *callerConns) received(conn *callerConn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.fresh, conn)
+	delete(c.idle, conn)
+	return !conn.closed
+}
+
 // stop releases all callers of awaitSlot.
 func (c *callerConns) stop() {
 	c.mu.Lock()
@@ -63,43 +133,51 @@
 	c.slotFree.Broadcast()
 }
 
-// boundedListener leaves connections beyond a limit in the kernel's accept queue. Callers
+// callerListener leaves connections beyond a limit in the kernel's accept queue. Callers
 // in that queue try another address after a second, whereas accepted connections would
-// use memory and wait for the processor. Accept returns the connections of the inner
-// listener unwrapped, so that their sockets can be checked for whether the caller has
-// disconnected; netutil.LimitListener would hide them.
-type boundedListener struct {
+// use memory and wait for the processor. Its connections are tracked; unlike those of
+// netutil.LimitListener they expose their sockets, so that these can be checked for
+// whether the caller has disconnected.
+type callerListener struct {
 	net.Listener
 	conns *callerConns
 }
 
-// Accept implements net.Listener. net/http calls callerConns.track for a connection before
-// it accepts the next one, so that the limit is never exceeded.
-func (l *boundedListener) Accept() (net.Conn, error) {
+// Accept implements net.Listener. Only net/http calls it, for one connection after the
+// other, so that the limit is never exceeded.
+func (l *callerListener) Accept() (net.Conn, error) {
 	l.conns.awaitSlot()
-	return l.Listener.Accept()
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.conns.add(conn), nil
 }
 
 // Close implements net.Listener.
-func (l *boundedListener) Close() error {
+func (l *callerListener) Close() error {
 	l.conns.stop()
 	return l.Listener.Close()
 }
 
 // track is the http.Server.ConnState hook of the callers' server.
-func (c *callerConns) track(conn net.Conn, state http.ConnState) {
+func (c *callerConns) track(netConn net.Conn, state http.ConnState) {
+	conn, ok := netConn.(*callerConn)
+	if !ok {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.idle, conn)
 	switch state {
-	case http.StateNew:
-		c.open++
 	case http.StateIdle:
 		c.idle[conn] = c.now()
 	case http.StateClosed, http.StateHijacked:
+		delete(c.fresh, conn)
+		delete(c.idle, conn)
 		c.open--
 		c.slotFree.Signal()
-	case http.StateActive:
+	case http.StateNew, http.StateActive:
+		// add and received have recorded these.
 	}
 }
 
@@ -111,9 +189,7 @@
 }
 
 // sweep closes connections that have been idle for longer than idleFor (0 for no limit)
-// and, if too many connections are open, those that have been idle longest. It closes
-// them while holding c.mu: track locks it as soon as a request arrives, so that no
-// connection is closed after a request was read from it.
+// and, if too many connections are open, those that have been idle longest.
 func (c *callerConns) sweep(idleFor time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -129,18 +205,50 @@
 		return
 	}
 	surplus := c.open - int(trimToFraction*float64(c.limit))
-	oldest := make([]net.Conn, 0, len(c.idle))
+	oldest := make([]*callerConn, 0, len(c.idle))
 	for conn := range c.idle {
 		oldest = append(oldest, conn)
 	}
-	slices.SortFunc(oldest, func(a, b net.Conn) int { return cmp.Compare(c.idle[a], c.idle[b]) })
+	slices.SortFunc(oldest, func(a, b *callerConn) int { return cmp.Compare(c.idle[a], c.idle[b]) })
 	for _, conn := range oldest[:min(surplus, len(oldest))] {
 		c.closeIdle(conn)
 	}
 }
 
-// closeIdle closes an idle connection. c.mu must be held.
-func (c *callerConns) closeIdle(conn net.Conn) {
+// drain closes connections as they become idle, until none is open. It returns the error of
+// ctx if ctx ends before.
+func (c *callerConns) drain(ctx context.Context) error {
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for c.closeAllIdle() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// closeAllIdle closes all connections without a request. It returns the number of
+// connections that were open.
+func (c *callerConns) closeAllIdle() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.idle {
+		c.closeIdle(conn)
+	}
+	for conn := range c.fresh {
+		c.closeIdle(conn)
+	}
+	return c.open
+}
+
+// closeIdle closes a connection without a request. c.mu must be held: received locks it
+// before a request is handled, so that no request is handled whose connection was closed.
+func (c *callerConns) closeIdle(conn *callerConn) {
+	delete(c.fresh, conn)
 	delete(c.idle, conn)
+	conn.closed = true
 	_ = conn.Close()
 }
--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/http"
 	"syscall"
 	"testing"
 
@@ -10,13 +9,13 @@
 )
 
 // Whether a caller has disconnected is read from its socket immediately before its
-// request is sent to a target. A listener that wraps its connections would hide the socket.
+// request is sent to a target. A listener that wraps its connections must not hide the socket.
 func TestCallerConnExposesSocket(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &boundedListener{Listener: inner, conns: newCallerConns(1, clock.Monotonic())}
+	l := &callerListener{Listener: inner, conns: newCallerConns(1, clock.Monotonic())}
 	defer l.Close()
 	caller, err := net.Dial("tcp", inner.Addr().String())
 	if err != nil {
@@ -28,8 +27,12 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	if _, ok := conn.(syscall.Conn); !ok {
-		t.Errorf("a caller's connection is a %T, which does not implement syscall.Conn", conn)
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		t.Fatalf("a caller's connection is a %T, which does not implement syscall.Conn", conn)
+	}
+	if _, err := sc.SyscallConn(); err != nil {
+		t.Errorf("socket of a caller's connection: %v", err)
 	}
 }
 
@@ -41,8 +44,8 @@
 		t.Fatal(err)
 	}
 	conns := newCallerConns(1, clock.Monotonic())
-	conns.track(nil, http.StateNew)
-	l := &boundedListener{Listener: inner, conns: conns}
+	conns.add(nil)
+	l := &callerListener{Listener: inner, conns: conns}
 	ended := make(chan error)
 	go func() {
 		_, err := l.Accept()
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -175,9 +175,10 @@
 )
 
 // Stop performs a graceful stop. It directs callers and peers to other instances at once
-// and keeps serving requests that still arrive. It returns when no request is active and
-// callers have had time to ask the directory again, or at the latest shortly before the
-// grace period ends.
+// and keeps serving requests that still arrive, until callers have had time to ask the
+// directory again. Then it accepts no more connections and closes the open ones as they
+// become idle. It returns when all are closed, so that no request can be read and then cut,
+// or at the latest shortly before the grace period ends.
 func (g *Gateway) Stop() {
 	start := g.options.Now()
 	g.leaving.Store(true)
@@ -185,15 +186,25 @@
 	g.handler.StartDrain(time.Duration(streamsFraction*float64(limit)), time.Duration(requestsFraction*float64(limit)))
 	g.options.Log.Info().Str("event", "stopping").Int64("active", g.handler.Active()).Msg("")
 	g.sendRound()
-	linger := min(answerLifetimes*g.options.Settings.LocateLifetime+heartbeatInterval, limit)
-	wait(linger)
+	linger := answerLifetimes*g.options.Settings.LocateLifetime + heartbeatInterval
+	wait(min(linger, time.Duration(requestsFraction*float64(limit))))
+	g.closeCallerListener()
 	ctx, cancel := context.WithTimeout(context.Background(), max(limit-g.options.Now().Sub(start), 0))
 	defer cancel()
-	err := g.handler.AwaitIdle(ctx)
+	err := g.callers.drain(ctx)
 	g.options.Log.Info().Str("event", "stop_done").Int64("active", g.handler.Active()).
 		Int64("after_ms", sinceMillis(g.options.Now, start)).Err(err).Msg("")
 }
 
+// closeCallerListener closes the callers' listener if it is open.
+func (g *Gateway) closeCallerListener() {
+	select {
+	case <-g.ready:
+		_ = g.callerListener.Close()
+	default:
+	}
+}
+
 // sinceMillis returns the milliseconds since start.
 func sinceMillis(now clock.Source, start clock.Instant) int64 { return now().Sub(start).Milliseconds() }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -106,6 +106,8 @@
 	fetching bool
 
 	servers []*http.Server
+	// callerListener is the listener of the first server. It may be read once ready is closed.
+	callerListener net.Listener
 	// ready is closed once the listeners are open.
 	ready chan struct{}
 }
@@ -233,7 +235,9 @@
 
 // serve runs one HTTP server until it is closed.
 func (g *Gateway) serve(server *http.Server, l net.Listener) {
-	if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	err := server.Serve(l)
+	closed := errors.Is(err, http.ErrServerClosed) || g.leaving.Load() && errors.Is(err, net.ErrClosed)
+	if !closed {
 		g.options.Log.Error().Str("event", "listener_failed").Err(err).Msg("")
 	}
 }
@@ -283,14 +287,22 @@
 		l.http = append(l.http, opened)
 		g.servers = append(g.servers, newServer(port.handler))
 	}
-	if s.MaxCallerConns > 0 {
-		l.http[0] = &boundedListener{Listener: l.http[0], conns: g.callers}
-	}
+	g.callerListener = &callerListener{Listener: l.http[0], conns: g.callers}
+	l.http[0] = g.callerListener
 	g.servers[0].ConnState = g.callers.track
-	g.servers[0].ConnContext = ingress.WithConn
+	g.servers[0].ConnContext = withCallerConn
 	return l, nil
 }
 
+// withCallerConn is the ConnContext hook of the callers' server. It stores the connection
+// with its socket, if it has one.
+func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
+	if c, ok := conn.(*callerConn); ok {
+		conn = c.Conn
+	}
+	return ingress.WithConn(ctx, conn)
+}
+
 // newServer returns a server for HTTP/1.1 only.
 func newServer(handler http.Handler) *http.Server {
 	var protocols http.Protocols
--- a/internal/ingress/stop.go
+++ b/internal/ingress/stop.go
@@ -1,16 +1,12 @@
 package ingress
 
 import (
-	"context"
 	"sync/atomic"
 	"time"
 
 	"medlarwind.dev/medlarwind/internal/clock"
 )
 
-// drainPollInterval is how often AwaitIdle checks whether requests are still being served.
-const drainPollInterval = 20 * time.Millisecond
-
 // drainRetryAfter is the retry delay sent to callers that must connect to another instance.
 const drainRetryAfter = 50 * time.Millisecond
 
@@ -48,18 +44,3 @@
 
 // Active returns the number of requests being served.
 func (h *Handler) Active() int64 { return h.drain.active.Load() }
-
-// AwaitIdle waits until no request is being served. It returns the error of ctx if ctx ends
-// before.
-func (h *Handler) AwaitIdle(ctx context.Context) error {
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	for h.Active() > 0 {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
-	return nil
-}
