--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -12,13 +12,13 @@
 )
 
 // Whether a caller has disconnected is read from its socket immediately before its
-// request is sent to a target. A listener that wraps its connections would hide the socket.
+// request is sent to a target. A listener that wraps its connections must not hide the socket.
 func TestCallerConnExposesSocket(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &boundedListener{Listener: inner, conns: newCallerConns(1, clock.Monotonic())}
+	l := &callerListener{Listener: inner, conns: newCallerConns(1, clock.Monotonic())}
 	defer l.Close()
 	caller, err := net.Dial("tcp", inner.Addr().String())
 	if err != nil {
@@ -30,8 +30,12 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	if _, ok := conn.(syscall.Conn); !ok {
-		t.Errorf("a caller's connection is a %T, which does not implement syscall.Conn", conn)
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		t.Fatalf("a caller's connection is a %T, which does not implement syscall.Conn", conn)
+	}
+	if _, err := sc.SyscallConn(); err != nil {
+		t.Errorf("socket of a caller's connection: %v", err)
 	}
 }
 
@@ -43,8 +47,8 @@
 		t.Fatal(err)
 	}
 	conns := newCallerConns(1, clock.Monotonic())
-	conns.track(nil, http.StateNew)
-	l := &boundedListener{Listener: inner, conns: conns}
+	conns.add(nil)
+	l := &callerListener{Listener: inner, conns: conns}
 	ended := make(chan error)
 	go func() {
 		_, err := l.Accept()
@@ -71,9 +75,10 @@
 	c := newCallerConns(8, func() clock.Instant { return now })
 	var reported []connCloser
 	c.onUnanswered = func(u unansweredConn) { reported = append(reported, u.closer) }
-	swept, kept, busy := pipeConn(), pipeConn(), pipeConn()
-	for _, conn := range []net.Conn{swept, kept, busy} {
+	swept, kept, busy := c.add(pipeConn()), c.add(pipeConn()), c.add(pipeConn())
+	for _, conn := range []*callerConn{swept, kept, busy} {
 		c.track(conn, http.StateNew)
+		c.received(conn)
 		c.track(conn, http.StateActive)
 		if conn != busy {
 			c.track(conn, http.StateIdle)
@@ -100,7 +105,7 @@
 	}
 	c.track(kept, http.StateClosed)
 	c.track(busy, http.StateClosed)
-	if counts := c.counts(); counts != (connCounts{}) || len(c.swept) > 0 {
-		t.Errorf("counts %+v and %d swept connections after all are closed", counts, len(c.swept))
+	if counts := c.counts(); counts != (connCounts{}) || len(c.fresh) > 0 {
+		t.Errorf("counts %+v and %d fresh connections after all are closed", counts, len(c.fresh))
 	}
 }
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -63,7 +63,7 @@
 // isSilence reports whether an attempt failed with err because its target sent nothing for
 // too long, and not because the target or the connection failed.
 func isSilence(err error) bool {
-	return errors.Is(err, errFirstByteTimeout) || errors.Is(err, os.ErrDeadlineExceeded)
+	return errors.Is(err, errTargetSilent) || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // Reasons for aborting the connection of a caller that has left or sends no more.
--- a/internal/ingress/report_test.go
+++ b/internal/ingress/report_test.go
@@ -51,7 +51,7 @@
 		err  error
 		want bool
 	}{
-		{&upstream.Error{Sent: true, Err: errFirstByteTimeout}, true},
+		{&upstream.Error{Sent: true, Err: errTargetSilent}, true},
 		{errors.Wrap(os.ErrDeadlineExceeded, "read body"), true},
 		{&upstream.Error{Sent: true, Err: io.ErrUnexpectedEOF}, false},
 		{syscall.ECONNRESET, false},
