memnet: end a blocked write when the reader closes

TestEndlessAnswerIsMalformed and TestEndlessBodyIsNotKept failed in some runs with "deadlock: main bubble goroutine has exited but blocked goroutines remain": a write that waited for room in a full window went on waiting after the reader had closed its end.

TestBlockedWriteEndsWhenReaderCloses failed before with the same deadlock.

--- a/internal/memnet/conn.go
+++ b/internal/memnet/conn.go
@@ -203,17 +203,17 @@
 			p.mu.Unlock()
 			return 0, err
 		}
+		if p.discardsWrites() {
+			p.wasReset = true
+			p.mu.Unlock()
+			return len(b), nil
+		}
 		if p.buffered < windowBytes {
 			break
 		}
 		p.cond.Wait()
 	}
 	n := min(len(b), windowBytes-p.buffered)
-	if p.discardsWrites() {
-		p.wasReset = true
-		p.mu.Unlock()
-		return n, nil
-	}
 	passed, resets := p.link.countSent(n)
 	p.push(segment{data: append([]byte(nil), b[:passed]...)})
 	p.resetPending = p.resetPending || resets
--- a/internal/memnet/memnet_test.go
+++ b/internal/memnet/memnet_test.go
@@ -194,3 +194,25 @@
 		})
 	})
 }
+
+// A write that waits for room must end when the reader closes its end; on a real network the
+// connection is reset.
+func TestBlockedWriteEndsWhenReaderCloses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, server := connect(t, memnet.New())
+		defer client.Close()
+		ended := make(chan error, 1)
+		go func() {
+			var err error
+			for err == nil {
+				_, err = client.Write(make([]byte, 4<<10))
+			}
+			ended <- err
+		}()
+		synctest.Wait()
+		_ = server.Close()
+		if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("write to a closed reader: error %v, want ECONNRESET", err)
+		}
+	})
+}
