Report a request that is discarded with its idle connection

A request whose first byte is read while its connection is closed as idle is now discarded in callerConn.Read, before net/http counts its connection as active, so that neither line nor counter told of it. The changed test failed before: nothing was reported.

--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -81,6 +81,7 @@
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 && !c.conns.received(c) {
+		c.conns.reportUnanswered(c, closedAsIdle)
 		return 0, net.ErrClosed
 	}
 	return n, err
@@ -174,7 +175,15 @@
 	if !ok {
 		return
 	}
-	if closer := c.record(conn, state); closer != "" && c.onUnanswered != nil {
+	if closer := c.record(conn, state); closer != "" {
+		c.reportUnanswered(conn, closer)
+	}
+}
+
+// reportUnanswered reports a request that was read from a connection which is being closed.
+// c.mu must not be held.
+func (c *callerConns) reportUnanswered(conn *callerConn, closer connCloser) {
+	if c.onUnanswered != nil {
 		c.onUnanswered(unansweredConn{caller: remoteAddr(conn), closer: closer})
 	}
 }
@@ -196,7 +205,7 @@
 	case http.StateActive:
 		c.busy[conn] = c.now()
 		if conn.closed {
-			return closedBySweep
+			return closedAsIdle
 		}
 		if c.closing {
 			return closedByShutdown
@@ -212,7 +221,8 @@
 
 // What closes a connection with an unanswered request.
 const (
-	closedBySweep    connCloser = "sweep"
+	// closedAsIdle is a sweep or a graceful stop, which took the connection for idle.
+	closedAsIdle     connCloser = "idle"
 	closedByShutdown connCloser = "shutdown"
 	// closedByAbort is the request's own handler, which had no complete answer.
 	closedByAbort connCloser = "abort"
--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -88,9 +88,10 @@
 		}
 	}
 	c.sweep(time.Second)
-	c.track(swept, http.StateActive)
-	if !slices.Equal(reported, []connCloser{closedBySweep}) {
-		t.Errorf("reported %v for a request on a swept connection, want %s", reported, closedBySweep)
+	// The kernel had the request before the connection was closed.
+	swept.Conn = readyConn{swept.Conn}
+	if n, err := swept.Read(make([]byte, 8)); n != 0 || err == nil || !slices.Equal(reported, []connCloser{closedAsIdle}) {
+		t.Errorf("read %d bytes, error %v, reported %v for a request on a swept connection, want %s", n, err, reported, closedAsIdle)
 	}
 	c.track(swept, http.StateClosed)
 	now = now.Add(300 * time.Millisecond)
@@ -100,7 +101,7 @@
 		t.Errorf("counts %+v, unanswered %+v, want one idle connection and one with a request", counts, unanswered)
 	}
 	c.track(kept, http.StateActive)
-	if !slices.Equal(reported, []connCloser{closedBySweep, closedByShutdown}) {
+	if !slices.Equal(reported, []connCloser{closedAsIdle, closedByShutdown}) {
 		t.Errorf("reported %v, want also the request that was read at the shutdown", reported)
 	}
 	c.track(kept, http.StateClosed)
@@ -109,3 +110,8 @@
 		t.Errorf("counts %+v and %d fresh connections after all are closed", counts, len(c.fresh))
 	}
 }
+
+// readyConn is a connection from which a byte can always be read.
+type readyConn struct{ net.Conn }
+
+func (readyConn) Read(b []byte) (int, error) { return copy(b, "P"), nil }
