gateway: do not close a connection as idle while a pipelined request is served

callerConns took a connection out of the idle ones at the first byte that is read. The test failed before: the connection was closed.

--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -203,6 +203,9 @@
 		c.open--
 		c.slotFree.Signal()
 	case http.StateActive:
+		// A pipelined request may have been read together with the one before.
+		delete(c.fresh, conn)
+		delete(c.idle, conn)
 		c.busy[conn] = c.now()
 		if conn.closed {
 			return closedAsIdle
--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -115,3 +115,20 @@
 type readyConn struct{ net.Conn }
 
 func (readyConn) Read(b []byte) (int, error) { return copy(b, "P"), nil }
+
+// A pipelined request is read together with the one before. While it is served, its
+// connection must not count as idle, or a sweep closes it.
+func TestConnectionWithPipelinedRequestIsNotIdle(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	c := newCallerConns(8, func() clock.Instant { return now })
+	conn := c.add(pipeConn())
+	c.received(conn)
+	for _, state := range []http.ConnState{http.StateActive, http.StateIdle, http.StateActive} {
+		c.track(conn, state)
+	}
+	now = now.Add(time.Minute)
+	c.sweep(time.Second)
+	if conn.closed {
+		t.Error("a connection with an unanswered request was closed as idle")
+	}
+}
