--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -88,9 +88,10 @@
 		}
 	}
 	c.sweep(time.Second)
-	c.track(swept, http.StateActive)
-	if !slices.Equal(reported, []connCloser{closedBySweep}) {
-		t.Errorf("reported %v for a request on a swept connection, want %s", reported, closedBySweep)
+	// The kernel had the request before the connection was closed.
+	swept.Conn = readyConn{swept.Conn}
+	if n, err := swept.Read(make([]byte, 8)); n != 0 || err == nil || !slices.Equal(reported, []connCloser{closedAsIdle}) {
+		t.Errorf("read %d bytes, error %v, reported %v for a request on a swept connection, want %s", n, err, reported, closedAsIdle)
 	}
 	c.track(swept, http.StateClosed)
 	now = now.Add(300 * time.Millisecond)
@@ -100,7 +101,7 @@
 		t.Errorf("counts %+v, unanswered %+v, want one idle connection and one with a request", counts, unanswered)
 	}
 	c.track(kept, http.StateActive)
-	if !slices.Equal(reported, []connCloser{closedBySweep, closedByShutdown}) {
+	if !slices.Equal(reported, []connCloser{closedAsIdle, closedByShutdown}) {
 		t.Errorf("reported %v, want also the request that was read at the shutdown", reported)
 	}
 	c.track(kept, http.StateClosed)
@@ -109,3 +110,25 @@
 		t.Errorf("counts %+v and %d fresh connections after all are closed", counts, len(c.fresh))
 	}
 }
+
+// readyConn is a connection from which a byte can always be read.
+type readyConn struct{ net.Conn }
+
+func (readyConn) Read(b []byte) (int, error) { return copy(b, "P"), nil }
+
+// A pipelined request is read together with the one before. While it is served, its
+// connection must not count as idle, or a sweep closes it.
+func TestConnectionWithPipelinedRequestIsNotIdle(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	c := newCallerConns(8, func() clock.Instant { return now })
+	conn := c.add(pipeConn())
+	c.received(conn)
+	for _, state := range []http.ConnState{http.StateActive, http.StateIdle, http.StateActive} {
+		c.track(conn, state)
+	}
+	now = now.Add(time.Minute)
+	c.sweep(time.Second)
+	if conn.closed {
+		t.Error("a connection with an unanswered request was closed as idle")
+	}
+}
