gateway: do not close an idle connection with an unread request

Callers that sent a request on a connection that had been idle for long, or while an instance closed connections because it held too many, had it reset although the instance could serve it. The request was not passed on.

With a busy processor a request waits in the kernel's buffer for a while, and closing a socket with unread bytes resets it.

What arrives after that look is lost as before; it is unread, so that the caller may send it again.

--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"medlarwind.dev/medlarwind/internal/clock"
 )
@@ -210,8 +211,13 @@
 		oldest = append(oldest, conn)
 	}
 	slices.SortFunc(oldest, func(a, b *callerConn) int { return cmp.Compare(c.idle[a], c.idle[b]) })
-	for _, conn := range oldest[:min(surplus, len(oldest))] {
-		c.closeIdle(conn)
+	for _, conn := range oldest {
+		if surplus <= 0 {
+			return
+		}
+		if c.closeIdle(conn) {
+			surplus--
+		}
 	}
 }
 
@@ -244,11 +250,32 @@
 	return c.open
 }
 
-// closeIdle closes a connection without a request. c.mu must be held: received locks it
-// before a request is handled, so that no request is handled whose connection was closed.
-func (c *callerConns) closeIdle(conn *callerConn) {
+// closeIdle closes a connection without a request, unless one waits to be read. It reports
+// whether it closed the connection. c.mu must be held: received locks it before a request is
+// handled, so that no request is handled whose connection was closed.
+func (c *callerConns) closeIdle(conn *callerConn) bool {
+	if conn.hasUnread() {
+		return false
+	}
 	delete(c.fresh, conn)
 	delete(c.idle, conn)
 	conn.closed = true
 	_ = conn.Close()
+	return true
+}
+
+// hasUnread reports whether bytes wait to be read in the socket's buffer.
+func (c *callerConn) hasUnread() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	// Control, unlike Read, does not wait for the Read that is pending on an idle connection.
+	_ = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = n > 0 && err == nil
+	})
+	return unread
 }
