scheduler: charge the retry budget only for retries that are sent

A request whose target broke off got 502, or its stream ended, for the reason retry_budget although few retries had been sent in the window.

Cause: Admit charged the budget before it knew whether there was a place. While targets were full or gone, each refused retry took its part of the budget, and nothing was left for those that could have run.

Now a retry is charged when it is placed, at once or from the queue. A placement that could not be sent after all stays charged.

--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -63,7 +63,7 @@
 	for i := range 100 {
 		j := ts.job(fmt.Sprint("customer-", i%30), fmt.Sprint("part-", i), 12000)
 		j.prepare()
-		if _, refusal := ts.enqueue(j, ts.now()); refusal != nil {
+		if _, refusal := ts.enqueue(j, false, ts.now()); refusal != nil {
 			b.Fatal(refusal)
 		}
 	}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -41,7 +41,9 @@
 
 // waiter is a job in the queue.
 type waiter struct {
-	job        *Job
+	job *Job
+	// retry says that the job was sent before.
+	retry      bool
 	enqueuedAt clock.Instant
 	waitLimit  time.Duration
 	decision   chan decision
@@ -53,7 +55,7 @@
 
 // enqueue puts a job in the queue, or refuses it if the queue is full or the customer's
 // usage exceeds rejectUsageFactor times its nominal share. s.mu must be held.
-func (s *Scheduler) enqueue(j *Job, now clock.Instant) (*waiter, *Refusal) {
+func (s *Scheduler) enqueue(j *Job, retry bool, now clock.Instant) (*waiter, *Refusal) {
 	remaining := j.Deadline.Sub(now)
 	waitLimit := min(max(time.Duration(waitFraction*float64(remaining)), minWait), maxWait)
 	if j.Prompt > 0 && s.meter.Usage(j.Customer, now) > s.shares(now).nominal {
@@ -65,7 +67,7 @@
 	case j.Prompt > 0 && s.meter.Usage(j.Customer, now) > rejectUsageFactor*s.shares(now).nominal:
 		return nil, s.refusal(j, ReasonOverShare, now, now)
 	}
-	w := &waiter{job: j, enqueuedAt: now, waitLimit: waitLimit, decision: make(chan decision, 1)}
+	w := &waiter{job: j, retry: retry, enqueuedAt: now, waitLimit: waitLimit, decision: make(chan decision, 1)}
 	s.queue = append(s.queue, w)
 	return w, nil
 }
@@ -144,7 +146,7 @@
 	})
 	misses := 0
 	for _, w := range slices.Clone(s.queue) {
-		v := s.decide(w.job, now)
+		v := s.place(w.job, w.retry, now)
 		if v.placement == nil && v.refusal == nil {
 			if misses++; misses >= maxQueueMisses {
 				return
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -191,17 +191,13 @@
 }
 
 // Admit waits until the job may be sent to a target. retry says that the job was sent
-// before, in which case it draws on the retry budget. The error is a *Refusal, which
+// before, in which case its placement draws on the retry budget. The error is a *Refusal, which
 // means that this call did not run the job.
 func (s *Scheduler) Admit(ctx context.Context, j *Job, retry bool) (*Placement, error) {
 	j.prepare()
 	s.mu.Lock()
 	now := s.options.Now()
-	if retry && !s.retryBudget(j.Service.ID).AllowRetry(now) {
-		s.mu.Unlock()
-		return nil, &Refusal{Reason: ReasonRetryBudget}
-	}
-	decision := s.decide(j, now)
+	decision := s.place(j, retry, now)
 	if decision.placement != nil || decision.refusal != nil {
 		s.mu.Unlock()
 		if decision.refusal != nil {
@@ -209,7 +205,7 @@
 		}
 		return decision.placement, nil
 	}
-	w, refusal := s.enqueue(j, now)
+	w, refusal := s.enqueue(j, retry, now)
 	s.mu.Unlock()
 	if refusal != nil {
 		return nil, refusal
@@ -224,16 +220,24 @@
 	j.prepare()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.options.Now()
+	return s.place(j, true, s.options.Now()).placement
+}
+
+// place decides on a job. A retry is refused if the retry budget is used up, and draws on it
+// if the job is placed. s.mu must be held.
+func (s *Scheduler) place(j *Job, retry bool, now clock.Instant) decision {
+	if !retry {
+		return s.decide(j, now)
+	}
 	budget := s.retryBudget(j.Service.ID)
 	if !budget.HasRetry(now) {
-		return nil
+		return decision{refusal: &Refusal{Reason: ReasonRetryBudget}}
 	}
-	p := s.decide(j, now).placement
-	if p != nil {
+	d := s.decide(j, now)
+	if d.placement != nil {
 		budget.AllowRetry(now)
 	}
-	return p
+	return d
 }
 
 // retryBudget returns the retry budget of a service, with its limits updated to the
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -466,3 +466,54 @@
 		}
 	})
 }
+
+// A retry that is refused for want of a target is not made, and must not use up the budget of
+// retries that could be.
+func TestRefusedRetriesDoNotDrawOnRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ts := newTestScheduler(0)
+		var group sync.WaitGroup
+		for range 100 {
+			j := ts.job("c", "part", 1000)
+			group.Go(func() {
+				_, err := ts.Admit(t.Context(), j, true)
+				if r := refusalOf(t, err); r.Reason != ReasonNoTarget {
+					t.Errorf("refused for %s, want %s", r.Reason, ReasonNoTarget)
+				}
+			})
+		}
+		group.Wait()
+		ts.SetTargets(engineList(2), nil)
+		if _, err := ts.Admit(t.Context(), ts.job("c", "part", 1000), true); err != nil {
+			t.Errorf("retry with a free target: %v", err)
+		}
+	})
+}
+
+// Retries that wait together for a target must not exceed the budget when they start.
+func TestWaitingRetriesStayWithinRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ts := newTestScheduler(0)
+		var group sync.WaitGroup
+		var placed, overBudget atomic.Int64
+		for range 100 {
+			j := ts.job("c", "part", 10)
+			group.Go(func() {
+				_, err := ts.Admit(t.Context(), j, true)
+				if err == nil {
+					placed.Add(1)
+				} else if refusalOf(t, err).Reason == ReasonRetryBudget {
+					overBudget.Add(1)
+				}
+			})
+		}
+		synctest.Wait()
+		ts.SetTargets(engineList(6), nil)
+		group.Wait()
+		// The limit is a part of RetryExtra (50), as no request arrived anew.
+		if limit := int64(50 / minBudgetDivisor); placed.Load() == 0 || placed.Load() > limit || placed.Load()+overBudget.Load() != 100 {
+			t.Errorf("%d retries placed and %d over the budget, want at most %d placed and all others over it",
+				placed.Load(), overBudget.Load(), limit)
+		}
+	})
+}
