ingress: do not replace runs because the process was held up

After a pause of the process, or on a processor that is short, all silent limits have passed at once although what the targets sent waits to be read. Running requests were then given up and sent again, at the cost of the retry budget and of targets' work.

Cause: the limits are times of this process's own clock, and a check that runs late takes its own delay for the target's silence.

TestRunIsNotReplacedAfterProcessWasHeldUp failed before, and on with the read deadline in place of the watch: safe: got 2 runs, want 1 resumable: got 2 runs, want 1

Now a check that is over 100 ms late is repeated 100 ms later, when what had arrived has been read.

--- a/internal/ingress/silence.go
+++ b/internal/ingress/silence.go
@@ -11,9 +11,15 @@
 	"medlarwind.dev/medlarwind/internal/scheduler"
 )
 
-// replaceInterval is the time between two requests to the scheduler to replace the same
-// attempt.
-const replaceInterval = 500 * time.Millisecond
+// Times of the watch for silent targets.
+const (
+	// replaceInterval is the time between two requests to the scheduler to replace the same
+	// attempt.
+	replaceInterval = 500 * time.Millisecond
+	// maxCheckDelay is the delay of a check from which the process counts as held up. What the
+	// target sent may then wait to be read, and the check is repeated after this time.
+	maxCheckDelay = 100 * time.Millisecond
+)
 
 // errTargetSilent is the cause with which an attempt's context is cancelled once another
 // target is to take over from one that has sent nothing for too long.
@@ -82,11 +88,15 @@
 func (w *silenceWatch) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	now := w.x.h.options.Now()
+	delay := now.Sub(w.checkAt)
 	w.checkAt = 0
 	if w.stopped || w.limit == 0 {
 		return
 	}
-	now := w.x.h.options.Now()
+	if delay > maxCheckDelay {
+		w.limit = max(w.limit, now.Add(maxCheckDelay))
+	}
 	if now < w.limit {
 		w.schedule(now)
 		return
--- a/internal/ingress/silence_test.go
+++ b/internal/ingress/silence_test.go
@@ -85,6 +85,8 @@
 	scheduler *scheduler.Scheduler
 	upstream  *upstream.Client
 	listed    []inventory.Target
+	// heldUp is added to the clock that the handler reads.
+	heldUp atomic.Int64
 
 	mu   sync.Mutex
 	runs []testRun
@@ -103,7 +105,8 @@
 // make in a window.
 func newTestIngress(t *testing.T, retryExtra float64) *testIngress {
 	e := &testIngress{t: t, network: memnet.New(), codec: &testCodec{}}
-	now := clock.Monotonic()
+	monotonic := clock.Monotonic()
+	now := func() clock.Instant { return monotonic().Add(time.Duration(e.heldUp.Load())) }
 	e.scheduler = scheduler.New(scheduler.Options{
 		Self: "r0", DataCentre: "a", Regions: map[fleet.DataCentreID]fleet.RegionID{"a": "ra"}, Now: now,
 		ShareWindow: 4 * time.Second, RetryExtra: retryExtra, RetryWindow: 10 * time.Second,
@@ -404,3 +407,39 @@
 		}
 	})
 }
+
+// A process that was held up finds all its limits passed at once, while what the targets sent
+// waits to be read. Its runs must not be replaced for that.
+func TestRunIsNotReplacedAfterProcessWasHeldUp(t *testing.T) {
+	tests := []struct {
+		route, want string
+		// limit is the time from the start of the request to its first limit.
+		limit time.Duration
+		run   func(ctx context.Context, w http.ResponseWriter, r *http.Request)
+	}{
+		{"safe", "answer", firstByteFactor * testFirstByteSLO, func(ctx context.Context, w http.ResponseWriter, _ *http.Request) {
+			sleep(ctx, firstByteFactor*testFirstByteSLO+time.Millisecond)
+			_, _ = io.WriteString(w, "answer")
+		}},
+		{"resumable", allEvents, minStallTimeout, func(ctx context.Context, w http.ResponseWriter, _ *http.Request) {
+			streamEvents(ctx, w, 1, 1, 0)
+			sleep(ctx, minStallTimeout+time.Millisecond)
+			streamEvents(ctx, w, 2, 3, 0)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.route, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newTestIngress(t, 100)
+				e.addTarget("t1", inventory.Ready, test.run)
+				e.addTarget("t2", inventory.Ready, test.run)
+				// The clock jumps shortly before the limit, and the answer arrives shortly after it.
+				time.AfterFunc(test.limit-time.Millisecond, func() { e.heldUp.Store(int64(2 * time.Second)) })
+				if status, body, err := e.call(test.route); status != http.StatusOK || body != test.want || err != nil {
+					t.Errorf("got status %d, body %q and error %v, want the complete answer", status, body, err)
+				}
+				e.checkRuns(1)
+			})
+		})
+	}
+}
