scheduler: do not count silent runs as crashes

Callers that repeated a slow request got 503 crashes_targets, and a stream whose run was replaced could end for that reason, though no target had crashed.

Cause: a run that was replaced because its target was silent ended as Broken, which also counts towards the crashes of its request. Three such runs within the lifetime of a suspect refuse the request in the whole fleet.

Now such a run ends as Silent. For the target it counts as a failure as before; a request that crashes a target still shows as a broken connection.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -192,14 +192,21 @@
 		return notSent
 	}
 	x.result.Cause = err.Error()
-	if ctx.Err() != nil {
-		p.End(scheduler.Abandoned)
-	} else {
-		p.End(scheduler.Broken)
-	}
+	p.End(x.brokenOutcome(ctx))
 	return mayHaveRun
 }
 
+// brokenOutcome returns the outcome of an attempt that got no complete response.
+func (x *exchange) brokenOutcome(ctx context.Context) scheduler.Outcome {
+	switch {
+	case ctx.Err() != nil:
+		return scheduler.Abandoned
+	case x.silence.stop() != nil:
+		return scheduler.Silent
+	}
+	return scheduler.Broken
+}
+
 // relay passes a response on to the caller, or discards it if it cannot be passed on.
 func (x *exchange) relay(ctx context.Context, p *scheduler.Placement, resp *upstream.Response) attemptResult {
 	info := x.h.options.Codec.DecodeResponse(resp.Status, resp.Header)
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -90,11 +90,7 @@
 	if err != nil {
 		x.result.Cause = err.Error()
 	}
-	if ctx.Err() != nil {
-		p.End(scheduler.Abandoned)
-	} else {
-		p.End(scheduler.Broken)
-	}
+	p.End(x.brokenOutcome(ctx))
 	return mayHaveRun
 }
 
--- a/internal/ingress/silence_test.go
+++ b/internal/ingress/silence_test.go
@@ -443,3 +443,21 @@
 		})
 	}
 }
+
+// A caller may repeat a request whose runs were slow. It must not be refused as one that
+// crashes its targets.
+func TestRepeatedSilentRunsDoNotCountAsCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestIngress(t, 100)
+		for i := range 10 {
+			e.addTarget(fmt.Sprint("t", i), inventory.Ready, func(ctx context.Context, _ http.ResponseWriter, _ *http.Request) {
+				<-ctx.Done()
+			})
+		}
+		for range 4 {
+			if _, body, err := e.call("safe"); body != "time_up\n" || err != nil {
+				t.Errorf("got body %q and error %v, want the request to run until its deadline", body, err)
+			}
+		}
+	})
+}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -198,8 +198,11 @@
 	Rejected
 	// Unreachable means that no connection could be opened.
 	Unreachable
-	// Broken means that the connection broke, stalled or carried malformed data.
+	// Broken means that the connection broke or carried malformed data.
 	Broken
+	// Silent means that the target sent nothing for too long, so that another one took the
+	// request over.
+	Silent
 	// Unsent means that nothing was sent, for reasons unrelated to the target.
 	Unsent
 	// Abandoned means that the caller disconnected or its deadline passed.
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -17,9 +17,8 @@
 	probeThreshold = 2
 	minAvoid       = 300 * time.Millisecond
 	maxAvoid       = 3 * time.Second
-	// downThreshold is the number of consecutive failures after which a broken connection
-	// marks the target as down. A single broken connection shows only that an answer was
-	// lost.
+	// downThreshold is the number of consecutive failures after which a broken or silent
+	// connection marks the target as down. A single one shows only that an answer was lost.
 	downThreshold = 3
 	// unreachableAvoid is the minimum time for which a target is avoided after a
 	// connection to it could not be opened.
@@ -103,13 +102,13 @@
 		t.failureRate *= 1 - failureWeight
 		t.consecutiveFailures = 0
 		delete(s.suspects, p.job.Fingerprint)
-	case Failed, Rejected, Unreachable, Broken:
+	case Failed, Rejected, Unreachable, Broken, Silent:
 		t.failureRate += failureWeight * (1 - t.failureRate)
 		t.consecutiveFailures++
 		s.avoid(t, o, now)
 	case Abandoned, Unsent:
 	}
-	if o == Unreachable || o == Broken && t.consecutiveFailures >= downThreshold {
+	if o == Unreachable || (o == Broken || o == Silent) && t.consecutiveFailures >= downThreshold {
 		t.brokenAt = now
 		s.inventory.MarkBroken(p.Target.ID, p.job.Service.ColdPeriod, now)
 	}
