ingress: do not take a slow answer for silence

A repeatable request whose answer arrived in pieces over more than twice the objective was given up and sent to another target while its answer was on the way.

Cause: the wait for the first byte went on until the whole answer, or its first 256 KiB, was read.

TestSlowAnswerIsNotSilence failed before: got 2 runs, want 1.

Now each read of the body starts the silence anew.

--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -38,7 +38,8 @@
 // relayBuffered relays a response that is not a stream. It reads up to maxBufferedBytes
 // before it writes the headers.
 func (x *exchange) relayBuffered(ctx context.Context, p *scheduler.Placement, resp *upstream.Response) attemptResult {
-	buffered, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+	body := &watchedReader{Reader: resp.Body, silence: x.silence, timeout: x.firstByteTimeout(p)}
+	buffered, err := io.ReadAll(io.LimitReader(body, maxBufferedBytes))
 	if err != nil || resp.Length > 0 && resp.Length <= maxBufferedBytes && int64(len(buffered)) < resp.Length {
 		resp.Finish(false)
 		return x.markBroken(ctx, p, err)
--- a/internal/ingress/silence.go
+++ b/internal/ingress/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 
@@ -121,6 +122,19 @@
 	return w.replacement
 }
 
+// watchedReader is a response body whose silence starts anew with each read.
+type watchedReader struct {
+	io.Reader
+	silence *silenceWatch
+	timeout time.Duration
+}
+
+// Read implements io.Reader.
+func (r *watchedReader) Read(b []byte) (int, error) {
+	r.silence.await(r.timeout)
+	return r.Reader.Read(b)
+}
+
 // isReplaceable reports whether another attempt may follow the current one if that breaks
 // off.
 func (x *exchange) isReplaceable() bool {
--- a/internal/ingress/silence_test.go
+++ b/internal/ingress/silence_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -461,3 +462,25 @@
 		}
 	})
 }
+
+// A target that sends its answer slowly is not silent, however long the answer takes.
+func TestSlowAnswerIsNotSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestIngress(t, 100)
+		const pieces = 5
+		for _, name := range []string{"t1", "t2"} {
+			e.addTarget(name, inventory.Ready, func(ctx context.Context, w http.ResponseWriter, _ *http.Request) {
+				for range pieces {
+					_, _ = io.WriteString(w, "piece")
+					_ = http.NewResponseController(w).Flush()
+					sleep(ctx, testFirstByteSLO)
+				}
+			})
+		}
+		status, body, err := e.call("safe")
+		if status != http.StatusOK || body != strings.Repeat("piece", pieces) || err != nil {
+			t.Errorf("got status %d, body %q and error %v, want the complete answer", status, body, err)
+		}
+		e.checkRuns(1)
+	})
+}
