scheduler: divide what is left between customers by what they used

Cause: beyond the nominal share (a third of what the engines reach with their caches) there were two fixed limits on the expected wait at a target, 80 ms below the effective share and 40 ms above it, one limit on its slots, and immediate refusal at 1.5 nominal shares. Whoever tried most often, through most instances, met a free place first: usage was divided in proportion to the tries.

Now the limits on wait and slots fall with a customer's usage over its effective share; a customer may wait in the queue, with about as many jobs as start within the wait; and while a customer is starved now (under 0.75 of its requests of the last second), those more than 1.25 times ahead of it wait.

--- a/internal/gateway/sharelog.go
+++ b/internal/gateway/sharelog.go
@@ -19,6 +19,9 @@
 	line := g.options.Log.Info().Str("event", "shares")
 	if r.Limited {
 		line = line.Int64("nominal", int64(r.Nominal)).Int64("effective", int64(r.Effective))
+		if r.Lead > 0 {
+			line = line.Int64("lead", int64(r.Lead))
+		}
 	}
 	largest := zerolog.Arr()
 	for _, c := range r.Largest {
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -133,6 +133,9 @@
 	}
 	if in.Limited {
 		line = line.Int64("nominal", int64(in.Nominal)).Int64("effective", int64(in.Effective))
+		if in.Lead > 0 {
+			line = line.Int64("lead", int64(in.Lead))
+		}
 	}
 	if in.Decisions > 0 {
 		line = line.Int("decisions", in.Decisions).Int64("decided_ago_ms", in.LastDecision.Milliseconds())
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -111,6 +111,33 @@
 	return MaxMinShare(demands, tokensPerSecond*m.window.Seconds())
 }
 
+// recentBuckets is the number of buckets that show what a customer requests now.
+const recentBuckets = 5
+
+// LeastServed returns the lowest usage of a starved customer, or false if none is starved: a
+// customer that now gets less than the given fraction of what it requests, and used less
+// than that fraction of the limit within the window. It takes O(n) time for n customers.
+func (m *Meter) LeastServed(fraction, limit float64, now clock.Instant) (float64, bool) {
+	least, found := fraction*limit, false
+	for c := range m.customers {
+		w := m.windowAt(c, now)
+		demand, usage := w.recent()
+		if used := sum(&w.usage); usage < fraction*demand && used < least {
+			least, found = used, true
+		}
+	}
+	return least, found
+}
+
+// recent returns the demand and the usage in the last buckets.
+func (w *customerWindow) recent() (demand, usage float64) {
+	for i := max(w.lastBucket-recentBuckets+1, 0); i <= w.lastBucket; i++ {
+		demand += w.demand[i%bucketCount]
+		usage += w.usage[i%bucketCount]
+	}
+	return demand, usage
+}
+
 // Throughput returns the tokens per second that all customers together used within the
 // window. It takes O(n) time for n customers.
 func (m *Meter) Throughput(now clock.Instant) float64 {
--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"medlarwind.dev/medlarwind/internal/clock"
@@ -18,19 +19,6 @@
 	// memoryFraction is the fraction of an engine's memory that running requests may use.
 	// The rest holds shared prompt parts and requests that exceed their estimate.
 	memoryFraction = 0.75
-	// effectiveShareWait and excessWait limit the expected wait at a target; with a longer
-	// wait a request does not start. effectiveShareWait applies to a customer that has
-	// used up its nominal share, excessWait to one that has also used up its effective
-	// share.
-	effectiveShareWait = 80 * time.Millisecond
-	excessWait         = 40 * time.Millisecond
-	// lateWait limits the expected wait at a target for a request over the nominal share
-	// that can no longer meet its objective: while not all requests can be served, those
-	// that can still meet theirs go first.
-	lateWait = 10 * time.Millisecond
-	// overShareSlotFraction is the fraction of a target's slots that customers over their
-	// nominal share may fill.
-	overShareSlotFraction = 0.7
 	// nominalShareWaitFactor limits the expected wait at a target for customers within
 	// their nominal share, as a multiple of the route's objective. A request that would
 	// wait longer stays in the scheduler's queue, from which it can still go to another
@@ -61,7 +49,14 @@
 	candidates, from := s.candidates(j, s.targetListFor(j, now), now)
 	choice, ok := placement.Pick(j.request(), candidates)
 	j.considered.record(candidates, from, choice, now)
-	if !ok || !s.shareAllows(j, &candidates[choice.Index], choice, now) {
+	if !ok {
+		return decision{}
+	}
+	limit := s.loadLimit(j, now)
+	if j.Service.Engine != nil {
+		j.considered.waitLimit = limit.wait
+	}
+	if !limit.allows(&candidates[choice.Index], choice.Wait) {
 		return decision{}
 	}
 	return decision{placement: s.start(j, from[choice.Index], candidates[choice.Index], choice, now)}
@@ -73,32 +68,20 @@
 	return e != nil && e.MemoryTokens > 0 && j.Prompt+j.Output > e.MemoryTokens
 }
 
-// shareAllows reports whether the fair shares allow the job to start on the chosen
-// target. Within its nominal share a customer may fill the targets; within its effective
-// share it may start on targets with a short wait; beyond that it gets only capacity that
-// would otherwise be idle. s.mu must be held.
-func (s *Scheduler) shareAllows(j *Job, c *placement.Candidate, choice placement.Choice, now clock.Instant) bool {
+// loadLimit returns the load of a target up to which the fair shares allow the job to start
+// there. Within its nominal share a customer may fill the targets. s.mu must be held.
+func (s *Scheduler) loadLimit(j *Job, now clock.Instant) loadLimit {
 	if j.Service.Engine == nil {
-		return true
+		return loadLimit{wait: math.MaxInt64}
 	}
 	used, shares := s.meter.Usage(j.Customer, now), s.shares(now)
-	if used < shares.nominal {
-		limit := time.Duration(nominalShareWaitFactor * float64(j.Route.FirstByteSLO))
-		if j.Route.FirstByteSLO == 0 {
-			limit = defaultNominalShareWait
-		}
-		j.considered.waitLimit = limit
-		return choice.Wait <= limit
+	if used >= shares.nominal {
+		return shares.spareLimit(used, j.isLate())
 	}
-	limit := excessWait
-	switch {
-	case j.isLate():
-		limit = lateWait
-	case used < shares.effective:
-		limit = effectiveShareWait
+	if j.Route.FirstByteSLO == 0 {
+		return loadLimit{wait: defaultNominalShareWait}
 	}
-	j.considered.waitLimit = limit
-	return choice.Wait <= limit && float64(c.Load.Running) < overShareSlotFraction*float64(c.Slots)
+	return loadLimit{wait: time.Duration(nominalShareWaitFactor * float64(j.Route.FirstByteSLO))}
 }
 
 // start places a job on a target and adds it to the target's load. s.mu must be held.
@@ -121,6 +104,7 @@
 		s.cache.AddPrefixes(target.startID, "", j.prefixes)
 		s.meter.AddUsage(j.Customer, j.weight(), now)
 		s.addUsage(j.Customer, 0, j.weight())
+		s.countStart(j.Customer, now)
 	}
 	t.ownLoad = t.ownLoad.Add(p.load)
 	t.starts.Add(now)
--- a/internal/scheduler/inputs.go
+++ b/internal/scheduler/inputs.go
@@ -15,6 +15,8 @@
 	// and Limited if no limit is configured; the shares are then 0.
 	Metered, Limited         bool
 	Used, Nominal, Effective float64
+	// Lead is the usage beyond which the customer waits for a starved one, 0 if none is.
+	Lead float64
 	// Reports is the number of peers' reports that Used includes, and OldestReport the time
 	// since the oldest of them was received.
 	Reports      int
@@ -76,7 +78,7 @@
 	in.Reports, in.OldestReport = s.exchange.Included(now)
 	if s.hasTokenLimit() {
 		shares := s.shares(now)
-		in.Limited, in.Nominal, in.Effective = true, shares.nominal, shares.effective
+		in.Limited, in.Nominal, in.Effective, in.Lead = true, shares.nominal, shares.effective, shares.finiteLead()
 	}
 	return in
 }
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -33,10 +33,6 @@
 	baseRetryDelay         = 200 * time.Millisecond
 	minOverShareRetryDelay = 500 * time.Millisecond
 	overShareRetryFraction = 0.17
-	// rejectUsageFactor is the multiple of its nominal share above which a customer's
-	// jobs are refused immediately, because its usage in the sliding window would not
-	// drop far enough for them to start before their wait ends.
-	rejectUsageFactor = 1.5
 )
 
 // waiter is a job in the queue.
@@ -53,18 +49,20 @@
 	used float64
 }
 
-// enqueue puts a job in the queue, or refuses it if the queue is full or the customer's
-// usage exceeds rejectUsageFactor times its nominal share. s.mu must be held.
+// enqueue puts a job in the queue. It refuses the job if the queue is full, or if the
+// customer is over its nominal share and so many of its jobs wait that this one would not
+// start before its wait ends. s.mu must be held.
 func (s *Scheduler) enqueue(j *Job, retry bool, now clock.Instant) (*waiter, *Refusal) {
 	remaining := j.Deadline.Sub(now)
 	waitLimit := min(max(time.Duration(waitFraction*float64(remaining)), minWait), maxWait)
-	if j.Prompt > 0 && s.meter.Usage(j.Customer, now) > s.shares(now).nominal {
+	overShare := j.Prompt > 0 && s.meter.Usage(j.Customer, now) > s.shares(now).nominal
+	if overShare {
 		waitLimit = min(waitLimit, time.Duration(overShareWaitFraction*float64(j.Route.FirstByteSLO)))
 	}
 	switch {
 	case len(s.queue) >= maxQueueLength:
 		return nil, s.refusal(j, ReasonQueueFull, now, now)
-	case j.Prompt > 0 && s.meter.Usage(j.Customer, now) > rejectUsageFactor*s.shares(now).nominal:
+	case overShare && s.queuedJobs(j.Customer) >= s.maxSpareQueue(j.Customer, waitLimit, now):
 		return nil, s.refusal(j, ReasonOverShare, now, now)
 	}
 	w := &waiter{job: j, retry: retry, enqueuedAt: now, waitLimit: waitLimit, decision: make(chan decision, 1)}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -65,8 +65,11 @@
 	usageTotals  map[fleet.CustomerID]exchange.Usage
 	// recentUsage is the growth of usageTotals since the last ShareReport.
 	recentUsage map[fleet.CustomerID]exchange.Usage
-	queue       []*waiter
-	fairShares  fairShares
+	// startCounters count the generations that each customer started at this instance
+	// within the last second.
+	startCounters map[fleet.CustomerID]*pacing.StartCounter
+	queue         []*waiter
+	fairShares    fairShares
 	// targetLists holds the usable targets of each service. generation increases whenever
 	// the lists become invalid.
 	targetLists map[fleet.ServiceID]*targetList
@@ -95,18 +98,19 @@
 // New returns a Scheduler without configuration and targets.
 func New(o Options) *Scheduler {
 	return &Scheduler{
-		options:      o,
-		inventory:    inventory.New(),
-		meter:        quota.NewMeter(o.ShareWindow),
-		cache:        affinity.New(),
-		targets:      make(map[fleet.TargetID]*targetState),
-		exchange:     exchange.New(o.DataCentre),
-		retryBudgets: make(map[fleet.ServiceID]*pacing.RetryBudget),
-		suspects:     make(map[uint64]*suspect),
-		usageTotals:  make(map[fleet.CustomerID]exchange.Usage),
-		recentUsage:  make(map[fleet.CustomerID]exchange.Usage),
-		targetLists:  make(map[fleet.ServiceID]*targetList),
-		generation:   1,
+		options:       o,
+		inventory:     inventory.New(),
+		meter:         quota.NewMeter(o.ShareWindow),
+		cache:         affinity.New(),
+		targets:       make(map[fleet.TargetID]*targetState),
+		exchange:      exchange.New(o.DataCentre),
+		retryBudgets:  make(map[fleet.ServiceID]*pacing.RetryBudget),
+		suspects:      make(map[uint64]*suspect),
+		startCounters: make(map[fleet.CustomerID]*pacing.StartCounter),
+		usageTotals:   make(map[fleet.CustomerID]exchange.Usage),
+		recentUsage:   make(map[fleet.CustomerID]exchange.Usage),
+		targetLists:   make(map[fleet.ServiceID]*targetList),
+		generation:    1,
 	}
 }
 
@@ -295,6 +299,8 @@
 	// of the throughput that the engines actually reach, which is higher while prompts
 	// are held in their caches.
 	nominal, effective float64
+	// lead is the usage beyond which customers wait for a starved one, infinite if none is.
+	lead float64
 }
 
 // hasTokenLimit reports whether a throughput is configured, which the shares divide. s.mu
@@ -307,14 +313,14 @@
 // held.
 func (s *Scheduler) shares(now clock.Instant) fairShares {
 	if !s.hasTokenLimit() {
-		return fairShares{nominal: math.Inf(1), effective: math.Inf(1)}
+		return fairShares{nominal: math.Inf(1), effective: math.Inf(1), lead: math.Inf(1)}
 	}
 	if s.fairShares.computedAt == 0 || now.Sub(s.fairShares.computedAt) >= shareInterval {
 		published := s.catalog.Limits.TokensPerSecond
+		nominal := s.meter.FairShare(published, now)
+		effective := s.meter.FairShare(max(published, shareHeadroom*s.meter.Throughput(now)), now)
 		s.fairShares = fairShares{
-			computedAt: now,
-			nominal:    s.meter.FairShare(published, now),
-			effective:  s.meter.FairShare(max(published, shareHeadroom*s.meter.Throughput(now)), now),
+			computedAt: now, nominal: nominal, effective: effective, lead: s.lead(nominal, effective, now),
 		}
 	}
 	return s.fairShares
--- a/internal/scheduler/sharereport.go
+++ b/internal/scheduler/sharereport.go
@@ -16,7 +16,9 @@
 	// throughput is configured; they are then 0.
 	Limited            bool
 	Nominal, Effective float64
-	Window             time.Duration
+	// Lead is the usage beyond which customers wait for a starved one, 0 if none is.
+	Lead   float64
+	Window time.Duration
 	// Throughput is the number of tokens per second that all customers used.
 	Throughput float64
 	// Instances is the number of live instances, this one included. Reports is the number
@@ -61,7 +63,7 @@
 	r.Throughput = s.meter.Throughput(now)
 	if s.hasTokenLimit() {
 		shares := s.shares(now)
-		r.Limited, r.Nominal, r.Effective = true, shares.nominal, shares.effective
+		r.Limited, r.Nominal, r.Effective, r.Lead = true, shares.nominal, shares.effective, shares.finiteLead()
 	}
 	return r, true
 }
