--- /dev/null
+++ b/client/export_test.go
@@ -0,0 +1,7 @@
+package client
+
+// The limits, for tests.
+const (
+	MaxMessageBytes = maxMessageBytes
+	MaxHeaderBytes  = maxHeaderBytes
+)
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -1,9 +1,14 @@
 package ingress
 
 import (
+	"os"
 	"time"
 
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
 	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/scheduler"
 )
 
 // Report is the result of one request, for the log and the metrics.
@@ -15,6 +20,17 @@
 	// Reason says why the request was refused or its last unsuccessful attempt failed, empty
 	// if neither happened.
 	Reason string
+	// Aborted reports whether the handler closed the caller's connection, as far as it knows
+	// not left by the caller, because it had no complete answer.
+	Aborted bool
+	// RetryRefused says why the scheduler refused to retry a request that was sent before,
+	// empty if it did not. Reason then says why the last attempt failed.
+	RetryRefused string
+	// GaveUp reports whether the last unsuccessful attempt that may have run was ended by
+	// this instance, because its target sent nothing for too long.
+	GaveUp bool
+	// Refusal is the scheduler's refusal that ended the request, nil if there was none.
+	Refusal *scheduler.Refusal
 	// Cause is the underlying error of Reason, empty if there is none.
 	Cause  string
 	Target fleet.TargetID
@@ -34,8 +50,35 @@
 	Sends, Runs, Events int
 }
 
-// report completes the request's report, passes it to Observe and logs it.
+// recordRefusal records that the scheduler refused the request or its retry.
+func (x *exchange) recordRefusal(refusal *scheduler.Refusal) {
+	x.result.Refusal = refusal
+	if x.sends > 0 {
+		x.result.RetryRefused = string(refusal.Reason)
+		return
+	}
+	x.result.Reason, x.result.Waited = string(refusal.Reason), refusal.Waited
+}
+
+// isSilence reports whether an attempt failed with err because its target sent nothing for
+// too long, and not because the target or the connection failed.
+func isSilence(err error) bool {
+	return errors.Is(err, errTargetSilent) || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// Reasons for aborting the connection of a caller that has left or sends no more.
+const (
+	reasonCallerGone     = string(scheduler.ReasonCallerGone)
+	reasonBodyIncomplete = "body_incomplete"
+)
+
+// report completes the request's report, passes it to Observe and logs it. It must be
+// deferred.
 func (x *exchange) report() {
+	abort := recover()
+	if abort != nil {
+		x.result.Aborted = x.r.Context().Err() == nil && x.result.Reason != reasonCallerGone && x.result.Reason != reasonBodyIncomplete
+	}
 	o := &x.h.options
 	r := &x.result
 	r.Total = o.Now().Sub(x.arrived)
@@ -47,12 +90,24 @@
 	if r.OwnAnswer {
 		line = line.Bool("own", true)
 	}
+	if r.Aborted {
+		line = line.Bool("aborted", true)
+	}
 	if r.Reason != "" {
 		line = line.Str("reason", r.Reason)
 	}
 	if r.Cause != "" {
 		line = line.Str("cause", r.Cause)
 	}
+	if r.RetryRefused != "" {
+		line = line.Str("retry_refused", r.RetryRefused).Int64("retry_waited_ms", r.Refusal.Waited.Milliseconds())
+	}
+	if r.RetryRefused != "" && r.GaveUp {
+		line = line.Bool("gave_up", true)
+	}
+	if r.Refusal != nil {
+		line = appendInputs(line, r.Refusal)
+	}
 	if x.route != nil {
 		line = line.Str("route", x.route.Name)
 	}
@@ -65,4 +120,30 @@
 		Int64("waited_ms", r.Waited.Milliseconds()).Int64("expected_ms", r.ExpectedWait.Milliseconds()).
 		Int64("first_ms", r.FirstByte.Milliseconds()).Int64("total_ms", r.Total.Milliseconds()).
 		Int("sends", r.Sends).Int("runs", r.Runs).Int("events", r.Events).Msg("")
+	if abort != nil {
+		panic(abort)
+	}
+}
+
+// appendInputs adds the inputs of a refusal to a log line, without those that do not apply.
+func appendInputs(line *zerolog.Event, refusal *scheduler.Refusal) *zerolog.Event {
+	in := &refusal.Inputs
+	if in.Metered {
+		line = line.Int64("used", int64(in.Used)).Int("reports", in.Reports).Int64("reports_age_ms", in.OldestReport.Milliseconds())
+	}
+	if in.Limited {
+		line = line.Int64("nominal", int64(in.Nominal)).Int64("effective", int64(in.Effective))
+	}
+	if in.Decisions > 0 {
+		line = line.Int("decisions", in.Decisions).Int64("decided_ago_ms", in.LastDecision.Milliseconds())
+	}
+	if in.Preferred != "" {
+		line = line.Str("preferred", string(in.Preferred)).Int64("preferred_wait_ms", in.PreferredWait.Milliseconds()).
+			Int64("wait_limit_ms", in.WaitLimit.Milliseconds()).Int64("shortest_wait_ms", in.ShortestWait.Milliseconds()).
+			Int("preferred_running", in.PreferredRunning).Int("preferred_slots", in.PreferredSlots)
+	}
+	if refusal.Reason == scheduler.ReasonRetryBudget {
+		line = line.Int64("retries", int64(in.Retries)).Int64("retries_allowed", int64(in.RetriesAllowed))
+	}
+	return line
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -63,8 +63,10 @@
 	retryBudgets map[fleet.ServiceID]*pacing.RetryBudget
 	suspects     map[uint64]*suspect
 	usageTotals  map[fleet.CustomerID]exchange.Usage
-	queue        []*waiter
-	fairShares   fairShares
+	// recentUsage is the growth of usageTotals since the last ShareReport.
+	recentUsage map[fleet.CustomerID]exchange.Usage
+	queue       []*waiter
+	fairShares  fairShares
 	// targetLists holds the usable targets of each service. generation increases whenever
 	// the lists become invalid.
 	targetLists map[fleet.ServiceID]*targetList
@@ -102,6 +104,7 @@
 		retryBudgets: make(map[fleet.ServiceID]*pacing.RetryBudget),
 		suspects:     make(map[uint64]*suspect),
 		usageTotals:  make(map[fleet.CustomerID]exchange.Usage),
+		recentUsage:  make(map[fleet.CustomerID]exchange.Usage),
 		targetLists:  make(map[fleet.ServiceID]*targetList),
 		generation:   1,
 	}
@@ -191,17 +194,14 @@
 }
 
 // Admit waits until the job may be sent to a target. retry says that the job was sent
-// before, in which case it draws on the retry budget. The error is a *Refusal, which
+// before, in which case its placement draws on the retry budget. The error is a *Refusal, which
 // means that this call did not run the job.
 func (s *Scheduler) Admit(ctx context.Context, j *Job, retry bool) (*Placement, error) {
 	j.prepare()
 	s.mu.Lock()
 	now := s.options.Now()
-	if retry && !s.retryBudget(j.Service.ID).AllowRetry(now) {
-		s.mu.Unlock()
-		return nil, &Refusal{Reason: ReasonRetryBudget}
-	}
-	decision := s.decide(j, now)
+	j.considered = consideration{}
+	decision := s.place(j, retry, now)
 	if decision.placement != nil || decision.refusal != nil {
 		s.mu.Unlock()
 		if decision.refusal != nil {
@@ -209,7 +209,7 @@
 		}
 		return decision.placement, nil
 	}
-	w, refusal := s.enqueue(j, now)
+	w, refusal := s.enqueue(j, retry, now)
 	s.mu.Unlock()
 	if refusal != nil {
 		return nil, refusal
@@ -217,6 +217,35 @@
 	return s.await(ctx, w)
 }
 
+// Replace places a job that already runs on a target, which must be excluded, on another
+// one. It returns nil if the job may not start there now; it never waits. Only a returned
+// placement draws on the retry budget.
+func (s *Scheduler) Replace(j *Job) *Placement {
+	j.prepare()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.place(j, true, s.options.Now()).placement
+}
+
+// place decides on a job. A retry is refused if the retry budget is used up, and draws on it
+// if the job is placed. s.mu must be held.
+func (s *Scheduler) place(j *Job, retry bool, now clock.Instant) decision {
+	if !retry {
+		return s.decide(j, now)
+	}
+	budget := s.retryBudget(j.Service.ID)
+	if !budget.HasRetry(now) {
+		refusal := &Refusal{Reason: ReasonRetryBudget, Inputs: s.inputs(j, now)}
+		refusal.Inputs.Retries, refusal.Inputs.RetriesAllowed = budget.State(now)
+		return decision{refusal: refusal}
+	}
+	d := s.decide(j, now)
+	if d.placement != nil {
+		budget.AllowRetry(now)
+	}
+	return d
+}
+
 // retryBudget returns the retry budget of a service, with its limits updated to the
 // number of live instances. s.mu must be held.
 func (s *Scheduler) retryBudget(id fleet.ServiceID) *pacing.RetryBudget {
@@ -243,8 +272,10 @@
 // addUsage adds to the token counters of a customer that are reported to peers. s.mu must
 // be held.
 func (s *Scheduler) addUsage(c fleet.CustomerID, requested, started float64) {
-	u := s.usageTotals[c]
-	s.usageTotals[c] = exchange.Usage{Requested: u.Requested + requested, Started: u.Started + started}
+	for _, totals := range []map[fleet.CustomerID]exchange.Usage{s.usageTotals, s.recentUsage} {
+		u := totals[c]
+		totals[c] = exchange.Usage{Requested: u.Requested + requested, Started: u.Started + started}
+	}
 }
 
 // target returns the state of a target, creating it if needed. s.mu must be held.
@@ -266,10 +297,16 @@
 	nominal, effective float64
 }
 
+// hasTokenLimit reports whether a throughput is configured, which the shares divide. s.mu
+// must be held.
+func (s *Scheduler) hasTokenLimit() bool {
+	return s.catalog != nil && s.catalog.Limits.TokensPerSecond > 0
+}
+
 // shares returns the fair shares, which are recomputed every shareInterval. s.mu must be
 // held.
 func (s *Scheduler) shares(now clock.Instant) fairShares {
-	if s.catalog == nil || s.catalog.Limits.TokensPerSecond <= 0 {
+	if !s.hasTokenLimit() {
 		return fairShares{nominal: math.Inf(1), effective: math.Inf(1)}
 	}
 	if s.fairShares.computedAt == 0 || now.Sub(s.fairShares.computedAt) >= shareInterval {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -176,40 +176,69 @@
 	return nil
 }
 
-// readHeader reads the headers of the response that belongs to the request. It skips
-// informational responses and up to maxSkippedResponses responses to other requests.
+// readHeader reads the headers of the response that belongs to the request. It skips up to
+// maxInformational informational responses and up to maxSkippedResponses responses to other
+// requests.
 func (resp *Response) readHeader(r Request) error {
-	for skipped := 0; ; {
-		response, err := http.ReadResponse(resp.conn.reader, &http.Request{Method: r.Method})
+	limit := resp.conn.limit
+	defer limit.removeLimit()
+	limit.setLimit(partHead, maxHeadBytes)
+	for informational, skipped := 0, 0; ; {
+		response, err := resp.readOneHeader(r.Method)
 		if err != nil {
 			return err
 		}
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
+			if informational++; informational > maxInformational {
+				return newCountError("informational responses", informational, maxInformational)
+			}
 			continue
 		}
 		if r.Matches == nil || r.Matches(response.Header) {
 			resp.response, resp.Status, resp.Header = response, response.StatusCode, response.Header
 			resp.Body, resp.Length = response.Body, response.ContentLength
+			resp.setReadDeadline(time.Time{})
 			return nil
 		}
 		// This is a late, second response to an earlier request on this connection.
 		if skipped++; skipped > maxSkippedResponses || response.Close {
 			return errors.New("response belongs to another request")
 		}
+		limit.setLimit(partSkippedBody, maxSkippedBodyBytes)
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
-			return err
+			return asHeadTimeout(partSkippedBody, err)
 		}
+		limit.setLimit(partHead, maxHeadBytes)
 	}
 }
 
+// readOneHeader waits for the next response and reads its headers. The read deadline that it
+// sets remains, for a body that is skipped.
+func (resp *Response) readOneHeader(method string) (*http.Response, error) {
+	resp.setReadDeadline(time.Time{})
+	if _, err := resp.conn.reader.Peek(1); errors.Is(err, io.EOF) {
+		return nil, io.ErrUnexpectedEOF
+	} else if err != nil {
+		return nil, err
+	}
+	resp.setReadDeadline(time.Now().Add(headTimeout))
+	response, err := http.ReadResponse(resp.conn.reader, &http.Request{Method: method})
+	return response, asHeadTimeout(partHead, err)
+}
+
 // SetReadTimeout limits the wait for the next bytes of the body to d from now; 0 removes
 // the limit.
 func (resp *Response) SetReadTimeout(d time.Duration) {
 	if d == 0 {
-		_ = resp.conn.SetReadDeadline(time.Time{})
+		resp.setReadDeadline(time.Time{})
 		return
 	}
-	_ = resp.conn.SetReadDeadline(time.Now().Add(d))
+	resp.setReadDeadline(time.Now().Add(d))
+}
+
+// setReadDeadline sets the deadline of reads, none for the zero time, unless ctx has ended.
+func (resp *Response) setReadDeadline(deadline time.Time) {
+	_ = resp.conn.SetReadDeadline(deadline)
 	if resp.ctx.Err() != nil {
 		// The context may have ended just before, and the deadline set here has then replaced
 		// the one that interrupts the connection.
