--- a/internal/explain/refusal.go
+++ b/internal/explain/refusal.go
@@ -20,6 +20,7 @@
 	Preferred       string `json:"preferred"`
 	PreferredWaitMS int64  `json:"preferred_wait_ms"`
 	WaitLimitMS     int64  `json:"wait_limit_ms"`
+	SlotLimit       int    `json:"slot_limit"`
 	ShortestWaitMS  int64  `json:"shortest_wait_ms"`
 	Running         int    `json:"preferred_running"`
 	Slots           int    `json:"preferred_slots"`
@@ -60,6 +61,9 @@
 	}
 	text := fmt.Sprintf("%s was preferred, with a wait of %d ms where %d ms were allowed, and %d of %d slots taken; the shortest wait at any target with room was %d ms",
 		l.Preferred, l.PreferredWaitMS, l.WaitLimitMS, l.Running, l.Slots, l.ShortestWaitMS)
+	if l.SlotLimit > 0 {
+		text += fmt.Sprintf("; up to %d running requests were allowed", l.SlotLimit)
+	}
 	if l.PreferredWaitMS > l.WaitLimitMS && l.ShortestWaitMS <= l.WaitLimitMS {
 		text += ", so that another target idled"
 	}
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -143,6 +143,7 @@
 	if in.Preferred != "" {
 		line = line.Str("preferred", string(in.Preferred)).Int64("preferred_wait_ms", in.PreferredWait.Milliseconds()).
 			Int64("wait_limit_ms", in.WaitLimit.Milliseconds()).Int64("shortest_wait_ms", in.ShortestWait.Milliseconds()).
+			Int("slot_limit", in.SlotLimit).
 			Int("preferred_running", in.PreferredRunning).Int("preferred_slots", in.PreferredSlots)
 	}
 	if refusal.Reason == scheduler.ReasonRetryBudget {
--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -54,7 +54,7 @@
 	}
 	limit := s.loadLimit(j, now)
 	if j.Service.Engine != nil {
-		j.considered.waitLimit = limit.wait
+		j.considered.limit = limit
 	}
 	if !limit.allows(&candidates[choice.Index], choice.Wait) {
 		return decision{}
--- a/internal/scheduler/inputs.go
+++ b/internal/scheduler/inputs.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"medlarwind.dev/medlarwind/internal/clock"
@@ -33,6 +34,9 @@
 	// PreferredRunning and PreferredSlots are the numbers of running requests and of slots
 	// of the preferred target.
 	PreferredRunning, PreferredSlots int
+	// SlotLimit is the number of requests that may run at the preferred target before the
+	// shares no longer let the job start there, 0 if they set no such limit.
+	SlotLimit int
 	// ShortestWait is the shortest expected wait at any candidate with room.
 	ShortestWait time.Duration
 	// Retries and RetriesAllowed are the state of the retry budget that refused a retry.
@@ -46,7 +50,7 @@
 	decidedAt      clock.Instant
 	preferred      fleet.TargetID
 	choice         placement.Choice
-	waitLimit      time.Duration
+	limit          loadLimit
 	running, slots int
 }
 
@@ -65,7 +69,8 @@
 func (s *Scheduler) inputs(j *Job, now clock.Instant) Inputs {
 	c := &j.considered
 	in := Inputs{
-		Decisions: c.decisions, Preferred: c.preferred, PreferredWait: c.choice.Wait, WaitLimit: c.waitLimit,
+		Decisions: c.decisions, Preferred: c.preferred, PreferredWait: c.choice.Wait, WaitLimit: c.limit.wait,
+		SlotLimit:        int(math.Ceil(c.limit.slots * float64(c.slots))),
 		PreferredRunning: c.running, PreferredSlots: c.slots, ShortestWait: c.choice.ShortestWait,
 	}
 	if c.decisions > 0 {
