ingress: keep a silent run until its replacement is reached

Callers of repeatable requests still got 502, or a stream that ended midway, while a sound target was at work on their request, when the target that was to take over could not be reached.

Cause: the run was cancelled once the scheduler had placed the request on another target. Placing it does not show that the target is there: one that has just failed is listed for a while and looks idle. After the failed connection the scheduler was asked again, and its refusal ended the request.

TestSilentRunGoesOnIfReplacementIsUnreachable failed before: safe: got status 502, body "target_unreachable\n" and error <nil> resumable: got status 200, body "id: 1\ndata: event 1\n\n" and error unexpected EOF

Now the watch connects to the other target before it cancels the run, without holding its lock, so that what arrives meanwhile is passed on (TestAnswerWhileConnectingToReplacement, which hung with the lock held). A target that cannot be reached is marked so and excluded, its retry is returned to the budget, and the next one is tried. The connection waits in the pool for the send.

Not changed: a replacement that is reached and refuses the request, or breaks off, still leaves the request without the run that was given up.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -154,7 +154,7 @@
 	}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	x.silence = x.newSilenceWatch(cancel)
+	x.silence = x.newSilenceWatch(attemptCtx, cancel)
 	defer func() { x.replacement = x.silence.stop() }()
 	x.silence.await(x.firstByteTimeout(p))
 	resp, err := o.Upstream.Send(attemptCtx, upstream.Request{
--- a/internal/ingress/silence.go
+++ b/internal/ingress/silence.go
@@ -27,11 +27,14 @@
 var errTargetSilent = errors.New("target sent nothing in time")
 
 // silenceWatch replaces an attempt whose target sends nothing for too long. The attempt is
-// cancelled only after the scheduler has placed the request on another target: a silent
-// target may still be at work, and without a replacement its response is the only one that
-// the caller can get. The methods other than check are called by the exchange's goroutine.
+// cancelled only after the scheduler has placed the request on another target that can be
+// reached: a silent target may still be at work, and without a replacement its response is
+// the only one that the caller can get. The methods other than check and replace are called
+// by the exchange's goroutine.
 type silenceWatch struct {
-	x       *exchange
+	x *exchange
+	// ctx is the attempt's context, which abandon cancels.
+	ctx     context.Context
 	abandon context.CancelCauseFunc
 
 	mu sync.Mutex
@@ -40,14 +43,16 @@
 	// timer calls check at checkAt, if checkAt is not 0.
 	timer   *time.Timer
 	checkAt clock.Instant
-	stopped bool
+	// connecting is set while check connects to another target. No timer is set meanwhile.
+	connecting bool
+	stopped    bool
 	// replacement is the placement for which the attempt was cancelled, nil if it was not.
 	replacement *scheduler.Placement
 }
 
-// newSilenceWatch returns a watch that cancels an attempt with abandon.
-func (x *exchange) newSilenceWatch(abandon context.CancelCauseFunc) *silenceWatch {
-	return &silenceWatch{x: x, abandon: abandon}
+// newSilenceWatch returns a watch that cancels an attempt, whose context is ctx, with abandon.
+func (x *exchange) newSilenceWatch(ctx context.Context, abandon context.CancelCauseFunc) *silenceWatch {
+	return &silenceWatch{x: x, ctx: ctx, abandon: abandon}
 }
 
 // await starts the silence: the target is expected to send something within timeout. A
@@ -62,7 +67,7 @@
 	w.limit = now.Add(timeout)
 	// A timer that is due earlier is left alone; check sets it again. Events are frequent,
 	// and most of them then do not touch the timer.
-	if w.checkAt == 0 || w.checkAt > w.limit {
+	if !w.connecting && (w.checkAt == 0 || w.checkAt > w.limit) {
 		w.schedule(now)
 	}
 }
@@ -102,13 +107,42 @@
 		w.schedule(now)
 		return
 	}
-	if w.replacement = w.x.h.options.Scheduler.Replace(w.x.job); w.replacement == nil {
-		w.limit = now.Add(replaceInterval)
-		w.schedule(now)
+	if p := w.x.h.options.Scheduler.Replace(w.x.job); p != nil {
+		w.replace(p)
 		return
 	}
-	w.limit = 0
-	w.abandon(errTargetSilent)
+	w.limit = now.Add(replaceInterval)
+	w.schedule(now)
+}
+
+// replace cancels the attempt in favour of p if p's target can be reached and the silence
+// lasts until then. Otherwise it releases p, and the attempt goes on. w.mu must be held; it is
+// released while connecting, so that what arrives meanwhile is passed on.
+func (w *silenceWatch) replace(p *scheduler.Placement) {
+	limit := w.limit
+	w.connecting = true
+	w.mu.Unlock()
+	err := w.x.h.options.Upstream.Connect(w.ctx, p.Target.Addr)
+	w.mu.Lock()
+	w.connecting = false
+	lasts := !w.stopped && w.limit == limit
+	if err == nil && lasts {
+		w.limit, w.replacement = 0, p
+		w.abandon(errTargetSilent)
+		return
+	}
+	now := w.x.h.options.Now()
+	if err != nil && w.ctx.Err() == nil {
+		p.End(scheduler.Unreachable)
+		if lasts {
+			w.x.job.Exclude(p.Target.ID)
+			w.limit = now
+		}
+	}
+	p.Withdraw()
+	if !w.stopped && w.limit != 0 && w.ctx.Err() == nil {
+		w.schedule(now)
+	}
 }
 
 // stop ends the watch and returns the replacement, nil if there is none.
--- a/internal/ingress/silence_test.go
+++ b/internal/ingress/silence_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -88,6 +89,8 @@
 	listed    []inventory.Target
 	// heldUp is added to the clock that the handler reads.
 	heldUp atomic.Int64
+	// dialTime is how long it takes to connect to a target.
+	dialTime time.Duration
 
 	mu   sync.Mutex
 	runs []testRun
@@ -123,7 +126,10 @@
 	current := catalog.New(config)
 	e.scheduler.SetCatalog(current)
 	e.scheduler.SetAlive([]roster.Member{{ID: "r0"}})
-	e.upstream = upstream.NewClient(e.network.Host("10.0.0.1").Dial)
+	e.upstream = upstream.NewClient(func(ctx context.Context, network, addr string) (net.Conn, error) {
+		sleep(ctx, e.dialTime)
+		return e.network.Host("10.0.0.1").Dial(ctx, network, addr)
+	})
 	handler := New(Options{
 		Codec: e.codec, ConfigSource: testConfig{current}, Scheduler: e.scheduler, Upstream: e.upstream,
 		Now: now, Log: zerolog.Nop(), BodyMemory: 1 << 20,
@@ -159,6 +165,16 @@
 			e.mu.Unlock()
 		}
 	}))
+	e.list(name, addr, state)
+}
+
+// listUnreachable lists a target that accepts no connections.
+func (e *testIngress) listUnreachable(name string) {
+	e.list(name, fmt.Sprintf("10.1.0.%d:80", len(e.listed)+1), inventory.Ready)
+}
+
+// list lists a target.
+func (e *testIngress) list(name, addr string, state inventory.State) {
 	e.listed = append(e.listed, inventory.Target{
 		ID: fleet.TargetID(name), StartMillis: 1, Service: "app", Addr: addr, DataCentre: "a", State: state, Slots: 8, Revision: 1,
 	})
@@ -484,3 +500,55 @@
 		e.checkRuns(1)
 	})
 }
+
+// A silent run must not be given up for a target that cannot be reached: its response may then
+// be the only one that the caller can get.
+func TestSilentRunGoesOnIfReplacementIsUnreachable(t *testing.T) {
+	tests := []struct {
+		route, want string
+		run         func(ctx context.Context, w http.ResponseWriter, r *http.Request)
+	}{
+		{"safe", "answer", answerLate},
+		{"resumable", allEvents, streamWithPauses},
+	}
+	for _, test := range tests {
+		t.Run(test.route, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newTestIngress(t, 100)
+				e.addTarget("t1", inventory.Ready, test.run)
+				time.AfterFunc(time.Millisecond, func() { e.listUnreachable("t2") })
+				status, body, err := e.call(test.route)
+				if status != http.StatusOK || body != test.want || err != nil {
+					t.Errorf("got status %d, body %q and error %v, want the complete answer", status, body, err)
+				}
+				e.checkRuns(1)
+				e.checkReleased()
+			})
+		})
+	}
+}
+
+// What a silent target sends while another one is connected to is passed on at once, and the
+// run goes on.
+func TestAnswerWhileConnectingToReplacement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestIngress(t, 100)
+		e.dialTime = 200 * time.Millisecond
+		const answerTime = firstByteFactor*testFirstByteSLO - 100*time.Millisecond
+		for _, name := range []string{"t1", "t2"} {
+			e.addTarget(name, inventory.Ready, func(ctx context.Context, w http.ResponseWriter, _ *http.Request) {
+				sleep(ctx, answerTime)
+				_, _ = io.WriteString(w, "answer")
+			})
+		}
+		start := time.Now()
+		if status, body, err := e.call("safe"); status != http.StatusOK || body != "answer" || err != nil {
+			t.Errorf("got status %d, body %q and error %v, want the complete answer", status, body, err)
+		}
+		if took := time.Since(start); took != e.dialTime+answerTime {
+			t.Errorf("the answer took %s, want %s", took, e.dialTime+answerTime)
+		}
+		e.checkRuns(1)
+		e.checkReleased()
+	})
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -111,7 +111,10 @@
 		return nil, err
 	}
 	limit := newLimitedReader(raw)
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(limit, readBufferSize), limit: limit, addr: addr}, nil
+	return &conn{
+		Conn: raw, reader: bufio.NewReaderSize(limit, readBufferSize), limit: limit, addr: addr,
+		expires: time.Now().Add(defaultIdleTimeout),
+	}, nil
 }
 
 // take removes the most recently used idle connection from the pool and returns it. It
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -87,6 +87,17 @@
 // Sweep closes the idle connections that have expired.
 func (c *Client) Sweep() { c.pool.sweep(time.Now()) }
 
+// Connect opens a connection to a target for a request that is about to be sent, unless there
+// is an idle one. The error is an *Error.
+func (c *Client) Connect(ctx context.Context, addr string) error {
+	cn, err := c.pool.get(ctx, addr)
+	if err != nil {
+		return &Error{DialFailed: true, Err: err}
+	}
+	c.pool.put(cn)
+	return nil
+}
+
 // Response is the status and headers of a response, whose body is read from Body. Finish
 // must be called.
 type Response struct {
