ingress: do not hold an event back for the rest of the next one

Callers of a stream got an event late, by as long as the target took to finish the next one, when the first bytes of that arrived together with the event.

Cause: an event was not flushed while any bytes were buffered after it, whole event or not.

TestEventIsNotHeldBackByIncompleteOne failed before, for LF and CRLF: the first event took 1s

Now an event waits only for an event that is buffered whole, and so is written and flushed next without another read. That is also what did for a next event that breaks off: its flush before the abort has nothing left to send and is removed, since it could wait for a caller that does not read. TestEventBeforeBrokenOneIsDelivered passes unchanged.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -118,11 +118,6 @@
 	switch {
 	case x.headerWritten, x.r.Context().Err() != nil:
 		x.result.Reason = reason
-		if x.headerWritten {
-			// Events that were written but not flushed would be lost. If this fails, so has the
-			// caller's connection, which is closed in any case.
-			_ = http.NewResponseController(x.w).Flush()
-		}
 		panic(http.ErrAbortHandler)
 	case x.runs == 0:
 		x.refuse(http.StatusServiceUnavailable, reason, busyRetryAfter)
--- a/internal/ingress/events.go
+++ b/internal/ingress/events.go
@@ -78,5 +78,10 @@
 	}
 }
 
-// buffered reports whether more bytes can be read without blocking.
-func (r *eventReader) buffered() bool { return r.in.Buffered() > 0 }
+// hasBuffered reports whether a complete event can be read without blocking.
+func (r *eventReader) hasBuffered() bool {
+	// Peek does not fail for bytes that are buffered.
+	b, _ := r.in.Peek(r.in.Buffered())
+	b = bytes.TrimLeft(b, "\r\n")
+	return bytes.Contains(b, []byte("\n\n")) || bytes.Contains(b, []byte("\n\r\n"))
+}
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -118,7 +118,7 @@
 			p.PrefillDone()
 			x.writeStreamHeader(resp)
 		}
-		if err := x.writeEvent(flusher, e, events.buffered()); err != nil {
+		if err := x.writeEvent(flusher, e, events.hasBuffered()); err != nil {
 			resp.Finish(false)
 			p.End(scheduler.Abandoned)
 			return mayHaveRun
@@ -141,9 +141,9 @@
 	x.writeHeader(resp.Status)
 }
 
-// writeEvent writes an event to the caller. It flushes unless more data is buffered, so that
-// events that arrive together are sent together.
-func (x *exchange) writeEvent(flusher *http.ResponseController, e event, moreBuffered bool) error {
+// writeEvent writes an event to the caller. It flushes unless the next event has arrived, too,
+// so that events that arrive together are sent together.
+func (x *exchange) writeEvent(flusher *http.ResponseController, e event, nextBuffered bool) error {
 	if _, err := x.w.Write(e.raw); err != nil {
 		return err
 	}
@@ -151,7 +151,7 @@
 	if len(e.id) > 0 {
 		x.lastEvent = string(e.id)
 	}
-	if moreBuffered {
+	if nextBuffered {
 		return nil
 	}
 	return flusher.Flush()
