--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -118,11 +118,6 @@
 	switch {
 	case x.headerWritten, x.r.Context().Err() != nil:
 		x.result.Reason = reason
-		if x.headerWritten {
-			// Events that were written but not flushed would be lost. If this fails, so has the
-			// caller's connection, which is closed in any case.
-			_ = http.NewResponseController(x.w).Flush()
-		}
 		panic(http.ErrAbortHandler)
 	case x.runs == 0:
 		x.refuse(http.StatusServiceUnavailable, reason, busyRetryAfter)
@@ -154,7 +149,7 @@
 	}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	x.silence = x.newSilenceWatch(cancel)
+	x.silence = x.newSilenceWatch(attemptCtx, cancel)
 	defer func() { x.replacement = x.silence.stop() }()
 	x.silence.await(x.firstByteTimeout(p))
 	resp, err := o.Upstream.Send(attemptCtx, upstream.Request{
--- a/internal/scheduler/fairness_test.go
+++ b/internal/scheduler/fairness_test.go
@@ -172,6 +172,7 @@
 // simulate plays the loads of some customers.
 func (f *testFleet) simulate(loads []customerLoad, seed uint64) {
 	var sources, requests sync.WaitGroup
+	// The sources read the maps, so that these are complete before the first one starts.
 	for _, c := range loads {
 		f.asked[c.id], f.got[c.id] = new([fleetSeconds]float64), new([fleetSeconds]float64)
 	}
