client: return the last refusal without waiting

Cause: Generate and Call waited out RetryAfter after every refusal, the last one too. Evidence: TestLastRefusalIsReturnedAtOnce failed before: refused after 2 s with one attempt, and with two after 12 s in place of at most 8.25 s. Fix: the wait is skipped if no attempt is left. The addresses still expire, so that the next request asks for them again.

--- a/client/call.go
+++ b/client/call.go
@@ -26,7 +26,7 @@
 			return answer, nil
 		}
 		last = err
-		if !c.waitToRetry(ctx, err) {
+		if !c.waitToRetry(ctx, err, c.options.MaxTries-try-1) {
 			break
 		}
 	}
--- a/client/client.go
+++ b/client/client.go
@@ -228,7 +228,7 @@
 			maxTries++
 			continue
 		}
-		if !c.waitToRetry(ctx, err) {
+		if !c.waitToRetry(ctx, err, maxTries-try-1) {
 			break
 		}
 	}
@@ -241,14 +241,18 @@
 	return errors.As(err, &failed) && failed.noResponse
 }
 
-// waitToRetry waits as long as the refusal requests and makes the next attempt ask for
-// addresses again. It returns false if the request must not be retried.
-func (c *Client) waitToRetry(ctx context.Context, err error) bool {
+// waitToRetry waits as long as the refusal requests and makes the next attempt, of this
+// request or another, ask for addresses again. It returns false at once if the request must
+// not be retried or has no attempts left.
+func (c *Client) waitToRetry(ctx context.Context, err error, attemptsLeft int) bool {
 	var failed *RequestError
 	if !errors.As(err, &failed) || failed.Kind != NotRun || failed.RetryAfter < 0 {
 		return false
 	}
 	c.expireAddresses()
+	if attemptsLeft <= 0 {
+		return false
+	}
 	timer := time.NewTimer(failed.RetryAfter)
 	defer timer.Stop()
 	select {
