quota: an idle customer with a refund is not starved

For about a second after a request that did not run was taken back, customers ahead of the lead met the limits that apply while one is starved.

Cause: the usage is taken back in the bucket in which that becomes known. If the request started more than a second earlier, the recent usage of its customer is below zero, and thus below three quarters of a demand of zero.

Evidence: TestRefundMakesIdleCustomerStarved printed "a customer without recent requests counts as starved, with a usage of 0".

Recent usage now counts as at least zero, so that a customer without recent demand is never starved.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -122,7 +122,8 @@
 	for c := range m.customers {
 		w := m.windowAt(c, now)
 		demand, usage := w.recent()
-		if used := sum(&w.usage); usage < fraction*demand && used < least {
+		// The recent usage of a customer is negative if an older request of it did not run.
+		if used := sum(&w.usage); max(usage, 0) < fraction*demand && used < least {
 			least, found = used, true
 		}
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -67,6 +67,25 @@
 	}
 }
 
+// The usage of a request that did not run is taken back when that becomes known, which can be
+// more than a second after it was counted. A customer that requests nothing by then must not
+// count as starved.
+func TestRefundMakesIdleCustomerStarved(t *testing.T) {
+	m := quota.NewMeter(4 * time.Second)
+	now := clock.Instant(time.Hour)
+	m.AddDemand("a", 100, now)
+	m.AddUsage("a", 100, now)
+	now = now.Add(2 * time.Second)
+	m.AddUsage("a", -100, now)
+	if used, starved := m.LeastServed(0.75, 1000, now); starved {
+		t.Errorf("a customer without recent requests counts as starved, with a usage of %v", used)
+	}
+	m.AddDemand("a", 100, now)
+	if _, starved := m.LeastServed(0.75, 1000, now); !starved {
+		t.Error("a customer whose recent requests did not start does not count as starved")
+	}
+}
+
 func TestLargestAreOrderedByDemand(t *testing.T) {
 	m := quota.NewMeter(4 * time.Second)
 	now := clock.Instant(time.Hour)
