scheduler: simulated customers start after the counters exist

With -race, TestCustomerThatAsksMoreStarvesOthers reported a data race in each of two runs, of which one was ended early: simulate added customers to the maps of counters while those started before read them. All counters are now made first. The checks are unchanged.

--- a/internal/scheduler/fairness_test.go
+++ b/internal/scheduler/fairness_test.go
@@ -172,8 +172,10 @@
 // simulate plays the loads of some customers.
 func (f *testFleet) simulate(loads []customerLoad, seed uint64) {
 	var sources, requests sync.WaitGroup
-	for i, c := range loads {
+	for _, c := range loads {
 		f.asked[c.id], f.got[c.id] = new([fleetSeconds]float64), new([fleetSeconds]float64)
+	}
+	for i, c := range loads {
 		rng := rand.New(rand.NewPCG(seed, uint64(i)))
 		sources.Go(func() { f.run(c, rng, &requests) })
 	}
