quota: a customer that cannot be served holds nobody back

Cause: any customer with refused requests counted as starved, also one that asks for far less than its nominal share. Its usage is low, so that all others met the limits for customers ahead of it at a quarter of the effective share.

Evidence: TestCustomerThatCannotBeServedHoldsBackOthers printed "customers that used more than 718967 tokens wait for one that cannot be served, shares 569200 and 2875867".

A customer now counts as starved only if it requests more than its nominal share. Others can't take that share from it, so the limits on what is left don't help it. One that asks for more than its nominal share and can't be served still holds others back.

--- a/internal/scheduler/fairness_test.go
+++ b/internal/scheduler/fairness_test.go
@@ -285,6 +285,30 @@
 	})
 }
 
+// A customer that asks for little, of which no request can be served, such as one that allows
+// only a region without engines, must not keep others from what is left.
+func TestCustomerThatCannotBeServedHoldsBackOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ts := newTestScheduler(6)
+		j := ts.job("nowhere", "part", 12000)
+		j.AnyRegion, j.Regions = false, []fleet.RegionID{"rb"}
+		for _, c := range []fleet.CustomerID{"a", "b", "c"} {
+			ts.meter.AddDemand(c, 4e6, ts.now())
+			ts.meter.AddUsage(c, 2e6, ts.now())
+		}
+		time.Sleep(2 * time.Second)
+		for _, c := range []fleet.CustomerID{"a", "b", "c"} {
+			ts.meter.AddDemand(c, 4e5, ts.now())
+			ts.meter.AddUsage(c, 4e5, ts.now())
+		}
+		ts.RecordArrival(j)
+		if shares := ts.shares(ts.now()); shares.finiteLead() != 0 {
+			t.Errorf("customers that used more than %.0f tokens wait for one that cannot be served, shares %.0f and %.0f",
+				shares.lead, shares.nominal, shares.effective)
+		}
+	})
+}
+
 // checkShares checks the worst share of each customer.
 func (f *testFleet) checkShares(t *testing.T, loads []customerLoad) {
 	t.Helper()
--- a/internal/scheduler/spare.go
+++ b/internal/scheduler/spare.go
@@ -97,7 +97,7 @@
 // lead returns the usage beyond which customers wait for a starved one, infinite if none is
 // starved. s.mu must be held.
 func (s *Scheduler) lead(nominal, effective float64, now clock.Instant) float64 {
-	least, starved := s.meter.LeastServed(starvedFraction, effective, now)
+	least, starved := s.meter.LeastServed(starvedFraction, nominal, effective, now)
 	if !starved {
 		return math.Inf(1)
 	}
