quota: a customer for which nothing starts holds nobody back

A customer that used nothing within the window is no longer starved: its nominal share goes before what is left, so that others cannot keep it from all. Open: a customer of which only a part can be served.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -117,15 +117,20 @@
 // LeastServed returns the lowest usage of a starved customer, or false if none is starved: a
 // customer that now gets less than the given fraction of what it requests, and used less
 // than that fraction of the effective share within the window. One that requests no more than
-// its nominal share is not starved, because nobody can take that share from it: if it is not
-// served, the cause is its own. It takes O(n) time for n customers.
+// its nominal share, or that used nothing, is not starved, because nobody can take the
+// nominal share from it: if it is not served, the cause is its own. It takes O(n) time for n
+// customers.
 func (m *Meter) LeastServed(fraction, nominal, effective float64, now clock.Instant) (float64, bool) {
 	least, found := fraction*effective, false
 	for c := range m.customers {
 		w := m.windowAt(c, now)
 		demand, usage := w.recent()
+		used := sum(&w.usage)
+		if used <= 0 || sum(&w.demand) <= nominal {
+			continue
+		}
 		// The recent usage of a customer is negative if an older request of it did not run.
-		if used := sum(&w.usage); max(usage, 0) < fraction*demand && used < least && sum(&w.demand) > nominal {
+		if max(usage, 0) < fraction*demand && used < least {
 			least, found = used, true
 		}
 	}
