ingress: log each broken run with the shared parts of its prompt

A line run_broken for each run whose connection broke names the target's start, the events of this run and the first 8 shared parts. No change of logic.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -132,6 +132,7 @@
 func (x *exchange) attempt(ctx context.Context, p *scheduler.Placement) attemptResult {
 	x.result.Target, x.result.ExpectedWait = p.Target.ID, p.Wait
 	x.result.Cached, x.result.Rank = p.Cached, p.Rank
+	x.runEvents = 0
 	if !p.Valid() {
 		p.End(scheduler.Unsent)
 		x.result.Reason = "target_left"
@@ -192,10 +193,19 @@
 		return notSent
 	}
 	x.result.Cause, x.result.GaveUp = err.Error(), isSilence(err)
-	p.End(x.brokenOutcome(ctx))
+	x.endBroken(ctx, p, err)
 	return mayHaveRun
 }
 
+// endBroken ends a placement whose run got no complete response. err may be nil.
+func (x *exchange) endBroken(ctx context.Context, p *scheduler.Placement, err error) {
+	outcome := x.brokenOutcome(ctx)
+	p.End(outcome)
+	if outcome == scheduler.Broken {
+		x.logBrokenRun(p, err)
+	}
+}
+
 // brokenOutcome returns the outcome of an attempt that got no complete response.
 func (x *exchange) brokenOutcome(ctx context.Context) scheduler.Outcome {
 	switch {
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -131,8 +131,10 @@
 	sends, runs int
 	// headerWritten reports whether the status and headers were written to the caller.
 	headerWritten bool
-	// lastEvent is the id of the last event written.
+	// lastEvent is the id of the last event written, runEvents the number of events that the
+	// current run contributed.
 	lastEvent string
+	runEvents int
 	// silence watches the current attempt. replacement is the placement that it obtained for
 	// the next one, nil for none.
 	silence     *silenceWatch
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -94,7 +94,7 @@
 	if err != nil {
 		x.result.Cause, x.result.GaveUp = err.Error(), isSilence(err)
 	}
-	p.End(x.brokenOutcome(ctx))
+	x.endBroken(ctx, p, err)
 	return mayHaveRun
 }
 
@@ -148,6 +148,7 @@
 		return err
 	}
 	x.result.Events++
+	x.runEvents++
 	if len(e.id) > 0 {
 		x.lastEvent = string(e.id)
 	}
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -125,6 +125,22 @@
 	}
 }
 
+// maxLoggedParts limits the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// logBrokenRun logs a run whose connection to the target broke, with the shared parts of its
+// prompt. err may be nil.
+func (x *exchange) logBrokenRun(p *scheduler.Placement, err error) {
+	parts := zerolog.Arr()
+	shared := x.call.Parts[:max(len(x.call.Parts)-1, 0)]
+	for _, part := range shared[:min(len(shared), maxLoggedParts)] {
+		parts = parts.Str(part.ID)
+	}
+	x.h.options.Log.Info().Str("event", "run_broken").Str("id", x.call.ID).Str("route", x.route.Name).
+		Str("customer", string(x.customer)).Str("target", string(p.Target.ID)).Int64("target_start", p.Target.StartMillis).
+		Int("events", x.runEvents).Array("parts", parts).Int("shared_parts", len(shared)).Err(err).Msg("")
+}
+
 // appendInputs adds the inputs of a refusal to a log line, without those that do not apply.
 func appendInputs(line *zerolog.Event, refusal *scheduler.Refusal) *zerolog.Event {
 	in := &refusal.Inputs
