quarantine: hold crashes against the parts of prompts, in the whole fleet

Cause: the scheduler counted broken runs by a hash of the whole request. Requests that share a part and differ otherwise were never counted together. The class: evidence kept under too narrow an identity, at one instance, without a proof of the contrary.

Evidence for it: with the parts in the log, one part is in a run without events at each of 47 crashes and in no run with events.

Change: the scheduler's own table of suspects is replaced by quarantine.Evidence, which holds each crash against the traits of the requests that ran on the target: the whole request, as before, and each shared part if the target had not begun to answer. A target counts as crashed if it refuses a new connection right after the break, or is listed with a new start. A part with which a target goes on answering is cleared. From three crashes under two requests on, the part is refused at once, unless a trait with more crashes explains them; one request is tried after 20 s, then at doubling intervals, by one instance after the other. Crashes are merged from heartbeats, also through relays, and only ever cleared, so that order and repetition do no harm. The constant suspectLimit of a scheduler test is now the number 3 that it was.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -65,14 +65,16 @@
 
 	refusalInputs
 	shareState
+	suspectState
 
 	raw string
 }
 
 // Events that instances log when a request ends, and once a second while there is demand.
 const (
-	eventRequest = "request"
-	eventShares  = "shares"
+	eventRequest   = "request"
+	eventShares    = "shares"
+	eventBrokenRun = "run_broken"
 )
 
 // Read reads the lines of one log. It ignores text before the JSON object of a line.
@@ -119,6 +121,7 @@
 			l.Target, l.WaitedMS, l.ExpectedMS, l.CachedTokens, l.Rank)
 	}
 	w.shares(lines, l)
+	w.suspect(lines, l)
 	w.section("probable retries by the same caller (same customer, route and sizes)", callerRetries(lines, l))
 	w.section("other failures at the target", targetFailures(lines, l))
 	w.section("events at the instance", instanceEvents(lines, l))
@@ -190,7 +193,7 @@
 	"no_configuration":          "the instance had no configuration yet",
 	"leaving":                   "the instance was shutting down",
 	"too_large":                 "no engine can hold the prompt and its output",
-	"crashes_targets":           "the connections of several targets broke while they ran the request",
+	"crashes_targets":           "several targets crashed while they ran this request or others with a part of its prompt",
 	"retry_budget":              "the retry budget was exhausted",
 	"target_refused":            "the target refused the request without running it",
 	"target_unreachable":        "no connection to the target could be established",
--- a/internal/explain/refusal.go
+++ b/internal/explain/refusal.go
@@ -30,7 +30,7 @@
 
 // refusalTexts describes on what the scheduler's refusal rested, nothing if there was none.
 func refusalTexts(l Line) []string {
-	var texts []string
+	texts := suspectTexts(l)
 	if l.RetryRefused != "" {
 		text := fmt.Sprintf("no other target got it, after %d ms: %s", l.RetryWaitMS, cmp.Or(reasonTexts[l.RetryRefused], l.RetryRefused))
 		if l.GaveUp {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -69,6 +69,7 @@
 	g.hasPeers.Store(len(alive) > 1)
 	g.transport.SetPeers(g.roster.Peers(topology, now))
 	g.scheduler.SetAlive(alive)
+	g.logEvidence(g.scheduler.TakeEvidenceChanges())
 	for _, hello := range g.transport.Connected() {
 		scope, planned := topology.Scopes[hello.Instance]
 		if !planned {
--- a/internal/gateway/sharelog.go
+++ b/internal/gateway/sharelog.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"fmt"
 
 	"github.com/rs/zerolog"
 
 	"medlarwind.dev/medlarwind/internal/exchange"
+	"medlarwind.dev/medlarwind/internal/quarantine"
 )
 
 // logShares updates the metrics of the shares, and logs the customers with the largest
@@ -34,6 +36,19 @@
 		Int("queued", r.Queued).Int("customers", r.Customers).Array("largest", largest).Msg("")
 }
 
+// logEvidence logs which requests are refused from now on because they crash targets, and
+// which no longer.
+func (g *Gateway) logEvidence(changes []quarantine.Change) {
+	for _, c := range changes {
+		event := "suspect_allowed"
+		if c.Refused {
+			event = "suspect_refused"
+		}
+		g.options.Log.Info().Str("event", event).Str("suspect_trait", fmt.Sprintf("%016x", c.Trait)).Bool("whole_request", c.Whole).
+			Int("crashes", c.Crashes).Int("requests", c.Requests).Int("customers", c.Customers).Int("trials", c.Trials).Msg("")
+	}
+}
+
 // logExchangeChanges logs what changed in the use of peers' reports.
 func (g *Gateway) logExchangeChanges(changes exchange.Changes) {
 	log := &g.options.Log
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -22,6 +22,9 @@
 	// first-byte objective, but at least minFirstByteTimeout.
 	firstByteFactor     = 2
 	minFirstByteTimeout = 300 * time.Millisecond
+	// crashCheckTimeout limits the check whether a target has crashed, for which a retry waits. It
+	// allows for a few round trips between regions.
+	crashCheckTimeout = 150 * time.Millisecond
 	// busyRetryAfter is the retry delay sent to a caller if no target ran its request.
 	busyRetryAfter = 300 * time.Millisecond
 )
@@ -201,9 +204,26 @@
 func (x *exchange) endBroken(ctx context.Context, p *scheduler.Placement, err error) {
 	outcome := x.brokenOutcome(ctx)
 	p.End(outcome)
-	if outcome == scheduler.Broken {
-		x.logBrokenRun(p, err)
+	if outcome != scheduler.Broken {
+		return
+	}
+	down := x.checkCrash(ctx, p)
+	x.logBrokenRun(p, down, err)
+}
+
+// checkCrash finds out whether the target of a broken run has crashed, before a retry may
+// crash the next one. It reports whether the target is known to be down.
+func (x *exchange) checkCrash(ctx context.Context, p *scheduler.Placement) bool {
+	if !p.NeedsCrashCheck() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	if !x.h.options.Upstream.IsDown(ctx, p.Target.Addr) {
+		return false
 	}
+	p.ConfirmCrash()
+	return true
 }
 
 // brokenOutcome returns the outcome of an attempt that got no complete response.
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -117,6 +117,8 @@
 		if first {
 			p.PrefillDone()
 			x.writeStreamHeader(resp)
+		} else {
+			p.Answering()
 		}
 		if err := x.writeEvent(flusher, e, events.hasBuffered()); err != nil {
 			resp.Finish(false)
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"fmt"
 	"os"
 	"time"
 
@@ -8,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/quarantine"
 	"medlarwind.dev/medlarwind/internal/scheduler"
 )
 
@@ -107,6 +109,9 @@
 	}
 	if r.Refusal != nil {
 		line = appendInputs(line, r.Refusal)
+		if r.Refusal.Reason == scheduler.ReasonCrashesTargets {
+			line = x.appendSuspect(line, &r.Refusal.Inputs.Suspect)
+		}
 	}
 	if x.route != nil {
 		line = line.Str("route", x.route.Name)
@@ -125,12 +130,24 @@
 	}
 }
 
+// appendSuspect adds the trait for which the request is refused to a log line.
+func (x *exchange) appendSuspect(line *zerolog.Event, j *quarantine.Judgement) *zerolog.Event {
+	if j.Part >= 0 && j.Part < len(x.call.Parts) {
+		line = line.Str("suspect_part", x.call.Parts[j.Part].ID)
+	}
+	return line.Str("suspect_trait", formatTrait(j.Trait)).Int("suspect_crashes", j.Crashes).
+		Int64("trial_in_ms", j.TrialIn.Milliseconds())
+}
+
+// formatTrait formats the key of a trait for logs.
+func formatTrait(key uint64) string { return fmt.Sprintf("%016x", key) }
+
 // maxLoggedParts limits the parts of a prompt in a log line.
 const maxLoggedParts = 8
 
 // logBrokenRun logs a run whose connection to the target broke, with the shared parts of its
-// prompt. err may be nil.
-func (x *exchange) logBrokenRun(p *scheduler.Placement, err error) {
+// prompt. down says that the target is known to be down. err may be nil.
+func (x *exchange) logBrokenRun(p *scheduler.Placement, down bool, err error) {
 	parts := zerolog.Arr()
 	shared := x.call.Parts[:max(len(x.call.Parts)-1, 0)]
 	for _, part := range shared[:min(len(shared), maxLoggedParts)] {
@@ -138,7 +155,7 @@
 	}
 	x.h.options.Log.Info().Str("event", "run_broken").Str("id", x.call.ID).Str("route", x.route.Name).
 		Str("customer", string(x.customer)).Str("target", string(p.Target.ID)).Int64("target_start", p.Target.StartMillis).
-		Int("events", x.runEvents).Array("parts", parts).Int("shared_parts", len(shared)).Err(err).Msg("")
+		Bool("target_down", down).Int("events", x.runEvents).Array("parts", parts).Int("shared_parts", len(shared)).Err(err).Msg("")
 }
 
 // appendInputs adds the inputs of a refusal to a log line, without those that do not apply.
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -204,6 +204,13 @@
 	return ok && e.StartMillis == startMillis && v.isUsable(e)
 }
 
+// IsServing reports whether a target with this start is listed and not leaving, whatever the
+// state of its data centre.
+func (v *Inventory) IsServing(id fleet.TargetID, startMillis int64) bool {
+	e, ok := v.targets[id]
+	return ok && e.StartMillis == startMillis && !e.leaving
+}
+
 func (v *Inventory) isUsable(e *Entry) bool { return !e.leaving && !v.evacuated[e.DataCentre] }
 
 // Count returns the number of listed targets.
--- /dev/null
+++ b/internal/quarantine/evidence.go
@@ -0,0 +1,566 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/clock"
+	"medlarwind.dev/medlarwind/internal/wire"
+)
+
+// Limits of an Evidence.
+const (
+	// refuseAfter is the number of crashes after which requests with a trait are refused.
+	refuseAfter = 3
+	// minRequests is the number of different requests that these crashes must include to be
+	// held against a part: otherwise the one request is refused as a whole.
+	minRequests = 2
+	// maxForOthers is how many of one customer's crashes count against another customer's
+	// requests, so that no customer alone can have the parts of others refused.
+	maxForOthers = refuseAfter - 1
+	// simultaneous is the time within which crashes under different requests count as one:
+	// targets that go down together have a common cause outside the requests.
+	simultaneous = 100 * time.Millisecond
+	// soundFor is how long before a crash a part must have been answered with to be no
+	// suspect of that crash.
+	soundFor = 2 * time.Second
+	// maxSoundParts limits the parts whose last answer is remembered, for each half of the
+	// memory.
+	maxSoundParts = 8192
+	// firstTrial is the time after the last crash from which one request with a refused trait
+	// may run as a trial. It doubles with each trial, up to maxTrialInterval.
+	firstTrial       = 20 * time.Second
+	maxTrialInterval = 10 * time.Minute
+	// trialStep is added to that time for each instance that comes first in the rendezvous
+	// order of the trait, so that word of its trial arrives before the next one is due.
+	trialStep = time.Second
+	// maxRecords limits the traits with crashes. trimSlack is how many more are kept until
+	// the least suspect ones are removed together.
+	maxRecords = 1024
+	trimSlack  = 256
+	// maxCrashes limits the crashes kept for one trait.
+	maxCrashes = 8
+	// crashTTL is how long a crash is held against a trait that is not refused, refusedTTL
+	// how long a trait stays refused after the last request with it.
+	crashTTL   = 10 * time.Minute
+	refusedTTL = 30 * time.Minute
+	// clearedTTL is how long cleared crashes are kept, so that peers learn that they are.
+	clearedTTL = 10 * time.Second
+	// reportFor is how long a changed record is reported to peers. Refused traits are
+	// always reported. maxReported limits the records in a report.
+	reportFor   = 2 * time.Second
+	maxReported = 32
+	// expireInterval is the time between two removals of old records.
+	expireInterval = time.Second
+	// maxEvidenceChanges limits the changes kept until they are taken.
+	maxEvidenceChanges = 64
+)
+
+// Traits identify a request and what it shares with others. Keys are hashes that all
+// instances compute alike.
+type Traits struct {
+	// Whole is the key of the request's customer and content.
+	Whole uint64
+	// Parts are the keys of the shared parts of the prompt, in their order.
+	Parts []uint64
+	// Customer identifies the customer.
+	Customer uint32
+}
+
+// request returns a short identity of the request.
+func (t *Traits) request() uint32 { return uint32(t.Whole) }
+
+// Judgement says whether a request may run.
+type Judgement struct {
+	// Refused reports whether the request must not run. Trait is the key of the trait for
+	// which it is refused, Part that trait's index among the parts, -1 for the whole request.
+	Refused bool
+	Trait   uint64
+	Part    int
+	// Crashes is the number of crashes held against the trait.
+	Crashes int
+	// Trial reports whether the request may run to find out whether the trait is still to be
+	// refused. RecordTrial must be called if it does.
+	Trial bool
+	// TrialIn is the time until the next trial, for a refused request.
+	TrialIn time.Duration
+}
+
+// Change says that requests with a trait are refused from now on, or no longer.
+type Change struct {
+	Trait   uint64
+	Whole   bool
+	Refused bool
+	// Crashes, Requests and Customers count the crashes held against the trait and the
+	// requests and customers under which they occurred. Trials counts the trials so far.
+	Crashes, Requests, Customers, Trials int
+}
+
+// crash is one crash of a target while a request with a trait ran.
+type crash struct {
+	// id identifies the target and its start.
+	id                uint64
+	at                clock.Instant
+	customer, request uint32
+	// cleared reports that the trait was found sound after the crash or shortly before it.
+	cleared bool
+}
+
+// record holds the crashes of one trait.
+type record struct {
+	key   uint64
+	whole bool
+	// depth is the greatest index of the part in a prompt. Of two parts that were always
+	// together the deeper one is in fewer requests.
+	depth   int
+	crashes []crash
+	trials  int
+	triedAt clock.Instant
+	// changedAt is when this instance last learnt something new of the record, askedAt when it
+	// last refused a request for it.
+	changedAt, askedAt clock.Instant
+	// heldCount is the number of crashes that are not cleared.
+	heldCount int
+	refused   bool
+}
+
+// Evidence finds out which requests crash targets, from the crashes that all instances of
+// the fleet observe. A crash is held against the traits of the requests that ran on the
+// target and had not begun to be answered; of a request that had, only against the request
+// as a whole. A trait that a target begins to answer with is cleared of all crashes. From
+// refuseAfter crashes on, requests with the trait are refused, unless a trait with more
+// crashes explains them.
+//
+// The crashes of a trait only grow in number and are only ever cleared, so that merging is
+// independent of order and repetition. Memory is bounded by maxRecords and maxSoundParts,
+// a report by maxReported. The methods do no I/O and must not be called concurrently.
+type Evidence struct {
+	records map[uint64]*record
+	refused int
+	// sound and soundBefore hold when a target last began to answer with a part, of the
+	// current and of the previous period of soundFor.
+	sound, soundBefore map[uint64]clock.Instant
+	soundSince         clock.Instant
+	expiredAt          clock.Instant
+	// undecided is set if a change may alter which traits are refused.
+	undecided bool
+	changes   []Change
+}
+
+// NewEvidence returns an Evidence without crashes.
+func NewEvidence() *Evidence {
+	return &Evidence{
+		records: make(map[uint64]*record),
+		sound:   make(map[uint64]clock.Instant), soundBefore: make(map[uint64]clock.Instant),
+	}
+}
+
+// RecordBreak holds a broken connection to a target against a request as a whole. start
+// identifies the target and its start.
+func (e *Evidence) RecordBreak(start uint64, t *Traits, now clock.Instant) {
+	e.hold(t.Whole, true, 0, crash{id: start, at: now, customer: t.Customer, request: t.request()}, now)
+	e.settle()
+}
+
+// RecordCrash holds the crash of a target against the parts of a request that it had not
+// begun to answer. start identifies the target and its start.
+func (e *Evidence) RecordCrash(start uint64, t *Traits, at, now clock.Instant) {
+	for i, key := range t.Parts {
+		e.hold(key, false, i, crash{id: start, at: at, customer: t.Customer, request: t.request()}, now)
+	}
+	e.settle()
+}
+
+// RecordAnswering records that a target has begun to answer a request: none of its parts
+// crashes targets.
+func (e *Evidence) RecordAnswering(t *Traits, now clock.Instant) {
+	if now.Sub(e.soundSince) >= soundFor {
+		if now.Sub(e.soundSince) >= 2*soundFor {
+			clear(e.sound)
+		}
+		e.sound, e.soundBefore = e.soundBefore, e.sound
+		clear(e.sound)
+		e.soundSince = now
+	}
+	for _, key := range t.Parts {
+		if _, ok := e.sound[key]; ok || len(e.sound) < maxSoundParts {
+			e.sound[key] = now
+		}
+		if r := e.records[key]; r != nil {
+			e.clear(r, now)
+		}
+	}
+	e.decide()
+}
+
+// RecordCompleted records that a request ran to its end.
+func (e *Evidence) RecordCompleted(t *Traits, now clock.Instant) {
+	r := e.records[t.Whole]
+	if r == nil {
+		return
+	}
+	if len(r.crashes) < refuseAfter-1 {
+		// Peers do not know of the record.
+		delete(e.records, t.Whole)
+		return
+	}
+	e.clear(r, now)
+	e.decide()
+}
+
+// RecordTrial records that a request runs as a trial.
+func (e *Evidence) RecordTrial(t *Traits, now clock.Instant) {
+	for _, key := range append([]uint64{t.Whole}, t.Parts...) {
+		if r := e.records[key]; r != nil && r.refused {
+			r.trials, r.triedAt, r.changedAt = r.trials+1, now, now
+		}
+	}
+}
+
+// Check judges a request. order returns this instance's position in the rendezvous order of
+// the live instances for a trait, from 0.
+func (e *Evidence) Check(t *Traits, now clock.Instant, order func(trait uint64) int) Judgement {
+	if e.refused == 0 {
+		return Judgement{}
+	}
+	var found *record
+	j, refusals := Judgement{}, 0
+	for i := -1; i < len(t.Parts); i++ {
+		key := t.Whole
+		if i >= 0 {
+			key = t.Parts[i]
+		}
+		r := e.records[key]
+		if r == nil || !r.refused || r.heldAgainst(t.Customer) < refuseAfter {
+			continue
+		}
+		r.askedAt = now
+		refusals++
+		if found == nil || r.trialDue() > found.trialDue() {
+			found, j = r, Judgement{Refused: true, Trait: key, Part: i, Crashes: r.heldCount}
+		}
+	}
+	if found == nil {
+		return j
+	}
+	j.TrialIn = max(found.trialDue().Sub(now), 0)
+	// A trial with a second refused trait would tell nothing of the first.
+	if refusals == 1 && j.TrialIn == 0 && now >= found.trialDue().Add(time.Duration(order(found.key))*trialStep) {
+		j.Refused, j.Trial = false, true
+	}
+	return j
+}
+
+// Merge adds the evidence that a peer reports.
+func (e *Evidence) Merge(reported []wire.Evidence, now clock.Instant) {
+	for _, w := range reported[:min(len(reported), maxReported)] {
+		for _, c := range w.Crashes[:min(len(w.Crashes), maxCrashes)] {
+			age := time.Duration(c.AgeMillis) * time.Millisecond
+			if age < 0 || age > refusedTTL {
+				continue
+			}
+			e.hold(w.Trait, w.Whole, w.Depth, crash{
+				id: c.Target, at: now.Add(-age), customer: c.Customer, request: c.Request, cleared: c.Cleared,
+			}, now)
+		}
+		if r := e.records[w.Trait]; r != nil && w.Trials > r.trials && w.TrialAgeMillis >= 0 {
+			r.trials, r.changedAt = w.Trials, now
+			r.triedAt = max(r.triedAt, now.Add(-time.Duration(w.TrialAgeMillis)*time.Millisecond))
+		}
+	}
+	e.settle()
+}
+
+// Report returns what peers are to know: the refused traits, and those of which this
+// instance has learnt something within reportFor. Of those that are too many, the ones
+// with the most crashes are reported.
+func (e *Evidence) Report(now clock.Instant) []wire.Evidence {
+	e.expire(now)
+	var chosen []*record
+	for _, r := range e.records {
+		if r.refused || now.Sub(r.changedAt) < reportFor && (!r.whole || len(r.crashes) >= refuseAfter-1) {
+			chosen = append(chosen, r)
+		}
+	}
+	slices.SortFunc(chosen, compareNews)
+	list := make([]wire.Evidence, 0, min(len(chosen), maxReported))
+	for _, r := range chosen[:min(len(chosen), maxReported)] {
+		w := wire.Evidence{Trait: r.key, Whole: r.whole, Depth: r.depth, Trials: r.trials}
+		if r.trials > 0 {
+			w.TrialAgeMillis = now.Sub(r.triedAt).Milliseconds()
+		}
+		for _, c := range r.crashes {
+			w.Crashes = append(w.Crashes, wire.Crash{
+				Target: c.id, AgeMillis: now.Sub(c.at).Milliseconds(), Customer: c.customer, Request: c.request, Cleared: c.cleared,
+			})
+		}
+		list = append(list, w)
+	}
+	return list
+}
+
+// TakeChanges returns the changes since the last call.
+func (e *Evidence) TakeChanges() []Change {
+	changes := e.changes
+	e.changes = nil
+	return changes
+}
+
+// hold adds a crash to the record of a trait. settle must be called afterwards.
+func (e *Evidence) hold(key uint64, whole bool, depth int, c crash, now clock.Instant) {
+	if last := max(e.sound[key], e.soundBefore[key]); !whole && last != 0 && last >= c.at.Add(-soundFor) {
+		c.cleared = true
+	}
+	r := e.records[key]
+	if r == nil {
+		r = &record{key: key, whole: whole, changedAt: now}
+		e.records[key] = r
+	}
+	r.depth = max(r.depth, depth)
+	r.add(c, now)
+	e.undecided = e.undecided || r.refused || r.heldCount >= refuseAfter
+}
+
+// clear clears the crashes of a record until now. decide must be called afterwards.
+func (e *Evidence) clear(r *record, now clock.Instant) {
+	for i := range r.crashes {
+		if c := &r.crashes[i]; !c.cleared && c.at <= now {
+			c.cleared, r.changedAt = true, now
+		}
+	}
+	r.count()
+	e.undecided = e.undecided || r.refused
+}
+
+// settle removes the records beyond the limit and decides which traits are refused.
+func (e *Evidence) settle() {
+	if len(e.records) > maxRecords+trimSlack {
+		all := make([]*record, 0, len(e.records))
+		for _, r := range e.records {
+			all = append(all, r)
+		}
+		slices.SortFunc(all, compareNews)
+		for _, r := range all[maxRecords:] {
+			delete(e.records, r.key)
+		}
+	}
+	e.decide()
+}
+
+// decide decides which traits are refused. Traits are judged in the order of their crashes,
+// and a crash counts only against the first trait that is refused for it: where several
+// traits were together, the fewest are refused that explain all crashes.
+func (e *Evidence) decide() {
+	if !e.undecided {
+		return
+	}
+	e.undecided = false
+	var suspects []*record
+	for _, r := range e.records {
+		if r.refused || r.heldCount >= refuseAfter {
+			suspects = append(suspects, r)
+		}
+	}
+	slices.SortFunc(suspects, compareSuspicion)
+	explained := make(map[uint64]bool)
+	e.refused = 0
+	for _, r := range suspects {
+		var left []crash
+		for _, c := range r.held() {
+			if !explained[c.id] {
+				left = append(left, c)
+			}
+		}
+		refused := independent(left) >= refuseAfter && (r.whole || distinct(left, crash.byRequest) >= minRequests)
+		if refused {
+			e.refused++
+			for _, c := range r.held() {
+				explained[c.id] = true
+			}
+		}
+		if refused != r.refused {
+			r.refused = refused
+			e.noteChange(r)
+		}
+	}
+}
+
+func (e *Evidence) noteChange(r *record) {
+	if len(e.changes) < maxEvidenceChanges {
+		held := r.held()
+		e.changes = append(e.changes, Change{
+			Trait: r.key, Whole: r.whole, Refused: r.refused, Trials: r.trials,
+			Crashes: len(held), Requests: distinct(held, crash.byRequest), Customers: distinct(held, crash.byCustomer),
+		})
+	}
+}
+
+// expire removes old crashes and records, at most once in expireInterval.
+func (e *Evidence) expire(now clock.Instant) {
+	if now.Sub(e.expiredAt) < expireInterval {
+		return
+	}
+	e.expiredAt = now
+	for key, r := range e.records {
+		if r.refused {
+			if now.Sub(max(r.askedAt, r.triedAt, r.lastCrash())) > refusedTTL {
+				r.crashes, e.undecided = nil, true
+			}
+		} else {
+			r.crashes = slices.DeleteFunc(r.crashes, func(c crash) bool { return now.Sub(c.at) > crashTTL })
+		}
+		r.count()
+		if r.heldCount == 0 && now.Sub(r.changedAt) > clearedTTL && !r.refused {
+			delete(e.records, key)
+		}
+	}
+	e.decide()
+}
+
+// add adds a crash or merges it with what is known of it.
+func (r *record) add(c crash, now clock.Instant) {
+	i := slices.IndexFunc(r.crashes, func(known crash) bool { return known.id == c.id })
+	if i < 0 {
+		r.crashes = append(r.crashes, c)
+		r.changedAt = now
+		r.trim()
+		r.count()
+		return
+	}
+	known := &r.crashes[i]
+	if c.cleared && !known.cleared {
+		known.cleared, r.changedAt = true, now
+	}
+	// Each hop adds the time in transit to a crash's apparent time.
+	known.at = min(known.at, c.at)
+	// All instances must agree on the request under which a crash is counted.
+	if c.request < known.request {
+		known.request, known.customer = c.request, c.customer
+	}
+	r.count()
+}
+
+// count updates heldCount.
+func (r *record) count() {
+	r.heldCount = 0
+	for _, c := range r.crashes {
+		if !c.cleared {
+			r.heldCount++
+		}
+	}
+}
+
+// trim removes the oldest crash, preferably a cleared one, if there are too many.
+func (r *record) trim() {
+	if len(r.crashes) <= maxCrashes {
+		return
+	}
+	victim := slices.MinFunc(r.crashes, func(a, b crash) int {
+		if a.cleared != b.cleared {
+			if a.cleared {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.id, b.id))
+	})
+	r.crashes = slices.DeleteFunc(r.crashes, func(c crash) bool { return c.id == victim.id })
+}
+
+// held returns the crashes that are not cleared.
+func (r *record) held() []crash {
+	held := make([]crash, 0, len(r.crashes))
+	for _, c := range r.crashes {
+		if !c.cleared {
+			held = append(held, c)
+		}
+	}
+	return held
+}
+
+// heldAgainst returns how many crashes count against a customer's requests.
+func (r *record) heldAgainst(customer uint32) int {
+	byCustomer := make(map[uint32]int)
+	for _, c := range r.held() {
+		byCustomer[c.customer]++
+	}
+	total := 0
+	for id, n := range byCustomer {
+		if id != customer {
+			n = min(n, maxForOthers)
+		}
+		total += n
+	}
+	return total
+}
+
+// lastCrash returns the time of the last crash that is not cleared, 0 if there is none.
+func (r *record) lastCrash() clock.Instant {
+	var last clock.Instant
+	for _, c := range r.crashes {
+		if !c.cleared {
+			last = max(last, c.at)
+		}
+	}
+	return last
+}
+
+// trialDue returns the time of the next trial by the first instance in the trait's order.
+func (r *record) trialDue() clock.Instant {
+	interval := maxTrialInterval
+	if d := firstTrial << min(r.trials, 16); d < maxTrialInterval {
+		interval = d
+	}
+	return max(r.lastCrash(), r.triedAt).Add(interval)
+}
+
+// compareSuspicion orders records by the number of crashes held against them, the largest
+// first. Of records with as many, whole requests come first, then the deeper parts.
+func compareSuspicion(a, b *record) int {
+	return cmp.Or(cmp.Compare(b.heldCount, a.heldCount), compareWhole(a, b), cmp.Compare(b.depth, a.depth), cmp.Compare(a.key, b.key))
+}
+
+// compareWhole orders whole requests before parts.
+func compareWhole(a, b *record) int {
+	switch {
+	case a.whole == b.whole:
+		return 0
+	case a.whole:
+		return -1
+	}
+	return 1
+}
+
+// compareNews orders records by the number of crashes held against them, the largest first,
+// and then by their last change, the latest first.
+func compareNews(a, b *record) int {
+	return cmp.Or(cmp.Compare(b.heldCount, a.heldCount), cmp.Compare(b.changedAt, a.changedAt), cmp.Compare(a.key, b.key))
+}
+
+// independent counts crashes without those that are simultaneous with an earlier one under
+// another request.
+func independent(crashes []crash) int {
+	slices.SortFunc(crashes, func(a, b crash) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.id, b.id)) })
+	n := 0
+	var last crash
+	for _, c := range crashes {
+		if n == 0 || c.at.Sub(last.at) > simultaneous || c.request == last.request {
+			n++
+			last = c
+		}
+	}
+	return n
+}
+
+func (c crash) byRequest() uint32  { return c.request }
+func (c crash) byCustomer() uint32 { return c.customer }
+
+// distinct counts the different values of an attribute.
+func distinct(crashes []crash, of func(crash) uint32) int {
+	seen := make(map[uint32]bool)
+	for _, c := range crashes {
+		seen[of(c)] = true
+	}
+	return len(seen)
+}
--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -38,11 +38,12 @@
 
 // decide places a job, refuses it, or lets it wait. s.mu must be held.
 func (s *Scheduler) decide(j *Job, now clock.Instant) decision {
+	judgement := s.judge(j, now)
 	switch {
 	case now >= j.Deadline:
 		return decision{refusal: &Refusal{Reason: ReasonDeadline, Inputs: s.inputs(j, now)}}
-	case s.isSuspect(j.Fingerprint, now):
-		return decision{refusal: &Refusal{Reason: ReasonCrashesTargets, Inputs: s.inputs(j, now)}}
+	case judgement.Refused:
+		return decision{refusal: s.refuseSuspect(j, judgement, now)}
 	case s.tooLarge(j):
 		return decision{refusal: &Refusal{Reason: ReasonTooLarge, Inputs: s.inputs(j, now)}}
 	}
@@ -59,6 +60,9 @@
 	if !limit.allows(&candidates[choice.Index], choice.Wait) {
 		return decision{}
 	}
+	if judgement.Trial {
+		s.evidence.RecordTrial(j.traits, now)
+	}
 	return decision{placement: s.start(j, from[choice.Index], candidates[choice.Index], choice, now)}
 }
 
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -11,30 +11,11 @@
 	"medlarwind.dev/medlarwind/internal/wire"
 )
 
-// Limits for broken targets and for requests that crash targets, both of which instances
-// report to each other.
-const (
-	// peerBrokenAvoid is how long a target is avoided after a peer reported it as broken.
-	peerBrokenAvoid = 500 * time.Millisecond
-	// suspectLimit is the number of runs with a broken connection after which a request
-	// is refused.
-	suspectLimit = 3
-	// suspectTTL is how long such a request is refused.
-	suspectTTL = 5 * time.Minute
-	// maxSuspects limits the number of requests with a crash count.
-	maxSuspects = 1024
-)
-
-// suspect counts the runs of one request in which the connection to the target broke,
-// which indicates a crash.
-type suspect struct {
-	crashes int
-	// updatedAt is when crashes last increased.
-	updatedAt clock.Instant
-}
+// peerBrokenAvoid is how long a target is avoided after a peer reported it as broken.
+const peerBrokenAvoid = 500 * time.Millisecond
 
 // FillHeartbeat fills a heartbeat to a peer with the loads and usage counters of the
-// given scope, the broken targets, and the requests that may crash targets.
+// given scope, the broken targets, and the evidence against requests that crash targets.
 func (s *Scheduler) FillHeartbeat(hb *wire.Heartbeat, peer fleet.InstanceID, scope wire.Scope) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -48,11 +29,7 @@
 	}
 	slices.Sort(hb.BrokenTargets)
 	s.exchange.FillHeartbeat(hb, peer, scope, ownLoad, s.usageTotals)
-	for fp, x := range s.suspects {
-		if x.crashes >= suspectLimit-1 {
-			hb.Suspects = append(hb.Suspects, wire.Suspect{Fingerprint: fp, Crashes: x.crashes})
-		}
-	}
+	hb.Evidence = s.evidence.Report(now)
 }
 
 // HandleHeartbeat applies a heartbeat received from a peer. It returns what changed in
@@ -66,9 +43,7 @@
 		s.meter.AddUsage(customer, delta.Started, now)
 	}
 	s.avoidBrokenTargets(hb.BrokenTargets, now)
-	for _, x := range hb.Suspects {
-		s.raiseCrashCount(x.Fingerprint, x.Crashes, now)
-	}
+	s.evidence.Merge(hb.Evidence, now)
 	s.startQueued()
 	return s.exchange.TakeChanges()
 }
@@ -91,48 +66,3 @@
 		}
 	}
 }
-
-// recordCrash counts a run that ended with a broken connection. s.mu must be held.
-func (s *Scheduler) recordCrash(fp uint64, now clock.Instant) {
-	crashes := 1
-	if x := s.suspects[fp]; x != nil {
-		crashes = x.crashes + 1
-	}
-	s.raiseCrashCount(fp, crashes, now)
-}
-
-// raiseCrashCount raises the crash count of a request to the given count if that is
-// higher. s.mu must be held.
-func (s *Scheduler) raiseCrashCount(fp uint64, crashes int, now clock.Instant) {
-	x := s.suspects[fp]
-	if x == nil {
-		s.evictSuspect(now)
-		x = &suspect{}
-		s.suspects[fp] = x
-	}
-	if crashes > x.crashes {
-		x.crashes, x.updatedAt = crashes, now
-	}
-}
-
-// evictSuspect removes the oldest suspect if there are maxSuspects. s.mu must be held.
-func (s *Scheduler) evictSuspect(now clock.Instant) {
-	if len(s.suspects) < maxSuspects {
-		return
-	}
-	var oldest uint64
-	updatedAt := now
-	for fp, x := range s.suspects {
-		if x.updatedAt <= updatedAt {
-			oldest, updatedAt = fp, x.updatedAt
-		}
-	}
-	delete(s.suspects, oldest)
-}
-
-// isSuspect reports whether a request is to be refused because it crashes targets. s.mu
-// must be held.
-func (s *Scheduler) isSuspect(fp uint64, now clock.Instant) bool {
-	x := s.suspects[fp]
-	return x != nil && x.crashes >= suspectLimit && now.Sub(x.updatedAt) < suspectTTL
-}
--- a/internal/scheduler/inputs.go
+++ b/internal/scheduler/inputs.go
@@ -7,6 +7,7 @@
 	"medlarwind.dev/medlarwind/internal/clock"
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/placement"
+	"medlarwind.dev/medlarwind/internal/quarantine"
 )
 
 // Inputs are the values on which the refusal of a job rests.
@@ -39,6 +40,8 @@
 	SlotLimit int
 	// ShortestWait is the shortest expected wait at any candidate with room.
 	ShortestWait time.Duration
+	// Suspect is the judgement that refused a job because requests like it crash targets.
+	Suspect quarantine.Judgement
 	// Retries and RetriesAllowed are the state of the retry budget that refused a retry.
 	Retries, RetriesAllowed float64
 }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -10,6 +10,7 @@
 	"medlarwind.dev/medlarwind/internal/inventory"
 	"medlarwind.dev/medlarwind/internal/membership"
 	"medlarwind.dev/medlarwind/internal/placement"
+	"medlarwind.dev/medlarwind/internal/quarantine"
 )
 
 // Part is a section of a prompt that other requests may share.
@@ -52,7 +53,9 @@
 	homeHash     uint64
 	prefixes     []uint64
 	sharedTokens int
-	prepared     bool
+	// traits identify what the job may share with others that crash targets.
+	traits   *quarantine.Traits
+	prepared bool
 	// rankedTargets holds the first targets in the rendezvous order of homeHash, as
 	// indices into the target list of generation rankedGeneration, and -1 where there are
 	// fewer targets.
@@ -71,6 +74,7 @@
 		return
 	}
 	j.prepared = true
+	j.traits = traitsOf(j)
 	chain := ""
 	for i, p := range j.Parts {
 		chain += p.ID + ","
@@ -228,5 +232,8 @@
 	load       placement.Load
 	started    clock.Instant
 	prefilling bool
-	ended      bool
+	// answering is set once the target has sent more than its first event. It is used by the
+	// goroutine of the request only.
+	answering bool
+	ended     bool
 }
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -94,14 +94,17 @@
 	s.addUsage(p.job.Customer, 0, -p.job.weight())
 }
 
-// recordOutcome updates the state of the target and the crash count of the request's
-// fingerprint. s.mu must be held.
+// recordOutcome updates the state of the target and the evidence on the request. s.mu must be
+// held.
 func (s *Scheduler) recordOutcome(p *Placement, t *targetState, o Outcome, now clock.Instant) {
 	switch o {
 	case Completed:
 		t.failureRate *= 1 - failureWeight
 		t.consecutiveFailures = 0
-		delete(s.suspects, p.job.Fingerprint)
+		if !p.answering {
+			s.evidence.RecordAnswering(p.job.traits, now)
+		}
+		s.evidence.RecordCompleted(p.job.traits, now)
 	case Failed, Rejected, Unreachable, Broken, Silent:
 		t.failureRate += failureWeight * (1 - t.failureRate)
 		t.consecutiveFailures++
@@ -112,8 +115,12 @@
 		t.brokenAt = now
 		s.inventory.MarkBroken(p.Target.ID, p.job.Service.ColdPeriod, now)
 	}
-	if o == Broken {
-		s.recordCrash(p.job.Fingerprint, now)
+	if o != Broken {
+		return
+	}
+	s.evidence.RecordBreak(startKey(p.Target.ID, p.Target.StartMillis), p.job.traits, now)
+	if !p.answering {
+		s.addBrokenRun(p, now)
 	}
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -26,6 +26,7 @@
 	"medlarwind.dev/medlarwind/internal/inventory"
 	"medlarwind.dev/medlarwind/internal/pacing"
 	"medlarwind.dev/medlarwind/internal/placement"
+	"medlarwind.dev/medlarwind/internal/quarantine"
 	"medlarwind.dev/medlarwind/internal/quota"
 	"medlarwind.dev/medlarwind/internal/roster"
 )
@@ -61,8 +62,12 @@
 	targets      map[fleet.TargetID]*targetState
 	exchange     *exchange.Table
 	retryBudgets map[fleet.ServiceID]*pacing.RetryBudget
-	suspects     map[uint64]*suspect
-	usageTotals  map[fleet.CustomerID]exchange.Usage
+	evidence     *quarantine.Evidence
+	// brokenRuns are the runs of which it is not known yet whether their target crashed, and
+	// crashes the times of known crashes by startKey.
+	brokenRuns  []brokenRun
+	crashes     map[uint64]clock.Instant
+	usageTotals map[fleet.CustomerID]exchange.Usage
 	// recentUsage is the growth of usageTotals since the last ShareReport.
 	recentUsage map[fleet.CustomerID]exchange.Usage
 	// startCounters count the generations that each customer started at this instance
@@ -105,7 +110,8 @@
 		targets:       make(map[fleet.TargetID]*targetState),
 		exchange:      exchange.New(o.DataCentre),
 		retryBudgets:  make(map[fleet.ServiceID]*pacing.RetryBudget),
-		suspects:      make(map[uint64]*suspect),
+		evidence:      quarantine.NewEvidence(),
+		crashes:       make(map[uint64]clock.Instant),
 		startCounters: make(map[fleet.CustomerID]*pacing.StartCounter),
 		usageTotals:   make(map[fleet.CustomerID]exchange.Usage),
 		recentUsage:   make(map[fleet.CustomerID]exchange.Usage),
@@ -127,6 +133,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inventory.Update(listed, evacuated, s.options.Now())
+	s.recordRestarts()
 	s.invalidateTargetLists()
 	s.dropUnlistedTargets()
 	s.startQueued()
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -265,7 +265,7 @@
 func TestRequestThatCrashesTargetsIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ts := newTestScheduler(8)
-		for range suspectLimit {
+		for range 3 {
 			j := ts.job("c", "s", 1000)
 			j.Fingerprint = 99
 			p, err := ts.admit(t.Context(), j)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -98,6 +99,18 @@
 	return nil
 }
 
+// IsDown reports whether a target refuses new connections, which means that its process has
+// ended. A target that does not answer may be unreachable only. It opens a connection, which
+// is kept for a later request.
+func (c *Client) IsDown(ctx context.Context, addr string) bool {
+	cn, err := c.pool.connect(ctx, addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c.pool.put(cn)
+	return false
+}
+
 // Response is the status and headers of a response, whose body is read from Body. Finish
 // must be called.
 type Response struct {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -88,6 +88,8 @@
 	Offsets []Offset `json:"o,omitempty"`
 	// Suspects holds the fingerprints of requests that may crash targets.
 	Suspects []Suspect `json:"x,omitempty"`
+	// Evidence holds the crashes held against requests that share a trait.
+	Evidence []Evidence `json:"ev,omitempty"`
 	// Members, Loads, Usage and Records hold the whole state of the instances that serve
 	// HTTP callers directly. Scope states which instances Loads and Usage cover.
 	Scope   Scope           `json:"sc,omitempty"`
@@ -173,6 +175,35 @@
 	Cleared bool `json:"k,omitempty"`
 }
 
+// Evidence holds the crashes held against one trait: a whole request, or a part of a prompt
+// that requests share. Merging keeps each crash once.
+type Evidence struct {
+	Trait uint64 `json:"t"`
+	// Whole reports whether the trait is a whole request, Depth is the greatest index at which
+	// a part occurred in a prompt.
+	Whole   bool    `json:"w,omitempty"`
+	Depth   int     `json:"d,omitempty"`
+	Crashes []Crash `json:"c,omitempty"`
+	// Trials counts the requests that ran although the trait was refused, the last of them
+	// TrialAgeMillis ago, in milliseconds.
+	Trials         int   `json:"n,omitempty"`
+	TrialAgeMillis int64 `json:"a,omitempty"`
+}
+
+// Crash is a crash of a target while a request with a trait ran.
+type Crash struct {
+	// Target is a hash of the target's id and start.
+	Target uint64 `json:"i"`
+	// AgeMillis is the time since the crash, in milliseconds.
+	AgeMillis int64 `json:"a"`
+	// Customer and Request are hashes of the request's customer and content.
+	Customer uint32 `json:"u,omitempty"`
+	Request  uint32 `json:"r,omitempty"`
+	// Cleared reports whether the trait was found sound after the crash or shortly before it.
+	// It stays set.
+	Cleared bool `json:"k,omitempty"`
+}
+
 // ConfigRequest asks a peer for the configuration that it has in force.
 type ConfigRequest struct {
 	// CurrentVersion is the version in force at the requester, 0 for none, and
