ingress: do not end a stream as whole when its resumed run had no event

Callers saw, in the test: a stream that broke within an event was resumed at a target that closed the connection before its first event, in an answer with neither length nor chunks, and ended as if it were whole, without its last events. Such a run also counted as completed, which would clear a part that crashes targets.

Cause: the end of the connection was taken for the end of the stream, also when this run had sent nothing. Change: without an event such an end is a broken run. Between two events it still is the end, within one it is not; a resumed run whose end is framed may be empty.

Measured: TestStreamThatEndsWithItsConnection, six cases of first and resumed runs seen at the caller, failed before in this one case.

--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -105,7 +105,9 @@
 	for first := true; ; first = false {
 		e, err := events.next()
 		x.silence.received()
-		if errors.Is(err, io.EOF) && (x.headerWritten || !first) {
+		// A resumed stream may have no further events. If nothing but the connection marks its end,
+		// that cannot be told from a target that crashed before its first event.
+		if errors.Is(err, io.EOF) && (!first || x.headerWritten && !resp.EndsWithConn) {
 			resp.Finish(true)
 			p.End(scheduler.Completed)
 			return answered
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -119,6 +119,9 @@
 	Body   io.Reader
 	// Length is the declared length of the body in bytes, -1 if it is unknown.
 	Length int64
+	// EndsWithConn reports whether the body ends with the connection, so that its end alone
+	// does not show whether it is complete.
+	EndsWithConn bool
 
 	ctx      context.Context
 	client   *Client
@@ -221,6 +224,7 @@
 		if r.Matches == nil || r.Matches(response.Header) {
 			resp.response, resp.Status, resp.Header = response, response.StatusCode, response.Header
 			resp.Body, resp.Length = response.Body, response.ContentLength
+			resp.EndsWithConn = response.ContentLength < 0 && len(response.TransferEncoding) == 0
 			resp.setReadDeadline(time.Time{})
 			return nil
 		}
