pacing: log the limits that targets name

The header is decoded, each instance keeps what its own answers say, and a line target_limit tells each change. No change of logic.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -70,6 +70,7 @@
 	g.transport.SetPeers(g.roster.Peers(topology, now))
 	g.scheduler.SetAlive(alive)
 	g.logEvidence(g.scheduler.TakeEvidenceChanges())
+	g.logLimits(g.scheduler.TakeLimitChanges())
 	for _, hello := range g.transport.Connected() {
 		scope, planned := topology.Scopes[hello.Instance]
 		if !planned {
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -241,6 +241,7 @@
 func (x *exchange) relay(ctx context.Context, p *scheduler.Placement, resp *upstream.Response) attemptResult {
 	info := x.h.options.Codec.DecodeResponse(resp.Status, resp.Header)
 	x.result.GaveUp = false
+	x.observeLimit(p, resp.Status, info)
 	switch {
 	case info.NotRun:
 		resp.Finish(discardRest(resp))
@@ -264,6 +265,19 @@
 	return x.relayBuffered(ctx, p, resp)
 }
 
+// observeLimit records which limit the target names in a response. A response without one
+// ends the limit only if the target ran the request; one from another target says nothing.
+func (x *exchange) observeLimit(p *scheduler.Placement, status int, info ResponseInfo) {
+	switch {
+	case status == http.StatusMisdirectedRequest:
+	case info.LimitText != "" && !info.LimitNamed:
+		x.h.options.Log.Warn().Str("event", "target_limit_invalid").Str("id", x.call.ID).
+			Str("target", string(p.Target.ID)).Str("value", info.LimitText).Msg("")
+	case info.LimitNamed || status < http.StatusMultipleChoices:
+		p.ObserveLimit(info.LimitPerSecond, info.LimitNamed)
+	}
+}
+
 // isAcceptable reports whether a response can be passed on as the target's own. It rejects
 // statuses that would tell the caller that the request did not run: relay has already
 // handled the responses in which the target itself reports that. A response with a status
--- a/internal/ingress/codec.go
+++ b/internal/ingress/codec.go
@@ -60,6 +60,12 @@
 	Signed bool
 	// ColdRemaining is how long the target stays cold, 0 if it does not say.
 	ColdRemaining time.Duration
+	// LimitNamed reports whether the target names a limit, LimitPerSecond is the number of
+	// requests a second that it takes from all instances. LimitText is the limit as received,
+	// empty if there is none; it is set also for one that cannot be read.
+	LimitNamed     bool
+	LimitPerSecond float64
+	LimitText      string
 }
 
 // Codec translates between the headers of callers and targets and the types Call,
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -62,7 +62,9 @@
 	targets      map[fleet.TargetID]*targetState
 	exchange     *exchange.Table
 	retryBudgets map[fleet.ServiceID]*pacing.RetryBudget
-	evidence     *quarantine.Evidence
+	// limits holds the limits that targets name.
+	limits   *pacing.LimitTable
+	evidence *quarantine.Evidence
 	// brokenRuns are the runs of which it is not known yet whether their target crashed, and
 	// crashes the times of known crashes by startKey.
 	brokenRuns  []brokenRun
@@ -109,6 +111,7 @@
 		cache:         affinity.New(),
 		targets:       make(map[fleet.TargetID]*targetState),
 		exchange:      exchange.New(o.DataCentre),
+		limits:        pacing.NewLimitTable(),
 		retryBudgets:  make(map[fleet.ServiceID]*pacing.RetryBudget),
 		evidence:      quarantine.NewEvidence(),
 		crashes:       make(map[uint64]clock.Instant),
@@ -146,6 +149,7 @@
 // s.mu must be held.
 func (s *Scheduler) dropUnlistedTargets() {
 	now := s.options.Now()
+	s.limits.Expire(func(id fleet.TargetID) bool { _, listed := s.inventory.Get(id); return listed }, now)
 	for id, t := range s.targets {
 		if _, listed := s.inventory.Get(id); !listed && t.ownLoad == (placement.Load{}) && t.starts.Count(now) == 0 {
 			delete(s.targets, id)
