quarantine: parts that targets answered with are the last to be suspected

With two deadly parts at once and few answers the part that both kinds share has more crashes than either, so that it would be refused in their place: all requests of the route until the first trial, 20 s later.

Cause: traits were judged by the number of crashes alone. Change: traits that no target has answered with come first, and explain the crashes of the others. A part that has been answered with needs five crashes, and is tried again after 3 s. What one instance knows of that is in the reports.

Measured: TestSharedPartOfTwoDeadlyOnesIsNotRefused fails without the order and the larger number; a part that turns deadly is still refused after seven crashes a second apart.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -13,6 +13,8 @@
 const (
 	// refuseAfter is the number of crashes after which requests with a trait are refused.
 	refuseAfter = 3
+	// soundRefuseAfter replaces refuseAfter for a part that targets have answered with before.
+	soundRefuseAfter = 5
 	// minRequests is the number of different requests that these crashes must include to be
 	// held against a part: otherwise the one request is refused as a whole.
 	minRequests = 2
@@ -28,10 +30,16 @@
 	// maxSoundParts limits the parts whose last answer is remembered, for each half of the
 	// memory.
 	maxSoundParts = 8192
+	// maxKnownParts limits the parts of which it is remembered that targets answered with them,
+	// for each half of the memory.
+	maxKnownParts = 8192
 	// firstTrial is the time after the last crash from which one request with a refused trait
 	// may run as a trial. It doubles with each trial, up to maxTrialInterval.
 	firstTrial       = 20 * time.Second
 	maxTrialInterval = 10 * time.Minute
+	// firstSoundTrial replaces firstTrial for a part that targets have answered with before:
+	// many requests may share it.
+	firstSoundTrial = 3 * time.Second
 	// trialStep is added to that time for each instance that comes first in the rendezvous
 	// order of the trait, so that word of its trial arrives before the next one is due.
 	trialStep = time.Second
@@ -113,7 +121,9 @@
 	whole bool
 	// depth is the greatest index of the part in a prompt. Of two parts that were always
 	// together the deeper one is in fewer requests.
-	depth   int
+	depth int
+	// sound reports that some target has answered with the part at some time.
+	sound   bool
 	crashes []crash
 	trials  int
 	triedAt clock.Instant
@@ -142,6 +152,8 @@
 	// current and of the previous period of soundFor.
 	sound, soundBefore map[uint64]clock.Instant
 	soundSince         clock.Instant
+	// known and knownBefore hold the parts that targets have answered with, known the latest.
+	known, knownBefore map[uint64]struct{}
 	expiredAt          clock.Instant
 	// undecided is set if a change may alter which traits are refused.
 	undecided bool
@@ -153,6 +165,7 @@
 	return &Evidence{
 		records: make(map[uint64]*record),
 		sound:   make(map[uint64]clock.Instant), soundBefore: make(map[uint64]clock.Instant),
+		known: make(map[uint64]struct{}), knownBefore: make(map[uint64]struct{}),
 	}
 }
 
@@ -187,13 +200,44 @@
 		if _, ok := e.sound[key]; ok || len(e.sound) < maxSoundParts {
 			e.sound[key] = now
 		}
+		e.remember(key)
 		if r := e.records[key]; r != nil {
+			e.setSound(r, now)
 			e.clear(r, now)
 		}
 	}
 	e.decide()
 }
 
+// remember notes that a target has answered with a part.
+func (e *Evidence) remember(key uint64) {
+	if _, ok := e.known[key]; ok {
+		return
+	}
+	if len(e.known) >= maxKnownParts {
+		e.known, e.knownBefore = e.knownBefore, e.known
+		clear(e.known)
+	}
+	e.known[key] = struct{}{}
+}
+
+// isKnown reports whether a target is known to have answered with a part.
+func (e *Evidence) isKnown(key uint64) bool {
+	_, ok := e.known[key]
+	if !ok {
+		_, ok = e.knownBefore[key]
+	}
+	return ok
+}
+
+// setSound notes in a record that some target has answered with the part.
+func (e *Evidence) setSound(r *record, now clock.Instant) {
+	if !r.sound {
+		r.sound, r.changedAt = true, now
+		e.undecided = e.undecided || r.heldCount >= refuseAfter
+	}
+}
+
 // RecordCompleted records that a request ran to its end.
 func (e *Evidence) RecordCompleted(t *Traits, now clock.Instant) {
 	r := e.records[t.Whole]
@@ -264,6 +308,9 @@
 				id: c.Target, at: now.Add(-age), customer: c.Customer, request: c.Request, cleared: c.Cleared,
 			}, now)
 		}
+		if r := e.records[w.Trait]; r != nil && w.Sound {
+			e.setSound(r, now)
+		}
 		if r := e.records[w.Trait]; r != nil && w.Trials > r.trials && w.TrialAgeMillis >= 0 {
 			r.trials, r.changedAt = w.Trials, now
 			r.triedAt = max(r.triedAt, now.Add(-time.Duration(w.TrialAgeMillis)*time.Millisecond))
@@ -286,7 +333,7 @@
 	slices.SortFunc(chosen, compareNews)
 	list := make([]wire.Evidence, 0, min(len(chosen), maxReported))
 	for _, r := range chosen[:min(len(chosen), maxReported)] {
-		w := wire.Evidence{Trait: r.key, Whole: r.whole, Depth: r.depth, Trials: r.trials}
+		w := wire.Evidence{Trait: r.key, Whole: r.whole, Depth: r.depth, Sound: r.sound, Trials: r.trials}
 		if r.trials > 0 {
 			w.TrialAgeMillis = now.Sub(r.triedAt).Milliseconds()
 		}
@@ -314,7 +361,7 @@
 	}
 	r := e.records[key]
 	if r == nil {
-		r = &record{key: key, whole: whole, changedAt: now}
+		r = &record{key: key, whole: whole, sound: !whole && e.isKnown(key), changedAt: now}
 		e.records[key] = r
 	}
 	r.depth = max(r.depth, depth)
@@ -348,9 +395,10 @@
 	e.decide()
 }
 
-// decide decides which traits are refused. Traits are judged in the order of their crashes,
-// and a crash counts only against the first trait that is refused for it: where several
-// traits were together, the fewest are refused that explain all crashes.
+// decide decides which traits are refused. A crash counts only against the first trait that is
+// refused for it. Traits are judged in the order of suspicion, so that where several were
+// together, few are refused that explain all crashes, and those first that no target has
+// answered with.
 func (e *Evidence) decide() {
 	if !e.undecided {
 		return
@@ -372,7 +420,7 @@
 				left = append(left, c)
 			}
 		}
-		refused := independent(left) >= refuseAfter && (r.whole || distinct(left, crash.byRequest) >= minRequests)
+		refused := independent(left) >= r.refuseAfter() && (r.whole || distinct(left, crash.byRequest) >= minRequests)
 		if refused {
 			e.refused++
 			for _, c := range r.held() {
@@ -506,27 +554,39 @@
 	return last
 }
 
+// refuseAfter returns the number of crashes after which requests with the trait are refused.
+func (r *record) refuseAfter() int {
+	if r.sound {
+		return soundRefuseAfter
+	}
+	return refuseAfter
+}
+
 // trialDue returns the time of the next trial by the first instance in the trait's order.
 func (r *record) trialDue() clock.Instant {
 	interval := maxTrialInterval
 	if d := firstTrial << min(r.trials, 16); d < maxTrialInterval {
 		interval = d
 	}
+	if r.sound && r.trials == 0 {
+		interval = firstSoundTrial
+	}
 	return max(r.lastCrash(), r.triedAt).Add(interval)
 }
 
-// compareSuspicion orders records by the number of crashes held against them, the largest
-// first. Of records with as many, whole requests come first, then the deeper parts.
+// compareSuspicion orders records of traits that no target has answered with before the others,
+// and then by the number of crashes held against them, the largest first. Of records with as
+// many, whole requests come first, then the deeper parts.
 func compareSuspicion(a, b *record) int {
-	return cmp.Or(cmp.Compare(b.heldCount, a.heldCount), compareWhole(a, b), cmp.Compare(b.depth, a.depth), cmp.Compare(a.key, b.key))
+	return cmp.Or(compareBool(b.sound, a.sound), cmp.Compare(b.heldCount, a.heldCount), compareBool(a.whole, b.whole), cmp.Compare(b.depth, a.depth), cmp.Compare(a.key, b.key))
 }
 
-// compareWhole orders whole requests before parts.
-func compareWhole(a, b *record) int {
+// compareBool orders true before false.
+func compareBool(a, b bool) int {
 	switch {
-	case a.whole == b.whole:
+	case a == b:
 		return 0
-	case a.whole:
+	case a:
 		return -1
 	}
 	return 1
--- a/internal/quarantine/evidence_test.go
+++ b/internal/quarantine/evidence_test.go
@@ -103,6 +103,38 @@
 	}
 }
 
+// Two deadly parts, while nothing else is answered: the part that both kinds of requests share,
+// with which targets answered before, must stay allowed. Otherwise all requests of the route
+// would be refused.
+func TestSharedPartOfTwoDeadlyOnesIsNotRefused(t *testing.T) {
+	n := newEvidenceNode()
+	n.RecordAnswering(n.traits(1, common), n.now)
+	n.now = n.now.Add(10 * soundFor)
+	for range refuseAfter {
+		n.crash(n.traits(1, common, deadly))
+		n.crash(n.traits(1, common, deadly2))
+	}
+	if n.isRefused(1, common) {
+		t.Error("requests with the common part are refused")
+	}
+	if !n.isRefused(1, common, deadly) || !n.isRefused(1, common, deadly2) {
+		t.Error("requests with a deadly part may run")
+	}
+}
+
+// A part that targets answered with for long may begin to crash them.
+func TestPartThatTurnsDeadlyIsRefused(t *testing.T) {
+	n := newEvidenceNode()
+	n.RecordAnswering(n.traits(1, common, shared), n.now)
+	for range soundRefuseAfter + int(soundFor/time.Second) {
+		n.crash(n.traits(1, common, shared))
+		n.RecordAnswering(n.traits(1, common), n.now)
+	}
+	if !n.isRefused(1, common, shared) || n.isRefused(1, common) {
+		t.Error("want the part refused that turned deadly, the other one allowed")
+	}
+}
+
 // Targets that crash at the same moment have a cause outside the requests that they ran.
 func TestTargetsThatCrashTogetherCondemnNothing(t *testing.T) {
 	n := newEvidenceNode()
@@ -223,8 +255,9 @@
 	for range refuseAfter {
 		n.crash(n.traits(3, newParts(deadly)...))
 	}
-	if len(n.records) > maxRecords+trimSlack || len(n.sound)+len(n.soundBefore) > 2*maxSoundParts {
-		t.Errorf("%d records, %d sound parts", len(n.records), len(n.sound)+len(n.soundBefore))
+	if sound, known := len(n.sound)+len(n.soundBefore), len(n.known)+len(n.knownBefore); len(n.records) > maxRecords+trimSlack ||
+		sound > 2*maxSoundParts || known > 2*maxKnownParts {
+		t.Errorf("%d records, %d sound parts, %d known ones", len(n.records), sound, known)
 	}
 	if report := n.Report(n.now); len(report) > maxReported || report[0].Trait != deadly {
 		t.Errorf("%d records reported, the first on %d; want at most %d, the first on the deadly part", len(report), report[0].Trait, maxReported)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -183,8 +183,10 @@
 	Trait uint64 `json:"t"`
 	// Whole reports whether the trait is a whole request, Depth is the greatest index at which
 	// a part occurred in a prompt.
-	Whole   bool    `json:"w,omitempty"`
-	Depth   int     `json:"d,omitempty"`
+	Whole bool `json:"w,omitempty"`
+	Depth int  `json:"d,omitempty"`
+	// Sound reports whether some target has answered with the part at some time.
+	Sound   bool    `json:"s,omitempty"`
 	Crashes []Crash `json:"c,omitempty"`
 	// Trials counts the requests that ran although the trait was refused, the last of them
 	// TrialAgeMillis ago, in milliseconds.
