--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -234,6 +234,28 @@
 			})
 		})
 	}
+	for _, traits := range []int{1, 32} {
+		b.Run(fmt.Sprintf("heartbeat/evidence=%d", traits), func(b *testing.B) {
+			rnd := rand.New(rand.NewPCG(1, 2))
+			hb := wire.Heartbeat{Incarnation: fleet.Incarnation(rnd.Uint64())}
+			for range traits {
+				e := wire.Evidence{Trait: rnd.Uint64(), Depth: 2}
+				for range 8 {
+					e.Crashes = append(e.Crashes, wire.Crash{Target: rnd.Uint64(), Customer: rnd.Uint32(), Request: rnd.Uint32(), AgeMillis: rnd.Int64N(10_000)})
+				}
+				hb.Evidence = append(hb.Evidence, e)
+			}
+			frameBytes(b, wire.MethodHeartbeat, func() any {
+				hb.Seq++
+				for _, e := range hb.Evidence {
+					for i := range e.Crashes {
+						e.Crashes[i].AgeMillis += 200
+					}
+				}
+				return hb
+			})
+		})
+	}
 	b.Run("grant", func(b *testing.B) {
 		rnd := rand.New(rand.NewPCG(1, 2))
 		g := wire.Grant{Incarnation: fleet.Incarnation(rnd.Uint64()), EchoIncarnation: fleet.Incarnation(rnd.Uint64()), Workload: fleet.Workload{Model: "appraise"}, BootID: "e00417-1"}
