--- a/internal/pacing/limits.go
+++ b/internal/pacing/limits.go
@@ -189,6 +189,9 @@
 	return true
 }
 
+// IsEmpty reports whether the table holds no limit, named or ended.
+func (t *LimitTable) IsEmpty() bool { return len(t.limits) == 0 }
+
 // Get returns the limit that the given start of a target names, false if it names none.
 func (t *LimitTable) Get(id fleet.TargetID, startMillis int64) (Limit, bool) {
 	l := t.limits[id]
--- a/internal/scheduler/limits.go
+++ b/internal/scheduler/limits.go
@@ -44,6 +44,9 @@
 		starts := &target.state.starts
 		next = starts.Next(s.coldShare(target, j.Service.ColdRate), starts.Count(coldWindow, now), coldWindow, now)
 	}
+	if s.limits.IsEmpty() {
+		return next
+	}
 	limit, ok := s.limits.Get(target.entry.ID, target.entry.StartMillis)
 	if !ok {
 		return next
@@ -128,6 +131,9 @@
 // limitLoad returns what peers need to know of a target that names a limit: the starts of
 // this instance and whether it would start more. s.mu must be held.
 func (s *Scheduler) limitLoad(id fleet.TargetID, t *targetState, now clock.Instant) placement.Load {
+	if s.limits.IsEmpty() {
+		return placement.Load{}
+	}
 	e, ok := s.inventory.Get(id)
 	if !ok {
 		return placement.Load{}
