quarantine: instances take turns at trying a refused part

Each instance waited a second longer than the one before it in the part's order. After a pause all waits were over, so that each could send a trial before word of the first had spread: with 90 instances some ten targets. Turns of 2 s are counted from the last crash, which all know; up to three instances have one at a time. A request that names a part twice counts it once.

Refused callers always get a time to come back.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -40,9 +40,12 @@
 	// firstSoundTrial replaces firstTrial for a part that targets have answered with before:
 	// many requests may share it.
 	firstSoundTrial = 3 * time.Second
-	// trialStep is added to that time for each instance that comes first in the rendezvous
-	// order of the trait, so that word of its trial arrives before the next one is due.
-	trialStep = time.Second
+	// Once a trial is due the instances take turns of trialTurn in the rendezvous order of the
+	// trait, so that word of a trial arrives before the next turn. For each trialWidening
+	// without a trial one more instance has its turn at the same time, up to maxTrialTurns.
+	trialTurn     = 2 * time.Second
+	trialWidening = time.Minute
+	maxTrialTurns = 3
 	// maxRecords limits the traits with crashes. trimSlack is how many more are kept until
 	// the least suspect ones are removed together.
 	maxRecords = 1024
@@ -262,9 +265,9 @@
 	}
 }
 
-// Check judges a request. order returns this instance's position in the rendezvous order of
-// the live instances for a trait, from 0.
-func (e *Evidence) Check(t *Traits, now clock.Instant, order func(trait uint64) int) Judgement {
+// Check judges a request. order returns this instance's position, from 0, in the rendezvous order
+// of the live instances for a trait, and their number.
+func (e *Evidence) Check(t *Traits, now clock.Instant, order func(trait uint64) (position, instances int)) Judgement {
 	if e.refused == 0 {
 		return Judgement{}
 	}
@@ -280,6 +283,9 @@
 			continue
 		}
 		r.askedAt = now
+		if i > 0 && slices.Contains(t.Parts[:i], key) {
+			continue
+		}
 		refusals++
 		if found == nil || r.trialDue() > found.trialDue() {
 			found, j = r, Judgement{Refused: true, Trait: key, Part: i, Crashes: r.heldCount}
@@ -288,14 +294,30 @@
 	if found == nil {
 		return j
 	}
-	j.TrialIn = max(found.trialDue().Sub(now), 0)
+	if j.TrialIn = found.trialDue().Sub(now); j.TrialIn > 0 {
+		return j
+	}
+	position, instances := order(found.key)
+	j.TrialIn = untilTurn(-j.TrialIn, position, instances)
 	// A trial with a second refused trait would tell nothing of the first.
-	if refusals == 1 && j.TrialIn == 0 && now >= found.trialDue().Add(time.Duration(order(found.key))*trialStep) {
+	if refusals == 1 && j.TrialIn == 0 {
 		j.Refused, j.Trial = false, true
 	}
 	return j
 }
 
+// untilTurn returns the time until an instance's turn to run a trial that has been due for some
+// time, 0 while it is its turn.
+func untilTurn(due time.Duration, position, instances int) time.Duration {
+	instances = max(instances, 1)
+	turn := int(due / trialTurn)
+	ahead := ((position-turn)%instances + instances) % instances
+	if ahead < min(1+int(due/trialWidening), maxTrialTurns) {
+		return 0
+	}
+	return time.Duration(ahead)*trialTurn - due%trialTurn
+}
+
 // Merge adds the evidence that a peer reports.
 func (e *Evidence) Merge(reported []wire.Evidence, now clock.Instant) {
 	for _, w := range reported[:min(len(reported), maxReported)] {
@@ -562,7 +584,7 @@
 	return refuseAfter
 }
 
-// trialDue returns the time of the next trial by the first instance in the trait's order.
+// trialDue returns the time from which a trial may run.
 func (r *record) trialDue() clock.Instant {
 	interval := maxTrialInterval
 	if d := firstTrial << min(r.trials, 16); d < maxTrialInterval {
--- a/internal/quarantine/evidence_test.go
+++ b/internal/quarantine/evidence_test.go
@@ -22,8 +22,8 @@
 	shared
 )
 
-// firstInOrder is the order of an instance that comes first for every trait.
-func firstInOrder(uint64) int { return 0 }
+// firstInOrder is the order of an instance that is alone.
+func firstInOrder(uint64) (position, instances int) { return 0, 1 }
 
 // evidenceNode is an Evidence with a clock.
 type evidenceNode struct {
@@ -220,6 +220,43 @@
 	}
 }
 
+// When requests with a refused part come again after a long time, at all instances at once, few
+// of them may run before word of the first trial has spread.
+func TestTrialsOfFleetAreFew(t *testing.T) {
+	const instances = 90
+	n := newEvidenceNode()
+	for range refuseAfter {
+		n.crash(n.traits(1, shared))
+	}
+	for _, pause := range []time.Duration{firstTrial, 3 * firstTrial, 10 * time.Minute} {
+		now := n.now.Add(pause)
+		turns := make(map[int]bool)
+		for position := range instances {
+			j := n.Check(n.traits(1, shared), now, func(uint64) (int, int) { return position, instances })
+			if j.Trial {
+				turns[position] = true
+			} else if j.TrialIn <= 0 {
+				t.Errorf("instance %d is refused with no time to come back", position)
+			}
+		}
+		if len(turns) == 0 || len(turns) > maxTrialTurns {
+			t.Errorf("%d instances may try after %s, want 1 to %d", len(turns), pause, maxTrialTurns)
+		}
+		// Each instance has a turn.
+		for range instances {
+			now = now.Add(trialTurn)
+			for position := range instances {
+				if n.Check(n.traits(1, shared), now, func(uint64) (int, int) { return position, instances }).Trial {
+					turns[position] = true
+				}
+			}
+		}
+		if len(turns) != instances {
+			t.Errorf("%d of %d instances had a turn", len(turns), instances)
+		}
+	}
+}
+
 // A record that is not asked for any more must be dropped.
 func TestOldEvidenceIsDropped(t *testing.T) {
 	n := newEvidenceNode()
--- a/internal/scheduler/limits.go
+++ b/internal/scheduler/limits.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"strconv"
 	"time"
 
@@ -164,13 +163,9 @@
 // starts on a target, and the number of instances if it is not one of them. s.mu must be held.
 func (s *Scheduler) rankOf(target *usableTarget) int {
 	if !target.rankKnown {
-		members := make([]fleet.InstanceID, 0, len(s.alive))
-		for _, m := range s.alive {
-			members = append(members, m.ID)
-		}
-		target.rank, target.rankKnown = slices.Index(membership.Rank(string(target.entry.ID), members), s.options.Self), true
-		if target.rank < 0 {
-			target.rank = max(len(members), minSharers)
+		target.rank, target.rankKnown = s.position(string(target.entry.ID)), true
+		if target.rank >= len(s.alive) {
+			target.rank = max(target.rank, minSharers)
 		}
 	}
 	return target.rank
