scheduler: divide the limits that targets name by the fair demand

Cause: the shares were equal for all instances, so that a customer got as many as the instances that it happens to use. Change: an instance's part of the starts is its part of the fair demand, which is what each customer requests up to its nominal share; the counters that instances exchange tell it. Parts of one start are rounded by chance, anew in each window, and nobody starts more once the fleet is known to be at 1.2 times the limit. Without tokens, or without peers' reports, the parts stay equal.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -111,6 +111,28 @@
 	return MaxMinShare(demands, tokensPerSecond*m.window.Seconds())
 }
 
+// FairPart returns which part of the fair demand another meter counted, which counts some of the
+// same requests: of what each customer requested within the window, up to the given share. It is
+// 0 without demand. It takes O(n) time for n customers.
+func (m *Meter) FairPart(some *Meter, share float64, now clock.Instant) float64 {
+	part, all := 0.0, 0.0
+	for c := range m.customers {
+		demand := m.Demand(c, now)
+		if demand <= 0 {
+			continue
+		}
+		fair := min(demand, share)
+		all += fair
+		if w := some.customers[c]; w != nil {
+			part += fair * min(some.Demand(c, now)/demand, 1)
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return part / all
+}
+
 // recentBuckets is the number of buckets that show what a customer requests now.
 const recentBuckets = 5
 
--- a/internal/scheduler/limits.go
+++ b/internal/scheduler/limits.go
@@ -27,6 +27,9 @@
 	// shares while the others leave it unused. Reports are up to three heartbeats old, so that
 	// for that time the others may use their shares as well.
 	borrowedFraction = 0.4
+	// maxFleetStarts is the multiple of a limit's starts at which an instance starts no more,
+	// whatever its share: parts are computed from reports, and are rounded.
+	maxFleetStarts = 1.2
 	// usableFraction is the part of a limit up to which instances borrow.
 	usableFraction = 0.9
 	// waitingFor is how long an instance counts as waiting after a limit held a request back,
@@ -50,23 +53,27 @@
 	if !ok {
 		return next
 	}
-	atLimit := s.nextWithin(limit, target, now)
+	atLimit := s.nextWithin(limit, j, target, now)
 	if atLimit > now {
 		target.state.holdBack(now)
 	}
 	return max(next, atLimit)
 }
 
-// nextWithin returns the earliest time from now on at which this instance may start a request
-// on a target that names a limit. Starts from before the limit was known do not count. s.mu
-// must be held.
-func (s *Scheduler) nextWithin(limit pacing.Limit, target *usableTarget, now clock.Instant) clock.Instant {
+// nextWithin returns the earliest time from now on at which this instance may start a job on a
+// target that names a limit. Starts from before the limit was known do not count. s.mu must be
+// held.
+func (s *Scheduler) nextWithin(limit pacing.Limit, j *Job, target *usableTarget, now clock.Instant) clock.Instant {
 	// A target that takes less than one request in a window still gets that one: only an
 	// answer tells that the limit has ended.
 	starts := max(int(limit.PerSecond*limitWindow.Seconds()), 1)
-	share := pacing.Share(starts, max(len(s.alive), minSharers), s.rankOf(target))
 	counter := &target.state.starts
 	own := startsWithin(limit, counter, now)
+	fleet := own + s.exchange.PeerLoad(target.entry.ID, now).Starts
+	if float64(fleet) >= maxFleetStarts*float64(starts) {
+		return now.Add(limitWindow / time.Duration(starts))
+	}
+	share := s.startShare(starts, j, target, now)
 	if own >= share {
 		share += s.borrowed(starts, own, target, now)
 	}
@@ -78,6 +85,52 @@
 	return next
 }
 
+// startShare returns how many of the starts that a target's limit allows in a window are this
+// instance's: as many as its part of the fair demand of all customers, so that a customer whose
+// requests come to few instances is not limited to the parts of these. Without a fair demand,
+// as for plain services, the parts are equal. s.mu must be held.
+func (s *Scheduler) startShare(starts int, j *Job, target *usableTarget, now clock.Instant) int {
+	part, ok := s.demandPart(now)
+	if !ok || j.Prompt == 0 {
+		return pacing.Share(starts, max(len(s.alive), minSharers), s.rankOf(target))
+	}
+	return s.roundByChance(part*float64(starts), "share", target, now)
+}
+
+// demandPart returns this instance's part of the fair demand, which is what each customer
+// requested up to its nominal share. It returns false if there is none, or if the demand at
+// other instances is not known. s.mu must be held.
+func (s *Scheduler) demandPart(now clock.Instant) (float64, bool) {
+	if reports, _ := s.exchange.Included(now); reports == 0 {
+		return 0, false
+	}
+	p := &s.ownPart
+	if p.computedAt == 0 || now.Sub(p.computedAt) >= shareInterval {
+		*p = ownPart{computedAt: now, part: s.meter.FairPart(s.ownMeter, s.shares(now).nominal, now)}
+	}
+	return p.part, p.part > 0
+}
+
+// ownPart is this instance's part of the fair demand, which is recomputed every shareInterval.
+type ownPart struct {
+	computedAt clock.Instant
+	part       float64
+}
+
+// roundByChance rounds a number of starts to one of the two whole numbers beside it, so that the
+// mean over instances and windows is kept. The windows of different instances begin at
+// different times.
+func (s *Scheduler) roundByChance(starts float64, purpose string, target *usableTarget, now clock.Instant) int {
+	whole := int(starts)
+	id := string(target.entry.ID) + "/" + purpose
+	offset := time.Duration(chance(id, s.options.Self) * float64(limitWindow))
+	period := strconv.FormatInt(int64((time.Duration(now)+offset)/limitWindow), 10)
+	if chance(id+"/"+period, s.options.Self) < starts-float64(whole) {
+		whole++
+	}
+	return whole
+}
+
 // startsWithin counts the starts of this instance within limitWindow since the limit was known.
 func startsWithin(limit pacing.Limit, starts *pacing.StartCounter, now clock.Instant) int {
 	return starts.Count(min(limitWindow, now.Sub(limit.Since)+1), now)
@@ -85,8 +138,7 @@
 
 // borrowed returns how many starts beyond its share this instance may make on a target, of
 // those that the other instances leave unused: an equal part of them for each instance that
-// waits. Where the parts are not whole, a hash that changes with each window tells which
-// instances get one more. s.mu must be held.
+// waits. s.mu must be held.
 func (s *Scheduler) borrowed(starts, own int, target *usableTarget, now clock.Instant) int {
 	t := target.state
 	if now.Sub(t.waitingSince) < waitingFor || !t.isWaiting(now) {
@@ -98,15 +150,7 @@
 	peers := s.exchange.PeerLoad(target.entry.ID, now)
 	unused := usableFraction*float64(starts) - float64(own+peers.Starts)
 	part := min(unused, borrowedFraction*float64(starts)) / float64(peers.Waiting+1)
-	if part <= 0 {
-		return 0
-	}
-	period := strconv.FormatInt(int64(time.Duration(now)/limitWindow), 10)
-	whole := int(part)
-	if chance(string(target.entry.ID)+period, s.options.Self) < part-float64(whole) {
-		whole++
-	}
-	return whole
+	return s.roundByChance(max(part, 0), "borrowed", target, now)
 }
 
 // chance returns a number from 0 to 1 that is evenly distributed over instances and keys.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -54,10 +54,13 @@
 type Scheduler struct {
 	options Options
 
-	mu           sync.Mutex
-	catalog      *catalog.Catalog
-	inventory    *inventory.Inventory
-	meter        *quota.Meter
+	mu        sync.Mutex
+	catalog   *catalog.Catalog
+	inventory *inventory.Inventory
+	meter     *quota.Meter
+	// ownMeter counts the demand at this instance alone.
+	ownMeter     *quota.Meter
+	ownPart      ownPart
 	cache        *affinity.Cache
 	alive        []roster.Member
 	targets      map[fleet.TargetID]*targetState
@@ -112,6 +115,7 @@
 		options:       o,
 		inventory:     inventory.New(),
 		meter:         quota.NewMeter(o.ShareWindow),
+		ownMeter:      quota.NewMeter(o.ShareWindow),
 		cache:         affinity.New(),
 		targets:       make(map[fleet.TargetID]*targetState),
 		exchange:      exchange.New(o.DataCentre),
@@ -214,6 +218,7 @@
 		return
 	}
 	s.meter.AddDemand(j.Customer, j.weight(), now)
+	s.ownMeter.AddDemand(j.Customer, j.weight(), now)
 	s.addUsage(j.Customer, j.weight(), 0)
 }
 
