--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -256,6 +256,27 @@
 			})
 		})
 	}
+	for _, limits := range []int{13, 144} {
+		b.Run(fmt.Sprintf("heartbeat/limits=%d", limits), func(b *testing.B) {
+			rnd := rand.New(rand.NewPCG(1, 2))
+			hb := wire.Heartbeat{Incarnation: fleet.Incarnation(rnd.Uint64())}
+			for i := range limits {
+				hb.Limits = append(hb.Limits, wire.TargetLimit{
+					Target: fleet.TargetID(fmt.Sprintf("i-%010x", rnd.Uint32())), StartMillis: 1771061591031 + rnd.Int64N(5000),
+					PerSecond: float64(rnd.IntN(90)) / 10, Origin: rnd.Uint64N(7), Seq: uint64(i), AgeMillis: rnd.Int64N(2000),
+				})
+				hb.Loads = append(hb.Loads, wire.TargetLoad{Target: hb.Limits[i].Target, Running: 20, Unread: 4000, Memory: 90000})
+			}
+			frameBytes(b, wire.MethodHeartbeat, func() any {
+				hb.Seq++
+				for i := range hb.Limits {
+					hb.Limits[i].AgeMillis += 200
+					hb.Loads[i].Starts = rnd.IntN(20)
+				}
+				return hb
+			})
+		})
+	}
 	b.Run("grant", func(b *testing.B) {
 		rnd := rand.New(rand.NewPCG(1, 2))
 		g := wire.Grant{Incarnation: fleet.Incarnation(rnd.Uint64()), EchoIncarnation: fleet.Incarnation(rnd.Uint64()), Workload: fleet.Workload{Model: "appraise"}, BootID: "e00417-1"}
