--- a/internal/scheduler/limits.go
+++ b/internal/scheduler/limits.go
@@ -69,13 +69,13 @@
 	starts := max(int(limit.PerSecond*limitWindow.Seconds()), 1)
 	counter := &target.state.starts
 	own := startsWithin(limit, counter, now)
-	fleet := own + s.exchange.PeerLoad(target.entry.ID, now).Starts
-	if float64(fleet) >= maxFleetStarts*float64(starts) {
+	peers := s.exchange.PeerLoad(target.entry.ID, now)
+	if float64(own+peers.Starts) >= maxFleetStarts*float64(starts) {
 		return now.Add(limitWindow / time.Duration(starts))
 	}
 	share := s.startShare(starts, j, target, now)
 	if own >= share {
-		share += s.borrowed(starts, own, target, now)
+		share += s.borrowed(starts, own, peers, target, now)
 	}
 	next := counter.Next(share, own, limitWindow, now)
 	if share > 0 && own > 0 {
@@ -94,7 +94,7 @@
 	if !ok || j.Prompt == 0 {
 		return pacing.Share(starts, max(len(s.alive), minSharers), s.rankOf(target))
 	}
-	return s.roundByChance(part*float64(starts), "share", target, now)
+	return roundByChance(part*float64(starts), s.chancesOf(target, now).share)
 }
 
 // demandPart returns this instance's part of the fair demand, which is what each customer
@@ -117,15 +117,40 @@
 	part       float64
 }
 
-// roundByChance rounds a number of starts to one of the two whole numbers beside it, so that the
-// mean over instances and windows is kept. The windows of different instances begin at
-// different times.
-func (s *Scheduler) roundByChance(starts float64, purpose string, target *usableTarget, now clock.Instant) int {
+// startChances decide on the parts of one start at one target for a window. The windows of
+// different instances begin at different times.
+type startChances struct {
+	// offset shifts the windows of this instance, period is the number of the current one.
+	offset          time.Duration
+	period          int64
+	share, borrowed float64
+}
+
+// chancesOf returns the chances of the current window. s.mu must be held.
+func (s *Scheduler) chancesOf(target *usableTarget, now clock.Instant) *startChances {
+	c := &target.chances
+	key := string(target.entry.ID)
+	if c.offset == 0 {
+		c.offset = 1 + time.Duration(chance(key, s.options.Self)*float64(limitWindow))
+	}
+	if period := int64((time.Duration(now) + c.offset) / limitWindow); period != c.period {
+		c.period = period
+		key += "/" + strconv.FormatInt(period, 10)
+		c.share, c.borrowed = chance(key+"/share", s.options.Self), chance(key+"/borrowed", s.options.Self)
+	}
+	return c
+}
+
+// chance returns a number from 0 to 1 that is evenly distributed over instances and keys.
+func chance(key string, id fleet.InstanceID) float64 {
+	return float64(membership.Score(membership.Hash(key), membership.Hash(string(id)))>>11) / (1 << 53)
+}
+
+// roundByChance rounds a number of starts up if chance is below its fraction, so that the mean
+// over instances and windows is kept, and down otherwise.
+func roundByChance(starts, chance float64) int {
 	whole := int(starts)
-	id := string(target.entry.ID) + "/" + purpose
-	offset := time.Duration(chance(id, s.options.Self) * float64(limitWindow))
-	period := strconv.FormatInt(int64((time.Duration(now)+offset)/limitWindow), 10)
-	if chance(id+"/"+period, s.options.Self) < starts-float64(whole) {
+	if chance < starts-float64(whole) {
 		whole++
 	}
 	return whole
@@ -138,8 +163,8 @@
 
 // borrowed returns how many starts beyond its share this instance may make on a target, of
 // those that the other instances leave unused: an equal part of them for each instance that
-// waits. s.mu must be held.
-func (s *Scheduler) borrowed(starts, own int, target *usableTarget, now clock.Instant) int {
+// waits. peers is what the others report of the target. s.mu must be held.
+func (s *Scheduler) borrowed(starts, own int, peers placement.Load, target *usableTarget, now clock.Instant) int {
 	t := target.state
 	if now.Sub(t.waitingSince) < waitingFor || !t.isWaiting(now) {
 		return 0
@@ -147,15 +172,9 @@
 	if reports, _ := s.exchange.Included(now); reports == 0 {
 		return 0
 	}
-	peers := s.exchange.PeerLoad(target.entry.ID, now)
 	unused := usableFraction*float64(starts) - float64(own+peers.Starts)
 	part := min(unused, borrowedFraction*float64(starts)) / float64(peers.Waiting+1)
-	return s.roundByChance(max(part, 0), "borrowed", target, now)
-}
-
-// chance returns a number from 0 to 1 that is evenly distributed over instances and keys.
-func chance(key string, id fleet.InstanceID) float64 {
-	return float64(membership.Score(membership.Hash(key), membership.Hash(string(id)))>>11) / (1 << 53)
+	return roundByChance(max(part, 0), s.chancesOf(target, now).borrowed)
 }
 
 // holdBack records that a limit held a request back.
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -50,8 +50,8 @@
 }
 
 // enqueue puts a job in the queue. It refuses the job if the queue is full, if no target may
-// start it before its wait ends, or if the customer is over its nominal share and so many of its jobs wait that this one would not
-// start before its wait ends. s.mu must be held.
+// start it before its wait ends, or if the customer is over its nominal share and so many of
+// its jobs wait that this one would not start before its wait ends. s.mu must be held.
 func (s *Scheduler) enqueue(j *Job, retry bool, now clock.Instant) (*waiter, *Refusal) {
 	remaining := j.Deadline.Sub(now)
 	waitLimit := min(max(time.Duration(waitFraction*float64(remaining)), minWait), maxWait)
--- a/internal/scheduler/targets.go
+++ b/internal/scheduler/targets.go
@@ -37,6 +37,7 @@
 	// the target. It is valid if rankKnown is set.
 	rank      int
 	rankKnown bool
+	chances   startChances
 }
 
 // targetList holds the usable targets of one service. generation identifies the version
