--- a/internal/gateway/sharelog.go
+++ b/internal/gateway/sharelog.go
@@ -2,12 +2,10 @@
 
 import (
 	"cmp"
-	"fmt"
 
 	"github.com/rs/zerolog"
 
 	"medlarwind.dev/medlarwind/internal/exchange"
-	"medlarwind.dev/medlarwind/internal/quarantine"
 	"medlarwind.dev/medlarwind/internal/scheduler"
 )
 
@@ -37,19 +35,6 @@
 		Int("queued", r.Queued).Int("customers", r.Customers).Array("largest", largest).Msg("")
 }
 
-// logEvidence logs which requests are refused from now on because they crash targets, and
-// which no longer.
-func (g *Gateway) logEvidence(changes []quarantine.Change) {
-	for _, c := range changes {
-		event := "suspect_allowed"
-		if c.Refused {
-			event = "suspect_refused"
-		}
-		g.options.Log.Info().Str("event", event).Str("suspect_trait", fmt.Sprintf("%016x", c.Trait)).Bool("whole_request", c.Whole).
-			Int("crashes", c.Crashes).Int("requests", c.Requests).Int("customers", c.Customers).Int("trials", c.Trials).Msg("")
-	}
-}
-
 // logLimits logs the limits that targets name, as they change.
 func (g *Gateway) logLimits(changes []scheduler.LimitChange) {
 	for _, c := range changes {
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"fmt"
 	"os"
 	"time"
 
@@ -135,13 +134,10 @@
 	if j.Part >= 0 && j.Part < len(x.call.Parts) {
 		line = line.Str("suspect_part", x.call.Parts[j.Part].ID)
 	}
-	return line.Str("suspect_trait", formatTrait(j.Trait)).Int("suspect_crashes", j.Crashes).
+	return line.Str("suspect_trait", quarantine.FormatTrait(j.Trait)).Int("suspect_crashes", j.Crashes).
 		Int64("trial_in_ms", j.TrialIn.Milliseconds())
 }
 
-// formatTrait formats the key of a trait for logs.
-func formatTrait(key uint64) string { return fmt.Sprintf("%016x", key) }
-
 // maxLoggedParts limits the parts of a prompt in a log line.
 const maxLoggedParts = 8
 
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -82,6 +83,9 @@
 // request returns a short identity of the request.
 func (t *Traits) request() uint32 { return uint32(t.Whole) }
 
+// FormatTrait formats the key of a trait for logs.
+func FormatTrait(key uint64) string { return fmt.Sprintf("%016x", key) }
+
 // Judgement says whether a request may run.
 type Judgement struct {
 	// Refused reports whether the request must not run. Trait is the key of the trait for
--- a/internal/scheduler/evidence.go
+++ b/internal/scheduler/evidence.go
@@ -49,6 +49,9 @@
 		return
 	}
 	p.answering = true
+	if len(p.job.traits.Parts) == 0 {
+		return
+	}
 	s := p.scheduler
 	s.mu.Lock()
 	defer s.mu.Unlock()
