--- a/internal/gateway/sharelog.go
+++ b/internal/gateway/sharelog.go
@@ -6,7 +6,6 @@
 	"github.com/rs/zerolog"
 
 	"medlarwind.dev/medlarwind/internal/exchange"
-	"medlarwind.dev/medlarwind/internal/scheduler"
 )
 
 // logShares updates the metrics of the shares, and logs the customers with the largest
@@ -35,15 +34,6 @@
 		Int("queued", r.Queued).Int("customers", r.Customers).Array("largest", largest).Msg("")
 }
 
-// logLimits logs the limits that targets name, as they change.
-func (g *Gateway) logLimits(changes []scheduler.LimitChange) {
-	for _, c := range changes {
-		g.options.Log.Info().Str("event", "target_limit").Str("target", string(c.Target)).Int64("target_start", c.StartMillis).
-			Bool("named", c.Named).Float64("per_second", c.PerSecond).Float64("before", c.Before).
-			Int("own_starts", c.OwnStarts).Msg("")
-	}
-}
-
 // logExchangeChanges logs what changed in the use of peers' reports.
 func (g *Gateway) logExchangeChanges(changes exchange.Changes) {
 	log := &g.options.Log
