quarantine: a refused part explains crashes older than those it keeps

The deadly part had 16 crashes; a trait keeps eight. The sound part, in a tenth of those requests, kept eight that went further back, of which the deadly part explained but the newest.

Change: 24 crashes are kept, and older ones than a full record of a refused trait keeps count as explained by it. A refused trait reports its latest eight, as before; others all.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -51,8 +51,10 @@
 	// the least suspect ones are removed together.
 	maxRecords = 1024
 	trimSlack  = 256
-	// maxCrashes limits the crashes kept for one trait.
-	maxCrashes = 8
+	// maxCrashes limits the crashes kept for one trait, maxReportedCrashes those of a refused
+	// trait in a report, which has its latest ones.
+	maxCrashes         = 24
+	maxReportedCrashes = 8
 	// crashTTL is how long a crash is held against a trait that is not refused, refusedTTL
 	// how long a trait stays refused after the last request with it.
 	crashTTL   = 10 * time.Minute
@@ -363,7 +365,7 @@
 		if r.trials > 0 {
 			w.TrialAgeMillis = now.Sub(r.triedAt).Milliseconds()
 		}
-		for _, c := range r.crashes {
+		for _, c := range r.reported() {
 			w.Crashes = append(w.Crashes, wire.Crash{
 				Target: c.id, AgeMillis: now.Sub(c.at).Milliseconds(), Customer: c.customer, Request: c.request, Cleared: c.cleared,
 			})
@@ -438,11 +440,13 @@
 	}
 	slices.SortFunc(suspects, compareSuspicion)
 	explained := make(map[uint64]bool)
+	// Before explainedUntil a refused trait had more crashes than are kept.
+	var explainedUntil clock.Instant
 	e.refused = 0
 	for _, r := range suspects {
 		var left []crash
 		for _, c := range r.held() {
-			if !explained[c.id] {
+			if !explained[c.id] && c.at >= explainedUntil {
 				left = append(left, c)
 			}
 		}
@@ -452,6 +456,9 @@
 			for _, c := range r.held() {
 				explained[c.id] = true
 			}
+			if len(r.crashes) == maxCrashes {
+				explainedUntil = max(explainedUntil, r.oldestCrash())
+			}
 		}
 		if refused != r.refused {
 			r.refused = refused
@@ -542,6 +549,16 @@
 	r.crashes = slices.DeleteFunc(r.crashes, func(c crash) bool { return c.id == victim.id })
 }
 
+// reported returns the crashes to report. Those of a refused trait are reported all the time, and
+// peers know the older ones from earlier reports.
+func (r *record) reported() []crash {
+	if !r.refused || len(r.crashes) <= maxReportedCrashes {
+		return r.crashes
+	}
+	latest := slices.SortedFunc(slices.Values(r.crashes), func(a, b crash) int { return cmp.Compare(b.at, a.at) })
+	return latest[:maxReportedCrashes]
+}
+
 // held returns the crashes that are not cleared.
 func (r *record) held() []crash {
 	held := make([]crash, 0, len(r.crashes))
@@ -580,6 +597,11 @@
 	return last
 }
 
+// oldestCrash returns the time of the oldest crash that is kept.
+func (r *record) oldestCrash() clock.Instant {
+	return slices.MinFunc(r.crashes, func(a, b crash) int { return cmp.Compare(a.at, b.at) }).at
+}
+
 // refuseAfter returns the number of crashes after which requests with the trait are refused.
 func (r *record) refuseAfter() int {
 	if r.sound {
--- a/internal/quarantine/evidence_test.go
+++ b/internal/quarantine/evidence_test.go
@@ -122,6 +122,22 @@
 	}
 }
 
+// A deadly part crashes more targets than are kept, and a sound one is in some of its requests. The
+// older crashes must not be held against the sound one.
+func TestSoundPartIsNotRefusedForCrashesThatAreForgotten(t *testing.T) {
+	n := newEvidenceNode()
+	for i := range 4 * maxCrashes {
+		if i%4 == 0 {
+			n.crash(n.traits(1, shared, deadly))
+		} else {
+			n.crash(n.traits(1, uint64(1000+i), deadly))
+		}
+	}
+	if !n.isRefused(1, deadly) || n.isRefused(1, shared) {
+		t.Error("want the deadly part refused, the sound one allowed")
+	}
+}
+
 // A part that targets answered with for long may begin to crash them.
 func TestPartThatTurnsDeadlyIsRefused(t *testing.T) {
 	n := newEvidenceNode()
