inventory: what is known of targets outlasts a restore of the listing

Callers would be sent to targets that have left, or to a data centre that is evacuated, while the platform's records come from an older copy: the copy lists a target that has gone as ready, the former run of one that has restarted, or the former holder of an address, and lacks an evacuation and the targets that came since.

Inventory.NoteRestore marks the next listing as such.

Evidence: with NoteRestore doing nothing, TestRestoredListingBringsBackTargetThatLeft, TestRestoredListingReplacesRestartedTargetByFormerRun, TestRestoredListingNamesAddressOfAnotherTarget, TestTargetLostInRestoreIsKeptUntilItCouldBeListedAgain, TestEvacuationLostInRestoreStaysInForce and TestEvacuationThatIsNotWrittenAgainEnds fail. Nothing calls it yet: the copy does not know of restores before its positions hold the store's history.

--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -84,6 +84,9 @@
 	restoredAt map[fleet.DataCentreID]clock.Instant
 	// lastOutage is the last time at which the listing was unreachable.
 	lastOutage clock.Instant
+	// departed holds the last known runs of targets that have gone recently.
+	departed map[fleet.TargetID]departure
+	restore  restore
 }
 
 // New returns an empty inventory.
@@ -92,6 +95,7 @@
 		targets:    make(map[fleet.TargetID]*Entry),
 		evacuated:  make(map[fleet.DataCentreID]bool),
 		restoredAt: make(map[fleet.DataCentreID]clock.Instant),
+		departed:   make(map[fleet.TargetID]departure),
 	}
 }
 
@@ -100,7 +104,8 @@
 
 // Update applies a complete listing.
 func (v *Inventory) Update(listed []Target, evacuated []fleet.DataCentreID, now clock.Instant) {
-	v.updateDataCentres(evacuated, now)
+	v.updateDataCentres(v.withKeptEvacuations(evacuated), now)
+	listed = v.withoutOutdated(listed)
 	present := make(map[fleet.TargetID]bool, len(listed))
 	for _, t := range listed {
 		present[t.ID] = true
@@ -135,26 +140,31 @@
 	if t.ColdRemaining > 0 && t.Revision != e.Revision {
 		e.ColdUntil = max(e.ColdUntil, now.Add(t.ColdRemaining+coldMargin))
 	}
+	delete(v.departed, t.ID)
 	e.Target = t
 	e.absentSince = 0
 	e.leaving = e.leaving || t.State == Leaving
 }
 
-// Expire drops targets that have been absent for long enough and reports whether there
-// were any. Without a recent outage of the listing a target is dropped as soon as it is
-// absent; after one it is dropped when it has had time to be listed again.
+// Expire drops targets that have been absent for long enough, and ends the period after a
+// restore. It reports whether that changed anything. Without a recent outage of the listing a
+// target is dropped as soon as it is absent; after one it is dropped when it has had time to
+// be listed again.
 func (v *Inventory) Expire(now clock.Instant) bool {
-	before := len(v.targets)
+	v.forgetDepartures(now)
+	changed := v.expireRestore(now)
 	for id, e := range v.targets {
 		if e.absentSince == 0 {
 			continue
 		}
 		afterOutage := v.lastOutage != 0 && e.absentSince.Sub(v.lastOutage) < outageWindow
 		if !afterOutage || now.Sub(max(v.lastOutage, e.absentSince)) >= absenceGrace {
+			v.noteDeparture(e, now)
 			delete(v.targets, id)
+			changed = true
 		}
 	}
-	return len(v.targets) < before
+	return changed
 }
 
 // MarkBroken records that a target could not be reached or broke a connection. The target
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -177,6 +177,23 @@
 	s.inventory.NoteOutage(s.options.Now())
 }
 
+// NoteRestore records that the next list of targets is of an older copy of the platform's
+// records. It must be called before SetTargets gets that list.
+func (s *Scheduler) NoteRestore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inventory.NoteRestore(s.options.Now())
+}
+
+// Outdated returns the number of listed targets that are withheld because a restore of the
+// platform's records brought them back, and that of the evacuations that are kept although it
+// lost them.
+func (s *Scheduler) Outdated() (targets, evacuations int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inventory.Outdated()
+}
+
 // SetAlive replaces the list of live instances, which includes this instance.
 func (s *Scheduler) SetAlive(alive []roster.Member) {
 	s.mu.Lock()
