--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -88,6 +88,9 @@
 		g.scheduler.SetCatalog(p.Catalog)
 		g.catalog.Store(p.Catalog)
 		g.options.Log.Info().Str("event", "configuration").Uint64("version", p.Catalog.Version).Msg("")
+	} else if p.Catalog != nil && p.Catalog.Version < current.Version {
+		g.options.Log.Warn().Str("event", "configuration_older").Uint64("version", p.Catalog.Version).
+			Uint64("in_force", current.Version).Msg("")
 	}
 	g.scheduler.SetTargets(p.Targets, p.Evacuated)
 	revision, _ := g.copy.State()
--- a/internal/records/follower.go
+++ b/internal/records/follower.go
@@ -115,8 +115,8 @@
 			wait = recoveryWatchWait
 		}
 		changes, next, err := f.Reader.Watch(ctx, revision, wait)
-		if err == nil {
-			f.Copy.Apply(revision, changes, next, sentAt)
+		if err == nil && !f.Copy.Apply(revision, changes, next, sentAt) {
+			f.logDropped(revision, next)
 		}
 		if !errors.Is(err, ErrHistoryLost) {
 			return err
@@ -127,10 +127,18 @@
 	if err != nil {
 		return err
 	}
-	f.Copy.Replace(all, revision, sentAt)
+	if !f.Copy.Replace(all, revision, sentAt) {
+		had, _ := f.Copy.State()
+		f.logDropped(had, revision)
+	}
 	return nil
 }
 
+// logDropped logs that an answer of the platform was not applied to the copy.
+func (f *Follower) logDropped(had, revision uint64) {
+	f.Log.Warn().Str("event", "records_dropped").Uint64("had", had).Uint64("revision", revision).Msg("")
+}
+
 // logOutcome logs the first failure in a row and the recovery, and counts the failures.
 func (f *Follower) logOutcome(err error) {
 	switch {
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -86,12 +86,12 @@
 }
 
 // Replace replaces the copy by all records of a revision that was the newest at confirmedAt.
-// It does nothing if the copy is newer.
-func (c *Copy) Replace(all []Change, revision uint64, confirmedAt clock.Instant) {
+// It does nothing and returns false if the copy is newer.
+func (c *Copy) Replace(all []Change, revision uint64, confirmedAt clock.Instant) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if revision < c.revision {
-		return
+		return false
 	}
 	if revision > c.revision {
 		c.records = make(map[string]Change, len(all))
@@ -103,15 +103,16 @@
 		c.signal()
 	}
 	c.confirmedAt = max(c.confirmedAt, confirmedAt)
+	return true
 }
 
 // Apply applies changes that lead from the revision after to revision, which was the newest
-// at confirmedAt. It does nothing if the copy is not at the revision after.
-func (c *Copy) Apply(after uint64, changes []Change, revision uint64, confirmedAt clock.Instant) {
+// at confirmedAt. It does nothing and returns false if the copy is not at the revision after.
+func (c *Copy) Apply(after uint64, changes []Change, revision uint64, confirmedAt clock.Instant) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.revision != after || revision < after {
-		return
+		return false
 	}
 	for _, change := range changes {
 		if change.Deleted {
@@ -130,6 +131,7 @@
 	if len(changes) > 0 {
 		c.signal()
 	}
+	return true
 }
 
 // Confirm records that revision was the newest at the instant at. It does nothing if the
