--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -352,3 +352,38 @@
 		<-done
 	})
 }
+
+// revertedReader is a platform that goes back to an earlier revision after the first read.
+type revertedReader struct{ reads int }
+
+func (r *revertedReader) Read(context.Context) ([]records.Change, uint64, error) {
+	r.reads++
+	if r.reads == 1 {
+		return nil, 9, nil
+	}
+	return nil, 3, nil
+}
+
+func (r *revertedReader) Watch(context.Context, uint64, time.Duration) ([]records.Change, uint64, error) {
+	return nil, 0, records.ErrHistoryLost
+}
+
+// An instance whose reads are dropped does not follow the platform, and must not count the
+// calls as successful.
+func TestDroppedReadIsReportedAsFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var results []error
+		follower := &records.Follower{
+			Copy: records.NewCopy(), Reader: &revertedReader{}, Now: clock.Monotonic(), Log: zerolog.Nop(),
+			Role: alwaysReader, OnResult: func(err error) { results = append(results, err) },
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		follower.Run(ctx)
+		for i, err := range results[1:] {
+			if err == nil {
+				t.Fatalf("call %d succeeded although its answer was dropped", i+2)
+			}
+		}
+	})
+}
