Records: a position has an era, and a dropped read is a failure

A bare revision stood for a place in the platform's history at every comparison in the tree. It is now records.Position, era and revision with unexported fields, which orders by era first: copies, the reader interface, heartbeats and fetches between instances (an earlier release sends no era, 0), the caches of the interpreter and targets' entries. Confirm asks for the whole position, Since and Apply stay within one era, and a copy that changes era loses what it kept of the last one.

Tests of the touched packages take positions where they took revisions; no check changed.

--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -41,8 +41,8 @@
 // first.
 func (g *Gateway) readDuty() records.Role {
 	now := g.options.Now()
-	revision, at := g.copy.State()
-	since := max(at, g.startedAt)
+	at, confirmedAt := g.copy.State()
+	since := max(confirmedAt, g.startedAt)
 	limit := relayReadAge
 	if !g.relay.Load() {
 		limit = nonRelayReadAge + time.Duration(g.readJitter*float64(nonRelayReadJitter))
@@ -53,7 +53,7 @@
 	switch {
 	case g.reader.Load() && !settling:
 		return records.RoleReader
-	case stale, revision == 0 && g.reader.Load():
+	case stale, at.IsZero() && g.reader.Load():
 		return records.RoleFallback
 	}
 	return records.RoleStandby
@@ -75,15 +75,15 @@
 			return
 		case <-g.copy.Changed():
 		}
-		state := g.options.Interpreter.Interpret(g.copy.All())
-		g.applyState(state)
+		g.applyState(g.options.Interpreter.Interpret(g.copy.All()))
 	}
 }
 
 // applyState applies the targets and, if its version is newer, the configuration.
 func (g *Gateway) applyState(p PlatformState) {
 	current := g.catalog.Load()
-	// A version older than the current one can only result from a fault of a reader.
+	// After a restore the platform may show an older version. A configuration in force never
+	// goes back within one lifetime.
 	if p.Catalog != nil && (current == nil || p.Catalog.Version > current.Version) {
 		g.scheduler.SetCatalog(p.Catalog)
 		g.catalog.Store(p.Catalog)
@@ -93,8 +93,7 @@
 			Uint64("in_force", current.Version).Msg("")
 	}
 	g.scheduler.SetTargets(p.Targets, p.Evacuated)
-	revision, _ := g.copy.State()
-	g.options.Log.Info().Str("event", "targets").Uint64("revision", revision).Int("listed", len(p.Targets)).
+	g.options.Log.Info().Str("event", "targets").Uint64("era", p.Position.Era()).Uint64("revision", p.Position.Revision()).Int("listed", len(p.Targets)).
 		Int("evacuated", len(p.Evacuated)).Msg("")
 }
 
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -54,6 +54,8 @@
 
 // PlatformState is the decoded content of the platform's records.
 type PlatformState struct {
+	// Position is the place in the platform's history that the state belongs to.
+	Position records.Position
 	// Catalog is nil if there is no valid configuration.
 	Catalog   *catalog.Catalog
 	Targets   []inventory.Target
@@ -63,8 +65,8 @@
 // Interpreter decodes the platform's records. It is used by one goroutine at a time and
 // may cache what it decoded before.
 type Interpreter interface {
-	// Interpret returns the state that all records together describe.
-	Interpret(all []records.Change) PlatformState
+	// Interpret returns the state that all records of a position together describe.
+	Interpret(at records.Position, all []records.Change) PlatformState
 }
 
 // CallerLocation is the region and data centre of a caller.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -53,8 +53,8 @@
 func (g *Gateway) sendRound() {
 	now := g.options.Now()
 	common := wire.Heartbeat{Incarnation: g.incarnation, Leaving: g.leaving.Load()}
-	if revision, at := g.copy.State(); revision > 0 && at != 0 {
-		common.Records = &wire.RecordsState{Revision: revision, AgeMillis: now.Sub(at).Milliseconds() + 1}
+	if at, confirmedAt := g.copy.State(); !at.IsZero() && confirmedAt != 0 {
+		common.Records = &wire.RecordsState{Era: at.Era(), Revision: at.Revision(), AgeMillis: now.Sub(confirmedAt).Milliseconds() + 1}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -129,17 +129,18 @@
 }
 
 // applyRecordsState applies the state of the records that a peer reports, and fetches the
-// records if the peer's are newer. The time at which the peer's revision was the newest is
+// records if the peer's are newer. The time at which the peer's position was the newest is
 // derived from the sending time of the heartbeat that it echoes: the report was created
 // after that, however late it arrives. g.mu must be held.
 func (g *Gateway) applyRecordsState(from fleet.InstanceID, p *peerState, hb *wire.Heartbeat, now clock.Instant) {
+	reported := records.NewPosition(hb.Records.Era, hb.Records.Revision)
 	if hb.EchoIncarnation == g.incarnation && hb.EchoSeq > 0 && hb.EchoSeq <= p.lastSentSeq && p.lastSentSeq-hb.EchoSeq < sentTimesKept {
 		reportedAfter := p.sentAt[hb.EchoSeq%sentTimesKept]
-		g.copy.Confirm(hb.Records.Revision, reportedAfter.Add(-time.Duration(hb.Records.AgeMillis)*time.Millisecond))
+		g.copy.Confirm(reported, reportedAfter.Add(-time.Duration(hb.Records.AgeMillis)*time.Millisecond))
 	}
-	revision, _ := g.copy.State()
+	at, _ := g.copy.State()
 	switch {
-	case hb.Records.Revision <= revision:
+	case !reported.After(at):
 		p.ahead = false
 	case !p.ahead && g.reader.Load():
 		// This instance's own watch may deliver the change before the next heartbeat.
@@ -154,29 +155,34 @@
 func (g *Gateway) fetchRecords(from fleet.InstanceID) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	revision, _ := g.copy.State()
-	reply, err := g.transport.FetchConfig(ctx, from, &wire.ConfigRequest{CurrentVersion: revision})
-	if err == nil && reply.Version > revision {
-		err = g.applyConfigReply(revision, reply)
+	had, _ := g.copy.State()
+	reply, err := g.transport.FetchConfig(ctx, from, &wire.ConfigRequest{CurrentEra: had.Era(), CurrentVersion: had.Revision()})
+	if err == nil {
+		err = g.applyConfigReply(had, reply)
 	}
-	log := g.options.Log.Info().Str("event", "records_from_peer").Str("peer", string(from)).Uint64("had", revision)
+	log := g.options.Log.Info().Str("event", "records_from_peer").Str("peer", string(from)).
+		Uint64("had_era", had.Era()).Uint64("had", had.Revision())
 	if err != nil {
 		log.Err(err).Msg("")
 	} else {
-		log.Uint64("revision", reply.Version).Int("patches", len(reply.Patches)).Msg("")
+		log.Uint64("era", reply.Era).Uint64("revision", reply.Version).Int("patches", len(reply.Patches)).Msg("")
 	}
 	g.mu.Lock()
 	g.fetching = false
 	g.mu.Unlock()
 }
 
-// applyConfigReply applies a peer's records to the copy. The peer's next heartbeat
-// confirms how recent they are.
-func (g *Gateway) applyConfigReply(revision uint64, reply *wire.ConfigReply) error {
+// applyConfigReply applies a peer's records to the copy, which was at the position had. The
+// peer's next heartbeat confirms how recent they are.
+func (g *Gateway) applyConfigReply(had records.Position, reply *wire.ConfigReply) error {
+	at := records.NewPosition(reply.Era, reply.Version)
+	if !at.After(had) {
+		return nil
+	}
 	if len(reply.Patches) == 0 {
 		all, err := records.Decode(reply.Text)
 		if err == nil {
-			g.copy.Replace(all, reply.Version, 0)
+			g.copy.Replace(all, at, 0)
 		}
 		return err
 	}
@@ -188,29 +194,29 @@
 		}
 		changes = append(changes, more...)
 	}
-	g.copy.Apply(revision, changes, reply.Version, 0)
+	g.copy.Apply(had, changes, at, 0)
 	return nil
 }
 
 // PeerConfig implements peer.Handler. It returns the changes that the peer lacks, or all
-// records if those changes are no longer kept.
+// records if those changes are not kept.
 func (g *Gateway) PeerConfig(_ wire.Hello, r *wire.ConfigRequest) (*wire.ConfigReply, error) {
-	revision, _ := g.copy.State()
-	if revision <= r.CurrentVersion {
+	from := records.NewPosition(r.CurrentEra, r.CurrentVersion)
+	if at, _ := g.copy.State(); !at.After(from) {
 		return &wire.ConfigReply{}, nil
 	}
-	if changes, revision, ok := g.copy.Since(r.CurrentVersion); ok {
+	if changes, at, ok := g.copy.Since(from); ok {
 		patch, err := records.EncodeChanges(changes)
 		if err != nil {
 			return nil, err
 		}
-		return &wire.ConfigReply{Version: revision, Patches: [][]byte{patch}}, nil
+		return &wire.ConfigReply{Era: at.Era(), Version: at.Revision(), Patches: [][]byte{patch}}, nil
 	}
-	revision, text, err := g.copy.Encode()
+	at, text, err := g.copy.Encode()
 	if err != nil {
 		return nil, err
 	}
-	return &wire.ConfigReply{Version: revision, Text: text}, nil
+	return &wire.ConfigReply{Era: at.Era(), Version: at.Revision(), Text: text}, nil
 }
 
 // PeerGrant implements peer.Handler. It does nothing, because gateways send no grants.
--- a/internal/ingress/silence_test.go
+++ b/internal/ingress/silence_test.go
@@ -20,6 +20,7 @@
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/inventory"
 	"medlarwind.dev/medlarwind/internal/memnet"
+	"medlarwind.dev/medlarwind/internal/records"
 	"medlarwind.dev/medlarwind/internal/roster"
 	"medlarwind.dev/medlarwind/internal/scheduler"
 	"medlarwind.dev/medlarwind/internal/upstream"
@@ -176,7 +177,7 @@
 // list lists a target.
 func (e *testIngress) list(name, addr string, state inventory.State) {
 	e.listed = append(e.listed, inventory.Target{
-		ID: fleet.TargetID(name), StartMillis: 1, Service: "app", Addr: addr, DataCentre: "a", State: state, Slots: 8, Revision: 1,
+		ID: fleet.TargetID(name), StartMillis: 1, Service: "app", Addr: addr, DataCentre: "a", State: state, Slots: 8, WrittenAt: records.NewPosition(0, 1),
 	})
 	e.scheduler.SetTargets(e.listed, nil)
 }
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -14,6 +14,7 @@
 
 	"medlarwind.dev/medlarwind/internal/clock"
 	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/records"
 )
 
 // Durations of an Inventory.
@@ -56,8 +57,8 @@
 	// ColdRemaining is the time for which the target was still going to be cold when the
 	// entry was written.
 	ColdRemaining time.Duration
-	// Revision is the revision of the listed entry.
-	Revision uint64
+	// WrittenAt is the era of the listing with the revision of the entry.
+	WrittenAt records.Position
 }
 
 // Entry is a listed target with the state that this instance keeps for it.
@@ -132,7 +133,7 @@
 		e = &Entry{}
 		v.targets[t.ID] = e
 	}
-	if t.ColdRemaining > 0 && t.Revision != e.Revision {
+	if t.ColdRemaining > 0 && t.WrittenAt != e.WrittenAt {
 		e.ColdUntil = max(e.ColdUntil, now.Add(t.ColdRemaining+coldMargin))
 	}
 	e.Target = t
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -7,6 +7,7 @@
 	"medlarwind.dev/medlarwind/internal/clock"
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/inventory"
+	"medlarwind.dev/medlarwind/internal/records"
 )
 
 const start = clock.Instant(time.Hour)
@@ -14,7 +15,7 @@
 func listed(id string, started int64, state inventory.State) inventory.Target {
 	return inventory.Target{
 		ID: fleet.TargetID(id), StartMillis: started, Service: "lm", Addr: "10.0.0.1:1", DataCentre: "a",
-		State: state, Slots: 4, Revision: uint64(started),
+		State: state, Slots: 4, WrittenAt: records.NewPosition(0, uint64(started)),
 	}
 }
 
--- a/internal/records/follower.go
+++ b/internal/records/follower.go
@@ -10,18 +10,18 @@
 	"medlarwind.dev/medlarwind/internal/clock"
 )
 
-// ErrHistoryLost is returned by Reader.Watch when the platform no longer holds the changes
-// after the requested revision.
-var ErrHistoryLost = errors.New("the platform no longer holds the changes after this revision")
+// ErrHistoryLost is returned by Reader.Watch when the platform does not hold the changes after
+// the requested position.
+var ErrHistoryLost = errors.New("the platform does not hold the changes after this position")
 
 // Reader reads the platform's records. Its reads are linearizable.
 type Reader interface {
-	// Read returns all records and the revision up to which they are complete.
-	Read(ctx context.Context) ([]Change, uint64, error)
-	// Watch waits at most wait for changes after a revision. It returns the changes and
-	// the revision up to which they are complete, or ErrHistoryLost if all records must be
-	// read again.
-	Watch(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error)
+	// Read returns all records and the position up to which they are complete.
+	Read(ctx context.Context) ([]Change, Position, error)
+	// Watch waits at most wait for changes after a position. It returns the changes and the
+	// position up to which they are complete, or ErrHistoryLost if all records must be read
+	// again. The changes count only if the position is of the era that was asked for.
+	Watch(ctx context.Context, from Position, wait time.Duration) ([]Change, Position, error)
 }
 
 // Wait times and polling intervals of a Follower.
@@ -104,39 +104,53 @@
 	}
 }
 
-// poll watches for changes after the revision of the copy. It reads all records instead if
-// the copy is empty or the platform no longer holds these changes.
+// poll watches for changes after the position of the copy. It reads all records instead if
+// the copy is empty or the platform does not hold these changes.
 func (f *Follower) poll(ctx context.Context) error {
 	sentAt := f.Now()
-	revision, _ := f.Copy.State()
-	if revision > 0 {
+	had, _ := f.Copy.State()
+	if !had.IsZero() {
 		wait := watchWait
 		if f.failures > 0 {
 			wait = recoveryWatchWait
 		}
-		changes, next, err := f.Reader.Watch(ctx, revision, wait)
-		if err == nil && !f.Copy.Apply(revision, changes, next, sentAt) {
-			f.logDropped(revision, next)
+		changes, to, err := f.Reader.Watch(ctx, had, wait)
+		if err == nil {
+			err = checkWatch(had, to)
+		}
+		if err == nil {
+			f.Copy.Apply(had, changes, to, sentAt)
 		}
 		if !errors.Is(err, ErrHistoryLost) {
 			return err
 		}
+		if at, _ := f.Copy.State(); at != had {
+			// A peer has read the records in the meantime.
+			return nil
+		}
 		sentAt = f.Now()
 	}
-	all, revision, err := f.Reader.Read(ctx)
+	all, at, err := f.Reader.Read(ctx)
 	if err != nil {
 		return err
 	}
-	if !f.Copy.Replace(all, revision, sentAt) {
-		had, _ := f.Copy.State()
-		f.logDropped(had, revision)
+	if had.After(at) {
+		return errors.Errorf("read returned %v, older than %v of the copy", at, had)
 	}
+	f.Copy.Replace(all, at, sentAt)
 	return nil
 }
 
-// logDropped logs that an answer of the platform was not applied to the copy.
-func (f *Follower) logDropped(had, revision uint64) {
-	f.Log.Warn().Str("event", "records_dropped").Uint64("had", had).Uint64("revision", revision).Msg("")
+// checkWatch returns an error if the answer to a watch does not lead on from the position asked
+// for: ErrHistoryLost if the platform is in a later era, in which that position does not exist.
+func checkWatch(from, to Position) error {
+	switch {
+	case to.SharesHistory(from) && !from.After(to):
+		return nil
+	case to.After(from):
+		return ErrHistoryLost
+	}
+	return errors.Errorf("watch from %v returned %v, which is older", from, to)
 }
 
 // logOutcome logs the first failure in a row and the recovery, and counts the failures.
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -1,6 +1,6 @@
 // Package records keeps a copy of the records that the platform publishes: the
-// operators' configuration and the targets' entries. The revision of the copy never
-// decreases, and the copy records when it was last confirmed to be current.
+// operators' configuration and the targets' entries. The position of the copy never goes
+// back, and the copy records when it was last confirmed to be current.
 //
 // A Copy is safe for concurrent use. A Follower updates it from the platform; instances
 // that do not read the platform take the copy of a peer.
@@ -34,26 +34,29 @@
 
 // Change is a record as written at a revision, or its deletion.
 type Change struct {
-	Key      string `json:"k"`
-	Value    []byte `json:"v,omitempty"`
+	Key   string `json:"k"`
+	Value []byte `json:"v,omitempty"`
+	// Revision is comparable only within the era of the copy that holds the record.
 	Revision uint64 `json:"r"`
 	Deleted  bool   `json:"d,omitempty"`
 }
 
-// Copy holds all records as of one revision.
+// Copy holds all records as of one position.
 type Copy struct {
 	mu          sync.RWMutex
-	revision    uint64
+	position    Position
 	confirmedAt clock.Instant
 	records     map[string]Change
 	changed     chan struct{}
-	// recent holds the changes after revision recentAfter, in order of revision.
+	// recent holds the changes after recentAfter, in order of revision. All of them are of
+	// one era.
 	recent      []Change
-	recentAfter uint64
-	// encoded caches the copy of encodedRevision as encoded for peers, because all
-	// instances of a data centre request the same one.
-	encoded         []byte
-	encodedRevision uint64
+	recentAfter Position
+
+	// encoded caches the copy of encodedAt as encoded for peers, because all instances of a
+	// data centre request the same one.
+	encoded   []byte
+	encodedAt Position
 }
 
 // NewCopy returns an empty copy.
@@ -61,23 +64,23 @@
 	return &Copy{records: make(map[string]Change), changed: make(chan struct{}, 1)}
 }
 
-// State returns the copy's revision, 0 for an empty copy, and the time at which the last
-// read that confirmed it as the newest was sent.
-func (c *Copy) State() (revision uint64, confirmedAt clock.Instant) {
+// State returns the copy's position and the time at which the last read that confirmed it as
+// the newest was sent.
+func (c *Copy) State() (at Position, confirmedAt clock.Instant) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	return c.revision, c.confirmedAt
+	return c.position, c.confirmedAt
 }
 
 // Changed returns a channel that receives a value after a change. Several changes may share
 // one value.
 func (c *Copy) Changed() <-chan struct{} { return c.changed }
 
-// All returns the records sorted by key.
-func (c *Copy) All() []Change {
+// All returns the copy's position and its records sorted by key.
+func (c *Copy) All() (Position, []Change) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	return c.sortedRecords()
+	return c.position, c.sortedRecords()
 }
 
 // sortedRecords returns the records sorted by key. c.mu must be held.
@@ -85,33 +88,34 @@
 	return slices.SortedFunc(maps.Values(c.records), func(a, b Change) int { return cmp.Compare(a.Key, b.Key) })
 }
 
-// Replace replaces the copy by all records of a revision that was the newest at confirmedAt.
+// Replace replaces the copy by all records of a position that was the newest at confirmedAt.
 // It does nothing and returns false if the copy is newer.
-func (c *Copy) Replace(all []Change, revision uint64, confirmedAt clock.Instant) bool {
+func (c *Copy) Replace(all []Change, at Position, confirmedAt clock.Instant) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if revision < c.revision {
+	if c.position.After(at) {
 		return false
 	}
-	if revision > c.revision {
+	if at.After(c.position) {
 		c.records = make(map[string]Change, len(all))
 		for _, r := range all {
 			c.records[r.Key] = r
 		}
-		c.revision = revision
-		c.recent, c.recentAfter = nil, revision
+		c.position = at
+		c.recent, c.recentAfter = nil, at
 		c.signal()
 	}
 	c.confirmedAt = max(c.confirmedAt, confirmedAt)
 	return true
 }
 
-// Apply applies changes that lead from the revision after to revision, which was the newest
-// at confirmedAt. It does nothing and returns false if the copy is not at the revision after.
-func (c *Copy) Apply(after uint64, changes []Change, revision uint64, confirmedAt clock.Instant) bool {
+// Apply applies changes that lead from one position to a later one of the same era, which was
+// the newest at confirmedAt. It does nothing and returns false if the copy is not at the
+// position from, or if no changes lead from there to the position to.
+func (c *Copy) Apply(from Position, changes []Change, to Position, confirmedAt clock.Instant) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.revision != after || revision < after {
+	if c.position != from || !from.SharesHistory(to) || from.After(to) {
 		return false
 	}
 	for _, change := range changes {
@@ -123,10 +127,10 @@
 	}
 	c.recent = append(c.recent, changes...)
 	if excess := len(c.recent) - maxRecentChanges; excess > 0 {
-		c.recentAfter = c.recent[excess-1].Revision
+		c.recentAfter = NewPosition(to.Era(), c.recent[excess-1].Revision)
 		c.recent = slices.Clone(c.recent[excess:])
 	}
-	c.revision = revision
+	c.position = to
 	c.confirmedAt = max(c.confirmedAt, confirmedAt)
 	if len(changes) > 0 {
 		c.signal()
@@ -134,13 +138,13 @@
 	return true
 }
 
-// Confirm records that revision was the newest at the instant at. It does nothing if the
-// copy is at another revision.
-func (c *Copy) Confirm(revision uint64, at clock.Instant) {
+// Confirm records that a position was the newest at the instant confirmedAt. It does nothing
+// if the copy is at another position.
+func (c *Copy) Confirm(at Position, confirmedAt clock.Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if revision == c.revision {
-		c.confirmedAt = max(c.confirmedAt, at)
+	if at == c.position {
+		c.confirmedAt = max(c.confirmedAt, confirmedAt)
 	}
 }
 
@@ -152,20 +156,20 @@
 	}
 }
 
-// Since returns the changes after a revision and the revision that they lead to. ok is
-// false if the copy does not hold all of these changes.
-func (c *Copy) Since(after uint64) (changes []Change, revision uint64, ok bool) {
+// Since returns the changes after a position and the position that they lead to. ok is false
+// if the copy does not hold all of these changes.
+func (c *Copy) Since(from Position) (changes []Change, to Position, ok bool) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	if after == 0 || after < c.recentAfter || after > c.revision {
-		return nil, 0, false
+	if from.IsZero() || !from.SharesHistory(c.position) || c.recentAfter.After(from) || from.After(c.position) {
+		return nil, Position{}, false
 	}
 	for _, change := range c.recent {
-		if change.Revision > after {
+		if change.Revision > from.Revision() {
 			changes = append(changes, change)
 		}
 	}
-	return changes, c.revision, true
+	return changes, c.position, true
 }
 
 // EncodeChanges encodes changes for a peer.
@@ -192,20 +196,20 @@
 	return all, err
 }
 
-// Encode encodes the whole copy for a peer and returns it with its revision. The text is
+// Encode encodes the whole copy for a peer and returns it with its position. The text is
 // cached and shared between callers, which must not modify it.
-func (c *Copy) Encode() (revision uint64, text []byte, err error) {
+func (c *Copy) Encode() (at Position, text []byte, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.encodedRevision == c.revision && c.encoded != nil {
-		return c.revision, c.encoded, nil
+	if c.encodedAt == c.position && c.encoded != nil {
+		return c.position, c.encoded, nil
 	}
 	text, err = encodeAll(c.sortedRecords())
 	if err != nil {
-		return 0, nil, err
+		return Position{}, nil, err
 	}
-	c.encoded, c.encodedRevision = text, c.revision
-	return c.revision, text, nil
+	c.encoded, c.encodedAt = text, c.position
+	return c.position, text, nil
 }
 
 // encodeAll returns the records as gzip-compressed JSON.
--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -16,14 +16,17 @@
 	"medlarwind.dev/medlarwind/internal/records"
 )
 
+// pos is a position on a platform without eras.
+func pos(revision uint64) records.Position { return records.NewPosition(0, revision) }
+
 const start = clock.Instant(time.Hour)
 
 func TestCopyIgnoresOlderRevisions(t *testing.T) {
 	c := records.NewCopy()
-	c.Replace([]records.Change{{Key: "k", Value: []byte("new"), Revision: 7}}, 7, start)
-	c.Replace([]records.Change{{Key: "k", Value: []byte("old"), Revision: 5}}, 5, start.Add(time.Second))
-	c.Apply(4, []records.Change{{Key: "k", Value: []byte("old"), Revision: 5}}, 5, start.Add(time.Second))
-	if all := c.All(); string(all[0].Value) != "new" {
+	c.Replace([]records.Change{{Key: "k", Value: []byte("new"), Revision: 7}}, pos(7), start)
+	c.Replace([]records.Change{{Key: "k", Value: []byte("old"), Revision: 5}}, pos(5), start.Add(time.Second))
+	c.Apply(pos(4), []records.Change{{Key: "k", Value: []byte("old"), Revision: 5}}, pos(5), start.Add(time.Second))
+	if _, all := c.All(); string(all[0].Value) != "new" {
 		t.Errorf("an older revision replaced a newer one: %q", all[0].Value)
 	}
 	if _, at := c.State(); at != start {
@@ -33,13 +36,13 @@
 
 func TestConfirmAppliesToCurrentRevisionOnly(t *testing.T) {
 	c := records.NewCopy()
-	c.Replace(nil, 7, start)
-	c.Confirm(6, start.Add(time.Minute))
+	c.Replace(nil, pos(7), start)
+	c.Confirm(pos(6), start.Add(time.Minute))
 	if _, at := c.State(); at != start {
 		t.Error("confirming an older revision confirmed the current one")
 	}
-	c.Confirm(7, start.Add(time.Minute))
-	c.Confirm(7, start.Add(time.Second))
+	c.Confirm(pos(7), start.Add(time.Minute))
+	c.Confirm(pos(7), start.Add(time.Second))
 	if _, at := c.State(); at != start.Add(time.Minute) {
 		t.Error("confirmedAt is not the latest confirmation")
 	}
@@ -47,9 +50,9 @@
 
 func TestApplyDeletes(t *testing.T) {
 	c := records.NewCopy()
-	c.Replace([]records.Change{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}}, 2, start)
-	c.Apply(2, []records.Change{{Key: "a", Revision: 3, Deleted: true}}, 3, start)
-	if all := c.All(); len(all) != 1 || all[0].Key != "b" {
+	c.Replace([]records.Change{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}}, pos(2), start)
+	c.Apply(pos(2), []records.Change{{Key: "a", Revision: 3, Deleted: true}}, pos(3), start)
+	if _, all := c.All(); len(all) != 1 || all[0].Key != "b" {
 		t.Errorf("All = %v", all)
 	}
 }
@@ -57,14 +60,14 @@
 func TestEncodeDecodeRoundTrip(t *testing.T) {
 	c := records.NewCopy()
 	want := []records.Change{{Key: "a", Value: []byte{0, 1, 255}, Revision: 3}, {Key: "b", Value: []byte("x"), Revision: 9}}
-	c.Replace(want, 9, start)
-	revision, text, err := c.Encode()
+	c.Replace(want, pos(9), start)
+	at, text, err := c.Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
 	got, err := records.Decode(text)
-	if err != nil || revision != 9 || !reflect.DeepEqual(got, want) {
-		t.Errorf("revision %d, %v, %v", revision, got, err)
+	if err != nil || at != pos(9) || !reflect.DeepEqual(got, want) {
+		t.Errorf("%v, %v, %v", at, got, err)
 	}
 	if _, err := records.Decode([]byte("nonsense")); err == nil {
 		t.Error("Decode accepted invalid data")
@@ -75,12 +78,13 @@
 // these, and that Since refuses revisions whose changes are no longer held.
 func TestChangesSinceRevision(t *testing.T) {
 	source, copied := records.NewCopy(), records.NewCopy()
-	source.Replace([]records.Change{{Key: "a", Value: []byte("1"), Revision: 3}}, 5, start)
-	copied.Replace(source.All(), 5, start)
-	source.Apply(5, []records.Change{{Key: "b", Value: []byte("2"), Revision: 6}, {Key: "a", Revision: 8, Deleted: true}}, 9, start)
-	changes, revision, ok := source.Since(5)
-	if !ok || revision != 9 || len(changes) != 2 {
-		t.Fatalf("Since(5) = %v, %d, %v", changes, revision, ok)
+	source.Replace([]records.Change{{Key: "a", Value: []byte("1"), Revision: 3}}, pos(5), start)
+	_, all := source.All()
+	copied.Replace(all, pos(5), start)
+	source.Apply(pos(5), []records.Change{{Key: "b", Value: []byte("2"), Revision: 6}, {Key: "a", Revision: 8, Deleted: true}}, pos(9), start)
+	changes, to, ok := source.Since(pos(5))
+	if !ok || to != pos(9) || len(changes) != 2 {
+		t.Fatalf("Since(5) = %v, %v, %v", changes, to, ok)
 	}
 	text, err := records.EncodeChanges(changes)
 	if err != nil {
@@ -89,27 +93,28 @@
 	if changes, err = records.DecodeChanges(text); err != nil {
 		t.Fatal(err)
 	}
-	copied.Apply(5, changes, revision, start)
-	if !reflect.DeepEqual(copied.All(), source.All()) {
-		t.Errorf("copy %v, source %v", copied.All(), source.All())
+	copied.Apply(pos(5), changes, to, start)
+	_, got := copied.All()
+	if _, want := source.All(); !reflect.DeepEqual(got, want) {
+		t.Errorf("copy %v, source %v", got, want)
 	}
-	if changes, _, ok := source.Since(6); !ok || len(changes) != 1 || changes[0].Revision != 8 {
+	if changes, _, ok := source.Since(pos(6)); !ok || len(changes) != 1 || changes[0].Revision != 8 {
 		t.Errorf("Since(6) = %v, %v", changes, ok)
 	}
 	for _, unknown := range []uint64{0, 4, 10} {
-		if _, _, ok := source.Since(unknown); ok {
+		if _, _, ok := source.Since(pos(unknown)); ok {
 			t.Errorf("Since(%d) succeeded for an unknown revision", unknown)
 		}
 	}
-	revision = 9
+	revision := uint64(9)
 	for range 1000 {
 		revision++
-		source.Apply(revision-1, []records.Change{{Key: "c", Revision: revision}}, revision, start)
+		source.Apply(pos(revision-1), []records.Change{{Key: "c", Revision: revision}}, pos(revision), start)
 	}
-	if _, _, ok := source.Since(9); ok {
+	if _, _, ok := source.Since(pos(9)); ok {
 		t.Error("Since succeeded for a revision 1000 changes ago")
 	}
-	if changes, _, ok := source.Since(revision - 100); !ok || len(changes) != 100 {
+	if changes, _, ok := source.Since(pos(revision - 100)); !ok || len(changes) != 100 {
 		t.Errorf("Since returned %d of the last 100 changes, ok = %v", len(changes), ok)
 	}
 }
@@ -139,35 +144,35 @@
 	return f.reads
 }
 
-func (f *fakeReader) Read(context.Context) ([]records.Change, uint64, error) {
+func (f *fakeReader) Read(context.Context) ([]records.Change, records.Position, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reads++
 	if f.err != nil {
-		return nil, 0, f.err
+		return nil, records.Position{}, f.err
 	}
-	return f.all(), f.revision, nil
+	return f.all(), pos(f.revision), nil
 }
 
-func (f *fakeReader) Watch(ctx context.Context, after uint64, wait time.Duration) ([]records.Change, uint64, error) {
-	changes, revision, err := f.changesAfter(after)
-	if err != nil || revision > after {
-		return changes, revision, err
+func (f *fakeReader) Watch(ctx context.Context, from records.Position, wait time.Duration) ([]records.Change, records.Position, error) {
+	changes, to, err := f.changesAfter(from)
+	if err != nil || to.After(from) {
+		return changes, to, err
 	}
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
 	}
-	return nil, after, nil
+	return nil, from, nil
 }
 
-func (f *fakeReader) changesAfter(after uint64) ([]records.Change, uint64, error) {
+func (f *fakeReader) changesAfter(from records.Position) ([]records.Change, records.Position, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.err != nil || f.revision <= after {
-		return nil, after, f.err
+	if f.err != nil || !pos(f.revision).After(from) {
+		return nil, from, f.err
 	}
-	return f.all(), f.revision, nil
+	return f.all(), pos(f.revision), nil
 }
 
 // follow runs a Follower in virtual time and calls check while it runs.
@@ -200,8 +205,8 @@
 		time.Sleep(1500 * time.Millisecond)
 		f.set(9, "b", nil)
 		time.Sleep(2 * time.Second)
-		if revision, _ := c.State(); revision != 9 || f.readCount() < 2 {
-			t.Errorf("revision %d after %d reads, want 9 after reading again", revision, f.readCount())
+		if at, _ := c.State(); at != pos(9) || f.readCount() < 2 {
+			t.Errorf("%v after %d reads, want revision 9 after reading again", at, f.readCount())
 		}
 	})
 }
@@ -248,26 +253,27 @@
 // immediateReader answers every call at once, without changes.
 type immediateReader struct{ calls int }
 
-func (e *immediateReader) Read(context.Context) ([]records.Change, uint64, error) {
+func (e *immediateReader) Read(context.Context) ([]records.Change, records.Position, error) {
 	e.calls++
-	return nil, 0, nil
+	return nil, records.Position{}, nil
 }
 
-func (e *immediateReader) Watch(context.Context, uint64, time.Duration) ([]records.Change, uint64, error) {
+func (e *immediateReader) Watch(context.Context, records.Position, time.Duration) ([]records.Change, records.Position, error) {
 	e.calls++
-	return nil, 0, nil
+	return nil, records.Position{}, nil
 }
 
 // changingReader returns a change from every watch.
 type changingReader struct{ immediateReader }
 
-func (c *changingReader) Read(context.Context) ([]records.Change, uint64, error) {
-	return nil, 1, nil
+func (c *changingReader) Read(context.Context) ([]records.Change, records.Position, error) {
+	return nil, pos(1), nil
 }
 
-func (c *changingReader) Watch(_ context.Context, after uint64, _ time.Duration) ([]records.Change, uint64, error) {
+func (c *changingReader) Watch(_ context.Context, from records.Position, _ time.Duration) ([]records.Change, records.Position, error) {
 	c.calls++
-	return []records.Change{{Key: "k", Revision: after + 1}}, after + 1, nil
+	next := from.Revision() + 1
+	return []records.Change{{Key: "k", Revision: next}}, pos(next), nil
 }
 
 // TestFollowerBatchesChanges guards against one call for each change: targets change one by
@@ -311,16 +317,16 @@
 	silent atomic.Bool
 }
 
-func (h *hangingReader) Watch(ctx context.Context, after uint64, wait time.Duration) ([]records.Change, uint64, error) {
+func (h *hangingReader) Watch(ctx context.Context, from records.Position, wait time.Duration) ([]records.Change, records.Position, error) {
 	if !h.silent.Load() {
-		return h.fakeReader.Watch(ctx, after, wait)
+		return h.fakeReader.Watch(ctx, from, wait)
 	}
 	const reply = 700 * time.Millisecond
 	select {
 	case <-time.After(wait + reply):
 	case <-ctx.Done():
 	}
-	return nil, 0, errors.New("no answer")
+	return nil, records.Position{}, errors.New("no answer")
 }
 
 // TestFollowerDetectsEndOfSilentOutage checks that the copy is confirmed again soon after an
@@ -356,16 +362,16 @@
 // revertedReader is a platform that goes back to an earlier revision after the first read.
 type revertedReader struct{ reads int }
 
-func (r *revertedReader) Read(context.Context) ([]records.Change, uint64, error) {
+func (r *revertedReader) Read(context.Context) ([]records.Change, records.Position, error) {
 	r.reads++
 	if r.reads == 1 {
-		return nil, 9, nil
+		return nil, pos(9), nil
 	}
-	return nil, 3, nil
+	return nil, pos(3), nil
 }
 
-func (r *revertedReader) Watch(context.Context, uint64, time.Duration) ([]records.Change, uint64, error) {
-	return nil, 0, records.ErrHistoryLost
+func (r *revertedReader) Watch(context.Context, records.Position, time.Duration) ([]records.Change, records.Position, error) {
+	return nil, records.Position{}, records.ErrHistoryLost
 }
 
 // An instance whose reads are dropped does not follow the platform, and must not count the
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -15,6 +15,7 @@
 	"medlarwind.dev/medlarwind/internal/clock"
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/inventory"
+	"medlarwind.dev/medlarwind/internal/records"
 	"medlarwind.dev/medlarwind/internal/roster"
 	"medlarwind.dev/medlarwind/internal/wire"
 )
@@ -66,7 +67,7 @@
 	for i := range n {
 		all = append(all, inventory.Target{
 			ID: fleet.TargetID(fmt.Sprintf("e%d", i)), StartMillis: 1, Service: "lm", Addr: fmt.Sprintf("10.0.0.%d:80", i),
-			DataCentre: "a", Slots: 64, Revision: 1,
+			DataCentre: "a", Slots: 64, WrittenAt: records.NewPosition(0, 1),
 		})
 	}
 	return all
@@ -239,7 +240,7 @@
 		var running *Placement
 		for i := range 100 {
 			id := fleet.TargetID(fmt.Sprint("run", i))
-			ts.SetTargets([]inventory.Target{{ID: id, StartMillis: 1, Service: "lm", Addr: "10.0.0.1:80", DataCentre: "a", Slots: 64, Revision: uint64(i + 2)}}, nil)
+			ts.SetTargets([]inventory.Target{{ID: id, StartMillis: 1, Service: "lm", Addr: "10.0.0.1:80", DataCentre: "a", Slots: 64, WrittenAt: records.NewPosition(0, uint64(i+2))}}, nil)
 			p, err := ts.admit(t.Context(), ts.job("c", "part", 1000))
 			if err != nil {
 				t.Fatal(err)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -214,6 +214,8 @@
 	// CurrentDigest its digest.
 	CurrentVersion uint64 `json:"h,omitempty"`
 	CurrentDigest  string `json:"hd,omitempty"`
+	// CurrentEra is the era of the platform in which CurrentVersion was read, 0 without eras.
+	CurrentEra uint64 `json:"e,omitempty"`
 	// VersionOnly asks for a reply without content, which is short.
 	VersionOnly bool `json:"o,omitempty"`
 }
@@ -224,6 +226,8 @@
 	// CurrentVersion.
 	Version uint64 `json:"v,omitempty"`
 	Digest  string `json:"d,omitempty"`
+	// Era is the era of the platform in which Version was read, 0 without eras.
+	Era uint64 `json:"e,omitempty"`
 	// Settled reports whether the replying instance takes new work: it has asked its own
 	// peers for their versions, or has stopped waiting for their answers.
 	Settled bool `json:"k,omitempty"`
@@ -315,6 +319,8 @@
 
 // RecordsState states how current the sender's copy of the platform's records is.
 type RecordsState struct {
+	// Era is 0 if the platform has no eras, or if the sender's release does not know them.
+	Era      uint64 `json:"e,omitempty"`
 	Revision uint64 `json:"r"`
 	// AgeMillis is the time since the sender issued the read that proved that the platform
 	// had nothing newer, in milliseconds.
