Follow a store that returns from an older copy (Store-Era)

Cause: a revision without its history counted as a position.

New: the line store_era_changed, the metrics store_era and store_era_changes, and records_dropped for answers older than the copy.

Why it works: era and revision together name one content, a later era is newer whatever its revision, and nothing compares revisions across eras.

--- a/internal/cli/route.go
+++ b/internal/cli/route.go
@@ -53,11 +53,9 @@
 	defer lines.Close()
 	log := zerolog.New(lines).With().Timestamp().Str("instance", s.Gateway.Name).Logger()
 	dial := upstream.NewDialer().DialContext
-	store := platform.NewStoreClient(s.StoreAddr, dial)
-	store.Log = log
 	g := gateway.New(gateway.Options{
 		Settings:    s.Gateway,
-		Reader:      store,
+		Reader:      platform.NewStoreClient(s.StoreAddr, dial),
 		Interpreter: &platform.Interpreter{Regions: s.Gateway.Regions, Log: log},
 		Codec:       platform.HeaderCodec{},
 		Endpoints:   platform.Endpoints{Log: log},
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -69,16 +69,31 @@
 
 // applyRecords applies the platform's records each time they change, until ctx ends.
 func (g *Gateway) applyRecords(ctx context.Context) {
+	var had records.Position
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-g.copy.Changed():
 		}
-		g.applyState(g.options.Interpreter.Interpret(g.copy.All()))
+		at, all := g.copy.All()
+		g.noteEra(had, at)
+		g.applyState(g.options.Interpreter.Interpret(at, all))
+		had = at
 	}
 }
 
+// noteEra logs and counts a change of the platform's era between two positions of the copy.
+func (g *Gateway) noteEra(had, at records.Position) {
+	g.metrics.era.Set(int64(at.Era()))
+	if had.IsZero() || at.SharesHistory(had) {
+		return
+	}
+	g.metrics.eraChanges.Add(1)
+	g.options.Log.Warn().Str("event", "store_era_changed").Uint64("had_era", had.Era()).Uint64("had", had.Revision()).
+		Uint64("era", at.Era()).Uint64("revision", at.Revision()).Msg("")
+}
+
 // applyState applies the targets and, if its version is newer, the configuration.
 func (g *Gateway) applyState(p PlatformState) {
 	current := g.catalog.Load()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -25,7 +25,9 @@
 	shares           atomic.Pointer[scheduler.ShareReport]
 	platformCalls    expvar.Int
 	platformFailures expvar.Int
-	logDropped       func() int64
+	// era is the platform's era that the records are of, eraChanges the number of changes.
+	era, eraChanges expvar.Int
+	logDropped      func() int64
 
 	// mu guards the histograms.
 	mu        sync.Mutex
@@ -165,6 +167,8 @@
 	all.Set("report_age_ms", expvar.Func(func() any { return m.summary(m.reportAge) }))
 	all.Set("platform_calls", &m.platformCalls)
 	all.Set("platform_failures", &m.platformFailures)
+	all.Set("store_era", &m.era)
+	all.Set("store_era_changes", &m.eraChanges)
 	all.Set("first_byte_ms", expvar.Func(func() any { return m.summary(m.firstByte) }))
 	all.Set("waited_ms", expvar.Func(func() any { return m.summary(m.waited) }))
 	if m.logDropped != nil {
--- a/internal/records/follower.go
+++ b/internal/records/follower.go
@@ -14,6 +14,10 @@
 // the requested position.
 var ErrHistoryLost = errors.New("the platform does not hold the changes after this position")
 
+// errOlderAnswer is the cause of a failed call whose answer is older than the copy, which
+// keeps its content.
+var errOlderAnswer = errors.New("answer older than the copy")
+
 // Reader reads the platform's records. Its reads are linearizable.
 type Reader interface {
 	// Read returns all records and the position up to which they are complete.
@@ -135,7 +139,7 @@
 		return err
 	}
 	if had.After(at) {
-		return errors.Errorf("read returned %v, older than %v of the copy", at, had)
+		return errors.Wrapf(errOlderAnswer, "read returned %v, want %v or later", at, had)
 	}
 	f.Copy.Replace(all, at, sentAt)
 	return nil
@@ -150,11 +154,14 @@
 	case to.After(from):
 		return ErrHistoryLost
 	}
-	return errors.Errorf("watch from %v returned %v, which is older", from, to)
+	return errors.Wrapf(errOlderAnswer, "watch returned %v, want %v or later", to, from)
 }
 
 // logOutcome logs the first failure in a row and the recovery, and counts the failures.
 func (f *Follower) logOutcome(err error) {
+	if errors.Is(err, errOlderAnswer) {
+		f.Log.Warn().Str("event", "records_dropped").Err(err).Msg("")
+	}
 	switch {
 	case err == nil && f.failures > 0:
 		f.Log.Info().Str("event", "platform_regained").Int("failures", f.failures).Msg("")
