gateway: a started instance takes the configuration in force from its peers

After a restore of the platform an instance that started served its older configuration until the operator had written again: a key that had been revoked was accepted there.

Heartbeats carry the version in force. An instance whose records are as new as a peer's, but whose version is lower, has missed a configuration that the restore lost: it fetches the undecoded configuration from that peer and until then counts its copy as unconfirmed, so that it refuses requests for now. An instance that has just started waits for such a comparison, for a second at most. A configuration that only one instance has passes on to those that start later.

--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -96,16 +96,10 @@
 
 // applyState applies the targets and, if its version is newer, the configuration.
 func (g *Gateway) applyState(p PlatformState) {
-	current := g.catalog.Load()
 	// After a restore the platform may show an older version. A configuration in force never
 	// goes back within one lifetime.
-	if p.Catalog != nil && (current == nil || p.Catalog.Version > current.Version) {
-		g.scheduler.SetCatalog(p.Catalog)
-		g.catalog.Store(p.Catalog)
-		g.options.Log.Info().Str("event", "configuration").Uint64("version", p.Catalog.Version).Msg("")
-	} else if p.Catalog != nil && p.Catalog.Version < current.Version {
-		g.options.Log.Warn().Str("event", "configuration_older").Uint64("version", p.Catalog.Version).
-			Uint64("in_force", current.Version).Msg("")
+	if p.Catalog != nil {
+		g.setConfiguration(p.Catalog, p.Configuration, "platform")
 	}
 	if !g.appliedAt.IsZero() && !g.appliedAt.SharesHistory(p.Position) {
 		g.scheduler.NoteRestore()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,6 +86,15 @@
 	metrics     *metrics
 	callers     *callerConns
 	catalog     atomic.Pointer[catalog.Catalog]
+	// comparedConfig is set once a peer has reported its configuration. outdatedUntil is the
+	// clock.Instant until which a peer's configuration counts as newer than this instance's.
+	comparedConfig atomic.Bool
+	outdatedUntil  atomic.Int64
+	// configMu guards changes of catalog, configText, its undecoded content, and olderVersion, the
+	// last older version that the platform showed.
+	configMu     sync.Mutex
+	configText   []byte
+	olderVersion uint64
 	// appliedAt is the position of the records that were applied last. Only the goroutine that
 	// applies them uses it.
 	appliedAt records.Position
@@ -195,9 +204,13 @@
 func (g *Gateway) Current() *catalog.Catalog { return g.catalog.Load() }
 
 // Confirmed implements ingress.ConfigSource. It reports whether the records are recent
-// enough that a revoked key stops working in time.
+// enough that a revoked key stops working in time, and no peer has a newer configuration that
+// they lack.
 func (g *Gateway) Confirmed() bool {
 	bound := g.options.Settings.RevokeWithin
+	if g.mayBeOutdated() {
+		return false
+	}
 	_, at := g.copy.State()
 	return bound == 0 || at != 0 && g.options.Now().Sub(at) < bound-revokeMargin
 }
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -57,9 +57,11 @@
 	// Position is the place in the platform's history that the state belongs to.
 	Position records.Position
 	// Catalog is nil if there is no valid configuration.
-	Catalog   *catalog.Catalog
-	Targets   []inventory.Target
-	Evacuated []fleet.DataCentreID
+	Catalog *catalog.Catalog
+	// Configuration is the content that Catalog was decoded from.
+	Configuration []byte
+	Targets       []inventory.Target
+	Evacuated     []fleet.DataCentreID
 }
 
 // Interpreter decodes the platform's records. It is used by one goroutine at a time and
@@ -67,6 +69,9 @@
 type Interpreter interface {
 	// Interpret returns the state that all records of a position together describe.
 	Interpret(at records.Position, all []records.Change) PlatformState
+	// DecodeConfiguration decodes the content of a configuration. Unlike Interpret, it may be
+	// called at any time.
+	DecodeConfiguration(content []byte) (*catalog.Catalog, error)
 }
 
 // CallerLocation is the region and data centre of a caller.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -52,7 +52,7 @@
 // connected peer.
 func (g *Gateway) sendRound() {
 	now := g.options.Now()
-	common := wire.Heartbeat{Incarnation: g.incarnation, Leaving: g.leaving.Load()}
+	common := wire.Heartbeat{Incarnation: g.incarnation, Leaving: g.leaving.Load(), ConfigVersion: g.configVersion()}
 	if at, confirmedAt := g.copy.State(); !at.IsZero() && confirmedAt != 0 {
 		common.Records = &wire.RecordsState{Era: at.Era(), Revision: at.Revision(), AgeMillis: now.Sub(confirmedAt).Milliseconds() + 1}
 	}
@@ -126,6 +126,7 @@
 	if hb.Records != nil {
 		g.applyRecordsState(from.Instance, p, hb, now)
 	}
+	g.noteConfigVersion(from.Instance, hb, now)
 }
 
 // applyRecordsState applies the state of the records that a peer reports, and fetches the
@@ -201,6 +202,9 @@
 // PeerConfig implements peer.Handler. It returns the changes that the peer lacks, or all
 // records if those changes are not kept.
 func (g *Gateway) PeerConfig(_ wire.Hello, r *wire.ConfigRequest) (*wire.ConfigReply, error) {
+	if r.InForce {
+		return g.inForceReply(), nil
+	}
 	from := records.NewPosition(r.CurrentEra, r.CurrentVersion)
 	if at, _ := g.copy.State(); !at.After(from) {
 		return &wire.ConfigReply{}, nil
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -218,6 +218,8 @@
 	CurrentEra uint64 `json:"e,omitempty"`
 	// VersionOnly asks for a reply without content, which is short.
 	VersionOnly bool `json:"o,omitempty"`
+	// InForce asks a gateway for ConfigReply.InForce in place of the platform's records.
+	InForce bool `json:"f,omitempty"`
 }
 
 // ConfigReply holds the configuration in force at the replying instance.
@@ -236,6 +238,8 @@
 	Patches [][]byte `json:"p,omitempty"`
 	// Text is the whole document, compressed with gzip.
 	Text []byte `json:"t,omitempty"`
+	// InForce is the configuration in force at a gateway, as the platform held it.
+	InForce []byte `json:"f,omitempty"`
 }
 
 // Scope states which instances the Loads and Usage of a heartbeat cover.
