ingress, explain: log which run was silent and what became of its replacement

The line of a request with an aborted answer had only the last placement and the last reason. It did not say whether the run before had been given up, since when its target had been silent, which target was to take over and what became of that, nor why no other run followed.

The line now has silent_target, silent_from_ms, silent_asked_ms, replacement and replacement_result for a request with a silent run, and no_retry for one that ended without a whole answer and without asking the scheduler again. `explain` says them in words. At most one silence is logged for a request: the last one for which a target was placed. A request without silence has the same line as before.

No change of behaviour.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -61,9 +61,11 @@
 	RetryRefused string    `json:"retry_refused"`
 	RetryWaitMS  int64     `json:"retry_waited_ms"`
 	GaveUp       bool      `json:"gave_up"`
+	NoRetry      string    `json:"no_retry"`
 	Aborted      bool      `json:"aborted"`
 
 	refusalInputs
+	silence
 	shareState
 	suspectState
 
@@ -114,7 +116,7 @@
 	w.line("  prompt %d tokens, expected output %d tokens, caller timeout %d ms (0 if not stated)", l.PromptTokens, l.OutputTokens, l.BudgetMS)
 	w.line("  %s", answerText(l))
 	w.line("  %s", diagnosis(l))
-	for _, text := range refusalTexts(l) {
+	for _, text := range append(silenceTexts(l), refusalTexts(l)...) {
 		w.line("  %s", text)
 	}
 	if l.Target != "" {
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -66,11 +66,16 @@
 			x.runs++
 			retry = true
 			if !x.route.Repeatable() || x.runs >= x.route.MaxTargets {
+				x.result.NoRetry = noRetryTargets
 				x.fail(ctx)
 				return
 			}
 		}
 		if ctx.Err() != nil || x.sends >= maxSends {
+			x.result.NoRetry = noRetrySends
+			if ctx.Err() != nil {
+				x.result.NoRetry = noRetryEnded
+			}
 			x.fail(ctx)
 			return
 		}
@@ -153,8 +158,13 @@
 	}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	x.silence = x.newSilenceWatch(attemptCtx, cancel)
-	defer func() { x.replacement = x.silence.stop() }()
+	x.silence = x.newSilenceWatch(attemptCtx, cancel, p.Target.ID)
+	defer func() {
+		x.replacement = x.silence.stop()
+		if s := x.silence.report(); s.Target != "" {
+			x.result.Silence = s
+		}
+	}()
 	x.silence.await(x.firstByteTimeout(p))
 	resp, err := o.Upstream.Send(attemptCtx, upstream.Request{
 		Addr:   p.Target.Addr,
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -30,6 +30,11 @@
 	// GaveUp reports whether the last unsuccessful attempt that may have run was ended by
 	// this instance, because its target sent nothing for too long.
 	GaveUp bool
+	// Silence is the last silence for which a replacement was placed, or sought if none was placed.
+	Silence Silence
+	// NoRetry says why no attempt followed the last one although the caller has no complete
+	// response, empty if the scheduler was asked for another.
+	NoRetry string
 	// Refusal is the scheduler's refusal that ended the request, nil if there was none.
 	Refusal *scheduler.Refusal
 	// Cause is the underlying error of Reason, empty if there is none.
@@ -51,6 +56,43 @@
 	Sends, Runs, Events int
 }
 
+// Silence describes a target that sent nothing for too long, and its replacement.
+type Silence struct {
+	// Target is the silent target, empty if there was none.
+	Target fleet.TargetID
+	// From is the time from the request's arrival to the start of the silence, Asked that to
+	// the last request for a replacement.
+	From, Asked time.Duration
+	// Replacement is the target that was to take over, empty if none was free.
+	Replacement fleet.TargetID
+	Result      ReplacementResult
+}
+
+// ReplacementResult is what became of the replacement of a silent target.
+type ReplacementResult string
+
+// Results of a replacement.
+const (
+	// replacementNotPlaced: no other target could take the request.
+	replacementNotPlaced ReplacementResult = "not_placed"
+	// replacementUnreachable: no connection to it could be opened.
+	replacementUnreachable ReplacementResult = "unreachable"
+	// replacementUnneeded: the silence or the request ended before.
+	replacementUnneeded ReplacementResult = "unneeded"
+	// replacementTookOver: the silent run was ended for it.
+	replacementTookOver ReplacementResult = "took_over"
+)
+
+// Reasons for which no attempt follows an unsuccessful one.
+const (
+	// noRetryTargets: the request may run on no further target.
+	noRetryTargets = "targets_used"
+	// noRetrySends: maxSends attempts reached a target.
+	noRetrySends = "sends_used"
+	// noRetryEnded: the caller left or the request's time is up.
+	noRetryEnded = "request_ended"
+)
+
 // recordRefusal records that the scheduler refused the request or its retry.
 func (x *exchange) recordRefusal(refusal *scheduler.Refusal) {
 	x.result.Refusal = refusal
@@ -106,6 +148,14 @@
 	if r.RetryRefused != "" && r.GaveUp {
 		line = line.Bool("gave_up", true)
 	}
+	if r.NoRetry != "" {
+		line = line.Str("no_retry", r.NoRetry)
+	}
+	if s := &r.Silence; s.Target != "" {
+		line = line.Str("silent_target", string(s.Target)).Int64("silent_from_ms", s.From.Milliseconds()).
+			Int64("silent_asked_ms", s.Asked.Milliseconds()).Str("replacement", string(s.Replacement)).
+			Str("replacement_result", string(s.Result))
+	}
 	if r.Refusal != nil {
 		line = appendInputs(line, r.Refusal)
 		if r.Refusal.Reason == scheduler.ReasonCrashesTargets {
--- a/internal/ingress/silence.go
+++ b/internal/ingress/silence.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"medlarwind.dev/medlarwind/internal/clock"
+	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/scheduler"
 )
 
@@ -37,9 +38,13 @@
 	ctx     context.Context
 	abandon context.CancelCauseFunc
 
+	target fleet.TargetID
+
 	mu sync.Mutex
 	// limit is when the silence becomes too long, 0 while nothing is expected.
 	limit clock.Instant
+	// since is when the silence began.
+	since clock.Instant
 	// timer calls check at checkAt, if checkAt is not 0.
 	timer   *time.Timer
 	checkAt clock.Instant
@@ -48,11 +53,14 @@
 	stopped    bool
 	// replacement is the placement for which the attempt was cancelled, nil if it was not.
 	replacement *scheduler.Placement
+	// found is the last silence for which a replacement was placed, or sought if none was placed.
+	found Silence
 }
 
-// newSilenceWatch returns a watch that cancels an attempt, whose context is ctx, with abandon.
-func (x *exchange) newSilenceWatch(ctx context.Context, abandon context.CancelCauseFunc) *silenceWatch {
-	return &silenceWatch{x: x, ctx: ctx, abandon: abandon}
+// newSilenceWatch returns a watch that cancels an attempt at target, whose context is ctx, with
+// abandon.
+func (x *exchange) newSilenceWatch(ctx context.Context, abandon context.CancelCauseFunc, target fleet.TargetID) *silenceWatch {
+	return &silenceWatch{x: x, ctx: ctx, abandon: abandon, target: target}
 }
 
 // await starts the silence: the target is expected to send something within timeout. A
@@ -64,7 +72,7 @@
 		return
 	}
 	now := w.x.h.options.Now()
-	w.limit = now.Add(timeout)
+	w.limit, w.since = now.Add(timeout), now
 	// A timer that is due earlier is left alone; check sets it again. Events are frequent,
 	// and most of them then do not touch the timer.
 	if !w.connecting && (w.checkAt == 0 || w.checkAt > w.limit) {
@@ -107,10 +115,16 @@
 		w.schedule(now)
 		return
 	}
+	found := Silence{Target: w.target, From: w.since.Sub(w.x.arrived), Asked: now.Sub(w.x.arrived), Result: replacementNotPlaced}
 	if p := w.x.h.options.Scheduler.Replace(w.x.job); p != nil {
+		w.found = found
+		w.found.Replacement, w.found.Result = p.Target.ID, replacementUnneeded
 		w.replace(p)
 		return
 	}
+	if w.found.Replacement == "" {
+		w.found = found
+	}
 	w.limit = now.Add(replaceInterval)
 	w.schedule(now)
 }
@@ -128,12 +142,14 @@
 	lasts := !w.stopped && w.limit == limit
 	if err == nil && lasts {
 		w.limit, w.replacement = 0, p
+		w.found.Result = replacementTookOver
 		w.abandon(errTargetSilent)
 		return
 	}
 	now := w.x.h.options.Now()
 	if err != nil && w.ctx.Err() == nil {
 		p.End(scheduler.Unreachable)
+		w.found.Result = replacementUnreachable
 		if lasts {
 			w.x.job.Exclude(p.Target.ID)
 			w.limit = now
@@ -156,6 +172,13 @@
 	return w.replacement
 }
 
+// report returns the silence to be logged, the zero value if there was none.
+func (w *silenceWatch) report() Silence {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.found
+}
+
 // watchedReader is a response body whose silence starts anew with each read.
 type watchedReader struct {
 	io.Reader
--- a/internal/ingress/silence_test.go
+++ b/internal/ingress/silence_test.go
@@ -92,8 +92,9 @@
 	// dialTime is how long it takes to connect to a target.
 	dialTime time.Duration
 
-	mu   sync.Mutex
-	runs []testRun
+	mu      sync.Mutex
+	runs    []testRun
+	reports []Report
 }
 
 // testRun is one run on a target.
@@ -133,12 +134,29 @@
 	handler := New(Options{
 		Codec: e.codec, ConfigSource: testConfig{current}, Scheduler: e.scheduler, Upstream: e.upstream,
 		Now: now, Log: zerolog.Nop(), BodyMemory: 1 << 20,
+		Observe: func(r Report) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.reports = append(e.reports, r)
+		},
 	})
 	e.serve(ingressAddr, handler)
 	t.Cleanup(e.upstream.Close)
 	return e
 }
 
+// lastReport returns the report of the last request that ended.
+func (e *testIngress) lastReport() Report {
+	e.t.Helper()
+	synctest.Wait()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.reports) == 0 {
+		e.t.Fatal("no request was reported")
+	}
+	return e.reports[len(e.reports)-1]
+}
+
 func (e *testIngress) serve(addr string, handler http.Handler) {
 	l, err := e.network.Listen(addr)
 	if err != nil {
@@ -552,3 +570,36 @@
 		e.checkReleased()
 	})
 }
+
+// The line of a request must say which run was silent, since when, and what became of its
+// replacement.
+func TestSilenceIsLogged(t *testing.T) {
+	tests := []struct {
+		name        string
+		list        func(e *testIngress)
+		replacement fleet.TargetID
+		result      ReplacementResult
+	}{
+		{"no other target", func(*testIngress) {}, "", replacementNotPlaced},
+		{"unreachable", func(e *testIngress) { e.listUnreachable("t2") }, "t2", replacementUnreachable},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newTestIngress(t, 100)
+				e.addTarget("t1", inventory.Ready, func(ctx context.Context, w http.ResponseWriter, _ *http.Request) {
+					sleep(ctx, firstByteFactor*testFirstByteSLO+time.Millisecond)
+					_, _ = io.WriteString(w, "answer")
+				})
+				time.AfterFunc(time.Millisecond, func() { test.list(e) })
+				if _, _, err := e.call("safe"); err != nil {
+					t.Fatal(err)
+				}
+				want := Silence{Target: "t1", Asked: firstByteFactor * testFirstByteSLO, Replacement: test.replacement, Result: test.result}
+				if got := e.lastReport().Silence; got != want {
+					t.Errorf("got %+v, want %+v", got, want)
+				}
+			})
+		})
+	}
+}
