ingress: end a silent run only once another one has delivered

Cause: a run whose target had sent nothing for a while was cancelled as soon as another target was placed and could be connected to. What came after could still fail: the other target left, refused, broke, was silent too or answered with an error, and the next Admit or the route's number of targets then ended the request. A step that cannot be taken back came before the one that decides whether it is needed.

Fix: the second run begins beside the silent one, and is read up to what it delivers: a complete answer (or as much as is held back), or the next event of the stream. Whichever run delivers first is used, and the other is cancelled; the choice is made once, under the watch's mutex, and what a dropped run delivers later is not passed on. If the second run fails, the first goes on. If the first ends by itself, the request goes on with the second. A second run counts towards the route's targets also if it was cancelled, and draws on the retry budget unless nothing was sent.

Changes to existing tests: TestUnusedReplacementIsReleased wanted one run, since the replacement was not begun while the first run lived. It now wants the second run to be abandoned and released, and the answer to come at the time of the first. checkRuns and checkReleased wait until goroutines are blocked, because the instance releases a run that was cancelled in its own goroutine; checkRuns still wants the first run abandoned at the instant at which the second delivers. TestExplainTellsSilenceAndItsReplacement has the new wording. The other test of held-up processes has a third case.

--- a/internal/explain/silence.go
+++ b/internal/explain/silence.go
@@ -13,6 +13,7 @@
 	SilentAskedMS     int64  `json:"silent_asked_ms"`
 	Replacement       string `json:"replacement"`
 	ReplacementResult string `json:"replacement_result"`
+	ReplacementMS     int64  `json:"replacement_ms"`
 }
 
 // noRetryTexts describes why no other target got a request without a complete answer.
@@ -22,12 +23,18 @@
 	"request_ended": "the caller had left or the time was up",
 }
 
-// replacementTexts describes what became of the replacement of a silent target.
+// replacementTexts describes what became of the second run that was begun beside a silent one.
 var replacementTexts = map[string]string{
 	"not_placed":  "no other target could take it, and the run went on",
 	"unreachable": "it could not be reached, and the run went on",
-	"unneeded":    "the silence or the request ended before it was used",
-	"took_over":   "the silent run was ended for it",
+	"left":        "it had to leave before the request was sent, and the run went on",
+	"refused":     "it did not run the request, and the run went on",
+	"broken":      "its run broke off, and the silent one went on",
+	"unsound":     "its response failed validation, and the run went on",
+	"failed":      "it answered with an error, and the run went on",
+	"unneeded":    "the silent run delivered or the request ended before it had delivered",
+	"took_over":   "it delivered first, and the silent run was ended for it",
+	"followed":    "the silent run ended by itself, and the request went on there",
 }
 
 // silenceTexts describes a silent target, its replacement and why no attempt followed the last
@@ -39,7 +46,11 @@
 		if l.Replacement != "" {
 			text += ", " + l.Replacement
 		}
-		texts = append(texts, text+": "+cmp.Or(replacementTexts[l.ReplacementResult], l.ReplacementResult))
+		text += ": " + cmp.Or(replacementTexts[l.ReplacementResult], l.ReplacementResult)
+		if l.ReplacementMS > 0 {
+			text += fmt.Sprintf(" (%d ms later)", l.ReplacementMS)
+		}
+		texts = append(texts, text)
 	}
 	if l.NoRetry != "" {
 		texts = append(texts, "no other target got it: "+cmp.Or(noRetryTexts[l.NoRetry], l.NoRetry))
--- a/internal/explain/silence_test.go
+++ b/internal/explain/silence_test.go
@@ -10,7 +10,7 @@
 // The line of an aborted answer must say which run was silent, since when, what became of its
 // replacement and why no other run followed.
 func TestExplainTellsSilenceAndItsReplacement(t *testing.T) {
-	const log = `{"instance":"front-1","event":"request","id":"s1","status":200,"reason":"target_refused","aborted":true,"no_retry":"targets_used","silent_target":"t1","silent_from_ms":120,"silent_asked_ms":1120,"replacement":"t2","replacement_result":"took_over","target":"t2","events":2,"runs":1,"time":"2026-06-23T16:20:40Z"}
+	const log = `{"instance":"front-1","event":"request","id":"s1","status":200,"reason":"target_refused","aborted":true,"no_retry":"targets_used","silent_target":"t1","silent_from_ms":120,"silent_asked_ms":1120,"replacement":"t2","replacement_result":"took_over","replacement_ms":80,"target":"t2","events":2,"runs":1,"time":"2026-06-23T16:20:40Z"}
 {"instance":"front-1","event":"request","id":"s2","status":200,"target":"t1","silent_target":"t1","silent_from_ms":0,"silent_asked_ms":900,"replacement":"","replacement_result":"not_placed","time":"2026-06-23T16:20:40Z"}
 {"instance":"front-1","event":"request","id":"s3","status":200,"target":"t1","time":"2026-06-23T16:20:40Z"}
 `
@@ -23,7 +23,7 @@
 		want, absent []string
 	}{
 		{"s1", []string{
-			"t1 sent nothing from 120 ms on; at 1120 ms another target was sought, t2: the silent run was ended for it",
+			"t1 sent nothing from 120 ms on; at 1120 ms another target was sought, t2: it delivered first, and the silent run was ended for it (80 ms later)",
 			"no other target got it: the request might run on no further target",
 		}, nil},
 		{"s2", []string{"t1 sent nothing from 0 ms on; at 900 ms another target was sought: no other target could take it, and the run went on"},
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"medlarwind.dev/medlarwind/internal/catalog"
 	"medlarwind.dev/medlarwind/internal/scheduler"
 	"medlarwind.dev/medlarwind/internal/upstream"
 )
@@ -45,15 +44,21 @@
 
 // serve makes attempts until the caller has a response or no retry is allowed.
 func (x *exchange) serve(ctx context.Context) {
-	defer x.withdrawReplacement()
+	defer x.releaseStandby()
 	for retry := false; ; {
-		p, err := x.place(ctx, retry)
-		if err != nil {
-			x.handleRefusal(ctx, err)
-			return
+		var result attemptResult
+		if s := x.takeStandby(); s != nil {
+			result = x.attempt(ctx, s.placement, s)
+		} else {
+			p, err := x.h.options.Scheduler.Admit(ctx, x.job, retry)
+			if err != nil {
+				x.handleRefusal(ctx, err)
+				return
+			}
+			x.job.Exclude(p.Target.ID)
+			result = x.attempt(ctx, p, nil)
 		}
-		x.job.Exclude(p.Target.ID)
-		switch x.attempt(ctx, p) {
+		switch result {
 		case answered:
 			return
 		case notSent:
@@ -82,20 +87,17 @@
 	}
 }
 
-// place returns the placement for the next attempt.
-func (x *exchange) place(ctx context.Context, retry bool) (*scheduler.Placement, error) {
-	if p := x.replacement; p != nil {
-		x.replacement = nil
-		return p, nil
-	}
-	return x.h.options.Scheduler.Admit(ctx, x.job, retry)
+// takeStandby returns the second run with which the request goes on, nil if there is none.
+func (x *exchange) takeStandby() *standby {
+	s := x.standby
+	x.standby = nil
+	return s
 }
 
-// withdrawReplacement releases a replacement that is not needed any more.
-func (x *exchange) withdrawReplacement() {
-	if x.replacement != nil {
-		x.replacement.Withdraw()
-		x.replacement = nil
+// releaseStandby ends a second run that is not needed any more.
+func (x *exchange) releaseStandby() {
+	if s := x.takeStandby(); s != nil {
+		s.release()
 	}
 }
 
@@ -136,53 +138,73 @@
 	}
 }
 
-// attempt sends the request to one target and relays the response.
-func (x *exchange) attempt(ctx context.Context, p *scheduler.Placement) attemptResult {
+// attempt sends the request to one target and relays the response. If s is not nil, it goes on
+// with that run of the request, which has been begun on p.
+func (x *exchange) attempt(ctx context.Context, p *scheduler.Placement, s *standby) attemptResult {
 	x.result.Target, x.result.ExpectedWait = p.Target.ID, p.Wait
 	x.result.Cached, x.result.Rank = p.Cached, p.Rank
 	x.runEvents = 0
-	if !p.Valid() {
+	if s == nil && !p.Valid() {
 		p.End(scheduler.Unsent)
 		x.result.Reason = "target_left"
 		return notSent
 	}
 	if callerGone(x.r.Context()) {
-		p.End(scheduler.Unsent)
+		if s != nil {
+			s.release()
+		} else {
+			p.End(scheduler.Unsent)
+		}
 		x.result.Reason = "caller_gone"
 		panic(http.ErrAbortHandler)
 	}
 	o := &x.h.options
-	remaining := x.job.Deadline.Sub(o.Now())
 	if x.result.Waited == 0 {
 		x.result.Waited = o.Now().Sub(x.arrived)
 	}
-	attemptCtx, cancel := context.WithCancelCause(ctx)
+	var attemptCtx context.Context
+	var cancel context.CancelCauseFunc
+	if s != nil {
+		attemptCtx, cancel = s.ctx, s.cancel
+	} else {
+		attemptCtx, cancel = context.WithCancelCause(ctx)
+	}
 	defer cancel(nil)
-	x.silence = x.newSilenceWatch(attemptCtx, cancel, p.Target.ID)
-	defer func() {
-		x.replacement = x.silence.stop()
-		if s := x.silence.report(); s.Target != "" {
-			x.result.Silence = s
-		}
-	}()
+	x.silence = x.newSilenceWatch(ctx, cancel, p.Target.ID)
+	defer x.endWatch()
 	x.silence.await(x.firstByteTimeout(p))
-	resp, err := o.Upstream.Send(attemptCtx, upstream.Request{
-		Addr:   p.Target.Addr,
-		Method: x.r.Method,
-		Target: x.r.RequestURI,
-		Host:   x.r.Host,
-		Header: o.Codec.ForwardHeader(x.r.Header, Forwarding{
-			Remaining: remaining, Target: p.Target.ID, Customer: x.customer, ResumeAfter: x.resumeAfter(),
-		}),
-		Body:    x.body.bytes,
-		Matches: func(h http.Header) bool { return o.Codec.IsResponseTo(x.call, h) },
-	})
+	if s == nil {
+		resp, err := o.Upstream.Send(attemptCtx, x.upstreamRequest(p, x.body.bytes, x.resumeAfter()))
+		return x.endAttempt(ctx, p, resp, err)
+	}
+	<-s.done
+	if s.unsent {
+		p.Withdraw()
+		x.result.Reason = "target_left"
+		return notSent
+	}
+	return x.endAttempt(ctx, p, s.resp, s.err)
+}
+
+// endAttempt relays the response to an attempt, or records that there is none.
+func (x *exchange) endAttempt(ctx context.Context, p *scheduler.Placement, resp *upstream.Response, err error) attemptResult {
 	if err != nil {
 		return x.sendFailed(ctx, p, err)
 	}
 	return x.relay(ctx, p, resp)
 }
 
+// endWatch ends the watch over the current attempt and takes over what it found.
+func (x *exchange) endWatch() {
+	x.standby = x.silence.stop()
+	sends, runs := x.silence.spent()
+	x.sends += sends
+	x.runs += runs
+	if s := x.silence.report(); s.Target != "" {
+		x.result.Silence = s
+	}
+}
+
 // resumeAfter returns the id of the event after which the target should resume the stream,
 // empty to start from the beginning.
 func (x *exchange) resumeAfter() string {
@@ -218,7 +240,7 @@
 		return
 	}
 	down := x.checkCrash(ctx, p)
-	x.logBrokenRun(p, down, err)
+	x.logBrokenRun(p, down, x.runEvents, err)
 }
 
 // checkCrash finds out whether the target of a broken run has crashed, before a retry may
@@ -238,10 +260,11 @@
 
 // brokenOutcome returns the outcome of an attempt that got no complete response.
 func (x *exchange) brokenOutcome(ctx context.Context) scheduler.Outcome {
+	x.silence.stop()
 	switch {
 	case ctx.Err() != nil:
 		return scheduler.Abandoned
-	case x.silence.stop() != nil:
+	case x.silence.gaveUp():
 		return scheduler.Silent
 	}
 	return scheduler.Broken
@@ -263,7 +286,7 @@
 		p.End(scheduler.Broken)
 		x.result.Reason = "answer_unsound"
 		return mayHaveRun
-	case x.route.Kind == catalog.Stream && resp.Status == http.StatusOK:
+	case x.isStream(resp):
 		return x.relayStream(ctx, p, resp)
 	case x.headerWritten:
 		// The target did not resume the stream but sent another kind of response.
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -112,7 +112,7 @@
 var errRequestTimeout = errors.New("request timed out")
 
 // exchange holds the state of one caller's request while it is served. It is used by one
-// goroutine.
+// goroutine; a standby reads what does not change after the body was read.
 type exchange struct {
 	h       *Handler
 	w       http.ResponseWriter
@@ -135,11 +135,11 @@
 	// current run contributed.
 	lastEvent string
 	runEvents int
-	// silence watches the current attempt. replacement is the placement that it obtained for
-	// the next one, nil for none.
-	silence     *silenceWatch
-	replacement *scheduler.Placement
-	result      Report
+	// silence watches the current attempt. standby is the second run that it began and with
+	// which the request goes on, nil for none.
+	silence *silenceWatch
+	standby *standby
+	result  Report
 }
 
 // identify decodes the caller's headers, finds the route, customer and service and creates
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -24,7 +24,7 @@
 	// discardTimeout limits the time for that, since a retry may wait for it.
 	discardTimeout = 100 * time.Millisecond
 	// stallFactor and minStallTimeout set the pause between events after which another target
-	// is to resume a resumable stream: this multiple of the route's gap objective, but at
+	// is asked to resume a resumable stream: this multiple of the route's gap objective, but at
 	// least minStallTimeout.
 	stallFactor     = 3
 	minStallTimeout = time.Second
@@ -38,16 +38,25 @@
 	return n < maxDiscardBytes && errors.Is(err, io.EOF)
 }
 
+// readBuffered reads up to maxBufferedBytes of a body. length is its declared length, -1 if it is
+// unknown; the error is io.ErrUnexpectedEOF if it ends before.
+func readBuffered(body io.Reader, length int64) ([]byte, error) {
+	buffered, err := io.ReadAll(io.LimitReader(body, maxBufferedBytes))
+	if err == nil && length > 0 && length <= maxBufferedBytes && int64(len(buffered)) < length {
+		err = io.ErrUnexpectedEOF
+	}
+	return buffered, err
+}
+
 // relayBuffered relays a response that is not a stream. It reads up to maxBufferedBytes
 // before it writes the headers.
 func (x *exchange) relayBuffered(ctx context.Context, p *scheduler.Placement, resp *upstream.Response) attemptResult {
 	body := &watchedReader{Reader: resp.Body, silence: x.silence, timeout: x.firstByteTimeout(p)}
-	buffered, err := io.ReadAll(io.LimitReader(body, maxBufferedBytes))
-	if err != nil || resp.Length > 0 && resp.Length <= maxBufferedBytes && int64(len(buffered)) < resp.Length {
+	buffered, err := readBuffered(body, resp.Length)
+	if err != nil || !x.silence.received() {
 		resp.Finish(false)
 		return x.markBroken(ctx, p, err)
 	}
-	x.silence.received()
 	p.PrefillDone()
 	header := x.w.Header()
 	for name, values := range x.h.options.Codec.ResponseHeader(resp.Header) {
@@ -88,7 +97,7 @@
 // markBroken records a response that broke off before its end. err may be nil.
 func (x *exchange) markBroken(ctx context.Context, p *scheduler.Placement, err error) attemptResult {
 	x.result.Reason = "answer_broken"
-	if x.silence.stop() != nil {
+	if x.silence.gaveUp() {
 		err = errTargetSilent
 	}
 	if err != nil {
@@ -104,10 +113,13 @@
 	flusher := http.NewResponseController(x.w)
 	for first := true; ; first = false {
 		e, err := events.next()
-		x.silence.received()
 		// A resumed stream may have no further events. If nothing but the connection marks its end,
 		// that cannot be told from a target that crashed before its first event.
-		if errors.Is(err, io.EOF) && (!first || x.headerWritten && !resp.EndsWithConn) {
+		complete := errors.Is(err, io.EOF) && (!first || x.headerWritten && !resp.EndsWithConn)
+		if (err == nil || complete) && !x.silence.received() {
+			complete, err = false, errTargetSilent
+		}
+		if complete {
 			resp.Finish(true)
 			p.End(scheduler.Completed)
 			return answered
--- a/internal/ingress/replacement_test.go
+++ b/internal/ingress/replacement_test.go
@@ -4,7 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,6 +48,12 @@
 // breakOff ends the connection of a run.
 func breakOff(context.Context, http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
+// refuse reports that the request did not run.
+func refuse(_ context.Context, w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(notRunHeader, "full")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // A sound run must not be ended for a replacement that does not deliver: the caller would lose an
 // answer that was on its way.
 func TestSilentRunGoesOnIfReplacementFails(t *testing.T) {
@@ -53,15 +63,9 @@
 		// retryExtra is the number of retries that the fleet may make, 100 if it is 0.
 		retryExtra float64
 	}{
-		{name: "refuses", run: func(_ context.Context, w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set(notRunHeader, "full")
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}},
+		{name: "refuses", run: refuse},
 		// One retry of the whole fleet is left, which the replacement uses.
-		{name: "refuses and the retry budget is used up", retryExtra: 1.2 * 8 / 0.7, run: func(_ context.Context, w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set(notRunHeader, "full")
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}},
+		{name: "refuses and the retry budget is used up", retryExtra: 1.2 * 8 / 0.7, run: refuse},
 		{name: "breaks before its answer", run: breakOff},
 		{name: "breaks within its answer", run: func(ctx context.Context, w http.ResponseWriter, r *http.Request) {
 			w.Header().Set("Content-Length", "100")
@@ -132,3 +136,238 @@
 		}
 	}
 }
+
+// lastEvent is the number of events of a randomRun, whole its answer.
+const lastEvent = 5
+
+var whole = testEvent(1) + testEvent(2) + testEvent(3) + testEvent(4) + testEvent(5)
+
+// randomRun returns a run with random pauses that include both limits of the silence. Unless it is
+// sound, it may refuse the request, or break off or hang at one of its events.
+func randomRun(random *rand.Rand, sound bool, ran *atomic.Int64) runFunc {
+	steps := []time.Duration{0, 0, 0, 10 * time.Millisecond, firstByteFactor * testFirstByteSLO, minStallTimeout, briefSilence}
+	var pauses [lastEvent + 1]time.Duration
+	for i := range pauses {
+		pauses[i] = steps[random.IntN(len(steps))]
+	}
+	fault, faultAt := random.IntN(4), 1+random.IntN(lastEvent)
+	if sound {
+		fault = 0
+	}
+	return func(ctx context.Context, w http.ResponseWriter, r *http.Request) {
+		if fault == 1 {
+			refuse(ctx, w, r)
+			return
+		}
+		ran.Add(1)
+		// It is 0 if the stream is to begin.
+		after, _ := strconv.Atoi(r.Header.Get(resumeHeader))
+		for id := after + 1; id <= lastEvent; id++ {
+			sleep(ctx, pauses[id])
+			if fault == 2 && id >= faultAt {
+				breakOff(ctx, w, r)
+			}
+			if fault == 3 && id >= faultAt {
+				<-ctx.Done()
+			}
+			if ctx.Err() != nil {
+				return
+			}
+			_, _ = io.WriteString(w, testEvent(id))
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+}
+
+// Two runs may deliver at any moment, also at the same one. The caller gets one whole answer, with
+// no piece missing, doubled or out of order, from as many targets as the route allows. Only a
+// target that has delivered and fails later may spoil it.
+func TestOverlappingRunsGiveOneAnswer(t *testing.T) {
+	for seed := range uint64(1000) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 0))
+			e := newTestIngress(t, 100)
+			e.dialTime = []time.Duration{0, 10 * time.Millisecond, 300 * time.Millisecond}[random.IntN(3)]
+			route := []string{"safe", "resumable"}[random.IntN(2)]
+			var ran atomic.Int64
+			e.addTarget("t0", inventory.Ready, randomRun(random, true, &ran))
+			var others []runFunc
+			for range 3 {
+				others = append(others, randomRun(random, false, &ran))
+			}
+			time.AfterFunc(time.Millisecond, func() {
+				for i, run := range others {
+					e.addTarget(fmt.Sprint("t", i+1), inventory.Ready, run)
+				}
+			})
+			status, body, err := e.call(route)
+			report := e.lastReport()
+			switch tookOver := report.Silence.Result == replacementTookOver; {
+			case status == http.StatusOK && err == nil && body == whole:
+			case !tookOver:
+				t.Errorf("seed %d: got status %d, body %q, error %v and silence %+v, want the whole answer", seed, status, body, err, report.Silence)
+			case status == http.StatusOK && (err == nil || !strings.HasPrefix(whole, body)):
+				t.Errorf("seed %d: got body %q and error %v, want the whole answer, or an error after its first pieces", seed, body, err)
+			}
+			if got := ran.Load(); got > 2 {
+				t.Errorf("seed %d: %d targets ran the request, want at most 2", seed, got)
+			}
+			e.checkReleased()
+		})
+	}
+}
+
+// Once the caller has left, neither run may go on.
+func TestBothRunsEndWhenCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestIngress(t, 100)
+		hang := func(ctx context.Context, _ http.ResponseWriter, _ *http.Request) { <-ctx.Done() }
+		e.addTarget("t1", inventory.Ready, hang)
+		e.addTarget("t2", inventory.Ready, hang)
+		conn, err := e.network.Host(callerHost).Dial(t.Context(), "tcp", ingressAddr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(conn, "GET /safe/x HTTP/1.1\r\nHost: "+testHost+"\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		sleep(t.Context(), 2*firstByteFactor*testFirstByteSLO)
+		if err := conn.Close(); err != nil {
+			t.Fatal(err)
+		}
+		left := time.Now()
+		e.checkReleased()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if len(e.runs) != 2 {
+			t.Errorf("got %d runs, want 2", len(e.runs))
+		}
+		for _, run := range e.runs {
+			if !run.abandoned.Equal(left) {
+				t.Errorf("%s saw the end of its run at %s, want %s", run.target, run.abandoned, left)
+			}
+		}
+	})
+}
+
+// A second run that has begun must be used if the first one breaks off, even if nothing else may
+// be sent.
+func TestSecondRunIsUsedIfFirstBreaks(t *testing.T) {
+	breakAfter := func(first, last int) runFunc {
+		return func(ctx context.Context, w http.ResponseWriter, r *http.Request) {
+			streamEvents(ctx, w, first, last, 0)
+			sleep(ctx, briefSilence)
+			breakOff(ctx, w, r)
+		}
+	}
+	goOnLate := func(ctx context.Context, w http.ResponseWriter, r *http.Request) {
+		sleep(ctx, briefSilence)
+		after, _ := strconv.Atoi(r.Header.Get(resumeHeader))
+		streamEvents(ctx, w, after+1, 3, 0)
+	}
+	tests := []struct {
+		name, route string
+		first       runFunc
+	}{
+		{"no answer", "safe", func(ctx context.Context, w http.ResponseWriter, r *http.Request) {
+			sleep(ctx, briefSilence)
+			breakOff(ctx, w, r)
+		}},
+		{"no first event", "resumable", breakAfter(1, 0)},
+		{"no second event", "resumable", breakAfter(1, 1)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newTestIngress(t, 100)
+				e.addTarget("t1", inventory.Ready, test.first)
+				time.AfterFunc(time.Millisecond, func() { e.addTarget("t2", inventory.Ready, goOnLate) })
+				status, body, err := e.call(test.route)
+				if status != http.StatusOK || body != allEvents || err != nil {
+					t.Errorf("got status %d, body %q and error %v, want the complete answer", status, body, err)
+				}
+				if got := e.lastReport().Silence; got.Replacement != "t2" || got.Result != replacementFollowed {
+					t.Errorf("got silence %+v, want that t2 followed", got)
+				}
+				e.checkReleased()
+			})
+		})
+	}
+}
+
+// What one run has delivered may wait to be read while the other one delivers. Only the pieces of
+// one of them may be passed on.
+func TestPiecesOfTwoRunsAreNotJoined(t *testing.T) {
+	const firstByte = firstByteFactor * testFirstByteSLO
+	delayed := func(before, decode time.Duration) runFunc {
+		return func(ctx context.Context, w http.ResponseWriter, r *http.Request) {
+			sleep(ctx, before)
+			w.Header().Set(decodeTimeHeader, decode.String())
+			streamEvents(ctx, w, 1, 3, 0)
+		}
+	}
+	tests := []struct {
+		name          string
+		first, second runFunc
+		result        ReplacementResult
+	}{
+		{"second run delivers while first answer waits", delayed(firstByte/2, firstByte), delayed(0, 0), replacementTookOver},
+		{"first run delivers while second answer waits", func(ctx context.Context, w http.ResponseWriter, _ *http.Request) {
+			sleep(ctx, firstByte+firstByte/2)
+			streamEvents(ctx, w, 1, 3, firstByte)
+		}, delayed(0, firstByte), replacementUnneeded},
+	}
+	for _, test := range tests {
+		for _, route := range []string{"safe", "resumable"} {
+			t.Run(test.name+"/"+route, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					e := newTestIngress(t, 100)
+					e.addTarget("t1", inventory.Ready, test.first)
+					time.AfterFunc(time.Millisecond, func() { e.addTarget("t2", inventory.Ready, test.second) })
+					status, body, err := e.call(route)
+					if status != http.StatusOK || body != allEvents || err != nil {
+						t.Errorf("got status %d, body %q and error %v, want the complete answer", status, body, err)
+					}
+					// Whole answers are compared when they are complete, so that the second one wins.
+					if got := e.lastReport().Silence.Result; got != test.result && route == "resumable" {
+						t.Errorf("the second run's result is %q, want %q", got, test.result)
+					}
+					e.checkReleased()
+				})
+			})
+		}
+	}
+}
+
+// A second run that was cancelled may have run. The request may then run on no third target.
+func TestCancelledSecondRunCountsAsRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const firstByte = firstByteFactor * testFirstByteSLO
+		e := newTestIngress(t, 100)
+		e.addTarget("t1", inventory.Ready, func(ctx context.Context, w http.ResponseWriter, r *http.Request) {
+			sleep(ctx, firstByte+firstByte/4)
+			streamEvents(ctx, w, 1, 1, 0)
+			sleep(ctx, firstByte/4)
+			breakOff(ctx, w, r)
+		})
+		time.AfterFunc(time.Millisecond, func() {
+			for _, name := range []string{"t2", "t3"} {
+				e.addTarget(name, inventory.Ready, func(ctx context.Context, w http.ResponseWriter, _ *http.Request) {
+					w.Header().Set(decodeTimeHeader, firstByte.String())
+					streamEvents(ctx, w, 1, 3, 0)
+				})
+			}
+		})
+		if status, body, err := e.call("resumable"); status != http.StatusOK || body != testEvent(1) || err == nil {
+			t.Errorf("got status %d, body %q and error %v, want the first event and an error", status, body, err)
+		}
+		// The response to the second run is still being decoded.
+		sleep(t.Context(), firstByte)
+		e.checkReleased()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if len(e.runs) != 2 {
+			t.Errorf("the request ran on %d targets, want 2", len(e.runs))
+		}
+	})
+}
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -66,6 +66,8 @@
 	// Replacement is the target that was to take over, empty if none was free.
 	Replacement fleet.TargetID
 	Result      ReplacementResult
+	// Took is the time from Asked to Result, 0 if the result was not known when the attempt ended.
+	Took time.Duration
 }
 
 // ReplacementResult is what became of the replacement of a silent target.
@@ -77,10 +79,22 @@
 	replacementNotPlaced ReplacementResult = "not_placed"
 	// replacementUnreachable: no connection to it could be opened.
 	replacementUnreachable ReplacementResult = "unreachable"
-	// replacementUnneeded: the silence or the request ended before.
+	// replacementLeft: it had to leave, or the caller left, before the request was sent.
+	replacementLeft ReplacementResult = "left"
+	// replacementRefused: it did not run the request.
+	replacementRefused ReplacementResult = "refused"
+	// replacementBroken: its run broke off before it had delivered.
+	replacementBroken ReplacementResult = "broken"
+	// replacementUnsound: its response could not be passed on.
+	replacementUnsound ReplacementResult = "unsound"
+	// replacementFailed: it answered with an error of its own.
+	replacementFailed ReplacementResult = "failed"
+	// replacementUnneeded: the silent run delivered or the request ended before.
 	replacementUnneeded ReplacementResult = "unneeded"
-	// replacementTookOver: the silent run was ended for it.
+	// replacementTookOver: it delivered first, and the silent run was ended.
 	replacementTookOver ReplacementResult = "took_over"
+	// replacementFollowed: the silent run ended by itself, and the request went on with it.
+	replacementFollowed ReplacementResult = "followed"
 )
 
 // Reasons for which no attempt follows an unsuccessful one.
@@ -154,7 +168,7 @@
 	if s := &r.Silence; s.Target != "" {
 		line = line.Str("silent_target", string(s.Target)).Int64("silent_from_ms", s.From.Milliseconds()).
 			Int64("silent_asked_ms", s.Asked.Milliseconds()).Str("replacement", string(s.Replacement)).
-			Str("replacement_result", string(s.Result))
+			Str("replacement_result", string(s.Result)).Int64("replacement_ms", s.Took.Milliseconds())
 	}
 	if r.Refusal != nil {
 		line = appendInputs(line, r.Refusal)
@@ -192,8 +206,9 @@
 const maxLoggedParts = 8
 
 // logBrokenRun logs a run whose connection to the target broke, with the shared parts of its
-// prompt. down says that the target is known to be down. err may be nil.
-func (x *exchange) logBrokenRun(p *scheduler.Placement, down bool, err error) {
+// prompt. down says that the target is known to be down, events is the number of events that
+// the run contributed. err may be nil.
+func (x *exchange) logBrokenRun(p *scheduler.Placement, down bool, events int, err error) {
 	parts := zerolog.Arr()
 	shared := x.call.Parts[:max(len(x.call.Parts)-1, 0)]
 	for _, part := range shared[:min(len(shared), maxLoggedParts)] {
@@ -201,7 +216,7 @@
 	}
 	x.h.options.Log.Info().Str("event", "run_broken").Str("id", x.call.ID).Str("route", x.route.Name).
 		Str("customer", string(x.customer)).Str("target", string(p.Target.ID)).Int64("target_start", p.Target.StartMillis).
-		Bool("target_down", down).Int("events", x.runEvents).Array("parts", parts).Int("shared_parts", len(shared)).Err(err).Msg("")
+		Bool("target_down", down).Int("events", events).Array("parts", parts).Int("shared_parts", len(shared)).Err(err).Msg("")
 }
 
 // appendInputs adds the inputs of a refusal to a log line, without those that do not apply.
--- a/internal/ingress/silence.go
+++ b/internal/ingress/silence.go
@@ -15,8 +15,7 @@
 
 // Times of the watch for silent targets.
 const (
-	// replaceInterval is the time between two requests to the scheduler to replace the same
-	// attempt.
+	// replaceInterval is the time between two attempts to replace the same silent run.
 	replaceInterval = 500 * time.Millisecond
 	// maxCheckDelay is the delay of a check from which the process counts as held up. What the
 	// target sent may then wait to be read, and the check is repeated after this time.
@@ -24,21 +23,21 @@
 )
 
 // errTargetSilent is the cause with which an attempt's context is cancelled once another
-// target is to take over from one that has sent nothing for too long.
+// target has delivered in place of one that has sent nothing for too long.
 var errTargetSilent = errors.New("target sent nothing in time")
 
-// silenceWatch replaces an attempt whose target sends nothing for too long. The attempt is
-// cancelled only after the scheduler has placed the request on another target that can be
-// reached: a silent target may still be at work, and without a replacement its response is
-// the only one that the caller can get. The methods other than check and replace are called
-// by the exchange's goroutine.
+// silenceWatch begins a second run of a request whose target sends nothing for too long. A
+// silent target may be sound and go on, so that its run is ended only once the other one has
+// delivered what comes next. If the silent one delivers that first, the other one is ended; if
+// the other one fails, the silent one goes on.
+//
+// The methods other than check and replace are called by the exchange's goroutine.
 type silenceWatch struct {
 	x *exchange
-	// ctx is the attempt's context, which abandon cancels.
+	// ctx is the request's context, abandon cancels that of the attempt.
 	ctx     context.Context
 	abandon context.CancelCauseFunc
-
-	target fleet.TargetID
+	target  fleet.TargetID
 
 	mu sync.Mutex
 	// limit is when the silence becomes too long, 0 while nothing is expected.
@@ -48,34 +47,38 @@
 	// timer calls check at checkAt, if checkAt is not 0.
 	timer   *time.Timer
 	checkAt clock.Instant
-	// connecting is set while check connects to another target. No timer is set meanwhile.
-	connecting bool
-	stopped    bool
-	// replacement is the placement for which the attempt was cancelled, nil if it was not.
-	replacement *scheduler.Placement
+	// standby is the second run, nil for none. No timer is set meanwhile. Its context ends if
+	// the attempt delivers before it.
+	standby *standby
+	// chosen is set once the attempt was ended in favour of standby.
+	chosen  bool
+	stopped bool
+	// sends and runs count the ended second runs that reached a target, and those of them that
+	// may have run there.
+	sends, runs int
 	// found is the last silence for which a replacement was placed, or sought if none was placed.
 	found Silence
 }
 
-// newSilenceWatch returns a watch that cancels an attempt at target, whose context is ctx, with
-// abandon.
+// newSilenceWatch returns a watch over an attempt at target that is ended with abandon. ctx is
+// the request's context.
 func (x *exchange) newSilenceWatch(ctx context.Context, abandon context.CancelCauseFunc, target fleet.TargetID) *silenceWatch {
 	return &silenceWatch{x: x, ctx: ctx, abandon: abandon, target: target}
 }
 
 // await starts the silence: the target is expected to send something within timeout. A
-// timeout of 0 means that the attempt must not be replaced.
+// timeout of 0 means that no second run may be begun.
 func (w *silenceWatch) await(timeout time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if timeout == 0 || w.stopped || w.replacement != nil {
+	if timeout == 0 || w.stopped || w.chosen {
 		return
 	}
 	now := w.x.h.options.Now()
 	w.limit, w.since = now.Add(timeout), now
 	// A timer that is due earlier is left alone; check sets it again. Events are frequent,
 	// and most of them then do not touch the timer.
-	if !w.connecting && (w.checkAt == 0 || w.checkAt > w.limit) {
+	if w.standby == nil && (w.checkAt == 0 || w.checkAt > w.limit) {
 		w.schedule(now)
 	}
 }
@@ -90,22 +93,31 @@
 	w.timer.Reset(w.limit.Sub(now))
 }
 
-// received ends the silence.
-func (w *silenceWatch) received() {
+// received ends the silence because the attempt has delivered. It returns false if the attempt
+// was ended before in favour of the second run: what it delivered must not be passed on, since
+// the second run delivers the same.
+func (w *silenceWatch) received() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.chosen {
+		return false
+	}
 	w.limit = 0
+	if w.standby != nil {
+		w.standby.cancel(nil)
+	}
+	return true
 }
 
-// check asks the scheduler for a replacement if the silence has become too long. If there is
-// none, the attempt goes on and check runs again after replaceInterval.
+// check begins a second run if the silence has become too long. If there is no target for it,
+// check runs again after replaceInterval.
 func (w *silenceWatch) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.x.h.options.Now()
 	delay := now.Sub(w.checkAt)
 	w.checkAt = 0
-	if w.stopped || w.limit == 0 {
+	if w.stopped || w.limit == 0 || !w.x.isReplaceable(w.sends, w.runs) {
 		return
 	}
 	if delay > maxCheckDelay {
@@ -129,47 +141,95 @@
 	w.schedule(now)
 }
 
-// replace cancels the attempt in favour of p if p's target can be reached and the silence
-// lasts until then. Otherwise it releases p, and the attempt goes on. w.mu must be held; it is
-// released while connecting, so that what arrives meanwhile is passed on.
+// replace begins a second run on p and ends the attempt if that run delivers before it. w.mu
+// must be held; it is released meanwhile.
 func (w *silenceWatch) replace(p *scheduler.Placement) {
-	limit := w.limit
-	w.connecting = true
+	w.x.job.Exclude(p.Target.ID)
+	s := w.x.newStandby(w.ctx, p)
+	w.standby = s
 	w.mu.Unlock()
-	err := w.x.h.options.Upstream.Connect(w.ctx, p.Target.Addr)
+	s.begin()
 	w.mu.Lock()
-	w.connecting = false
-	lasts := !w.stopped && w.limit == limit
-	if err == nil && lasts {
-		w.limit, w.replacement = 0, p
-		w.found.Result = replacementTookOver
+	defer close(s.done)
+	switch {
+	case s.adopted:
+		// The exchange goes on with it, or releases it.
+		return
+	case s.delivered && s.ctx.Err() == nil && !w.stopped:
+		w.limit, w.chosen = 0, true
+		w.setResult(replacementTookOver)
 		w.abandon(errTargetSilent)
 		return
 	}
+	became, result := s.outcome()
+	go s.discard(became, result)
+	w.standby = nil
+	w.record(became, result)
+}
+
+// setResult records what became of the second run. w.mu must be held.
+func (w *silenceWatch) setResult(result ReplacementResult) {
+	w.found.Result = result
+	w.found.Took = w.x.h.options.Now().Sub(w.x.arrived) - w.found.Asked
+}
+
+// record counts a second run that has ended while the attempt goes on, and sets the timer for
+// the next one. w.mu must be held.
+func (w *silenceWatch) record(became ReplacementResult, result attemptResult) {
+	w.setResult(became)
+	if result != notSent {
+		w.sends++
+	}
+	if result == mayHaveRun {
+		w.runs++
+	}
+	if w.stopped || w.limit == 0 {
+		return
+	}
 	now := w.x.h.options.Now()
-	if err != nil && w.ctx.Err() == nil {
-		p.End(scheduler.Unreachable)
-		w.found.Result = replacementUnreachable
-		if lasts {
-			w.x.job.Exclude(p.Target.ID)
-			w.limit = now
-		}
-	}
-	p.Withdraw()
-	if !w.stopped && w.limit != 0 && w.ctx.Err() == nil {
-		w.schedule(now)
+	if result != notSent {
+		w.limit = max(w.limit, now.Add(replaceInterval))
 	}
+	w.schedule(now)
 }
 
-// stop ends the watch and returns the replacement, nil if there is none.
-func (w *silenceWatch) stop() *scheduler.Placement {
+// stop ends the watch. It returns the second run with which the request goes on, nil if there
+// is none. Further calls return the same.
+func (w *silenceWatch) stop() *standby {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
-	return w.replacement
+	s := w.standby
+	if s == nil || !s.adopted && s.ctx.Err() != nil {
+		return nil
+	}
+	if !s.adopted && !w.chosen {
+		w.setResult(replacementFollowed)
+	}
+	s.adopted = true
+	return s
+}
+
+// gaveUp reports whether the attempt was ended in favour of a second run.
+func (w *silenceWatch) gaveUp() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.chosen
+}
+
+// spent returns the numbers of second runs that reached a target and of those that may have
+// run there, without the one that stop returned.
+func (w *silenceWatch) spent() (sends, runs int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.standby != nil && !w.standby.adopted {
+		// It was cancelled, and what it reached is not known yet.
+		return w.sends + 1, w.runs + 1
+	}
+	return w.sends, w.runs
 }
 
 // report returns the silence to be logged, the zero value if there was none.
@@ -192,25 +252,27 @@
 	return r.Reader.Read(b)
 }
 
-// isReplaceable reports whether another attempt may follow the current one if that breaks
-// off.
-func (x *exchange) isReplaceable() bool {
-	return x.route.Repeatable() && x.runs+1 < x.route.MaxTargets && x.sends+1 < maxSends
+// isReplaceable reports whether a second run may be begun beside the current one, if second
+// runs have taken this many sends and runs before. A stream that has begun can only go on
+// after an event with an id.
+func (x *exchange) isReplaceable(sends, runs int) bool {
+	return x.route.Repeatable() && (!x.headerWritten || x.lastEvent != "") &&
+		x.runs+runs+1 < x.route.MaxTargets && x.sends+sends+1 < maxSends
 }
 
-// firstByteTimeout returns how long the target may take until its first byte before the
-// attempt is to be replaced, 0 if it must not be.
+// firstByteTimeout returns how long the target may take until its first byte before a second
+// run is begun, 0 if none may be.
 func (x *exchange) firstByteTimeout(p *scheduler.Placement) time.Duration {
-	if !x.isReplaceable() {
+	if !x.isReplaceable(0, 0) {
 		return 0
 	}
 	return max(firstByteFactor*x.route.FirstByteSLO, minFirstByteTimeout) + p.Wait
 }
 
-// stallTimeout returns the pause between two events after which the attempt is to be
-// replaced, 0 if it must not be.
+// stallTimeout returns the pause between two events after which a second run is begun, 0 if
+// none may be.
 func (x *exchange) stallTimeout() time.Duration {
-	if !x.route.Resumable || !x.isReplaceable() {
+	if !x.route.Resumable || !x.isReplaceable(0, 0) {
 		return 0
 	}
 	return max(stallFactor*x.route.GapSLO, minStallTimeout)
--- a/internal/ingress/silence_test.go
+++ b/internal/ingress/silence_test.go
@@ -34,6 +34,8 @@
 	// ResponseInfo.NotRun, in testCodec.
 	resumeHeader = "Resume-After"
 	notRunHeader = "Not-Run"
+	// decodeTimeHeader delays DecodeResponse while what was received waits.
+	decodeTimeHeader = "Decode-Time"
 	// longSilence exceeds the first-byte timeout and the stall timeout of all test routes.
 	longSilence = 2500 * time.Millisecond
 	// testFirstByteSLO is the objective of all test routes.
@@ -48,7 +50,8 @@
 	{Name: "stream", Kind: catalog.Stream},
 }
 
-// testCodec is a Codec that passes headers on unchanged. DecodeResponse takes decodeTime.
+// testCodec is a Codec that passes headers on unchanged. DecodeResponse takes decodeTime, or
+// what the response's decodeTimeHeader says.
 type testCodec struct{ decodeTime time.Duration }
 
 func (*testCodec) DecodeCall(h http.Header) (Call, error) { return Call{ID: h.Get("Id")}, nil }
@@ -64,7 +67,11 @@
 func (*testCodec) ResponseHeader(http.Header) http.Header { return http.Header{} }
 
 func (c *testCodec) DecodeResponse(_ int, h http.Header) ResponseInfo {
-	time.Sleep(c.decodeTime)
+	d, err := time.ParseDuration(h.Get(decodeTimeHeader))
+	if err != nil {
+		d = c.decodeTime
+	}
+	time.Sleep(d)
 	return ResponseInfo{Signed: true, NotRun: h.Get(notRunHeader) != ""}
 }
 
@@ -303,10 +310,11 @@
 	}
 }
 
-// checkRuns checks the number of runs, and that each but the last was abandoned before the
-// next one began.
+// checkRuns checks the number of runs, and that each but the last was abandoned once the next
+// one, which delivers when it begins, had begun.
 func (e *testIngress) checkRuns(want int) {
 	e.t.Helper()
+	synctest.Wait()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if len(e.runs) != want {
@@ -314,7 +322,7 @@
 	}
 	for i := 1; i < len(e.runs); i++ {
 		if before := e.runs[i-1]; before.abandoned.IsZero() || before.abandoned.After(e.runs[i].began) {
-			e.t.Errorf("run %d began before run %d was abandoned: %+v", i+1, i, e.runs)
+			e.t.Errorf("run %d was not abandoned when run %d began: %+v", i, i+1, e.runs)
 		}
 	}
 }
@@ -322,6 +330,7 @@
 // checkReleased checks that no target is reserved for a request.
 func (e *testIngress) checkReleased() {
 	e.t.Helper()
+	synctest.Wait()
 	var hb wire.Heartbeat
 	e.scheduler.FillHeartbeat(&hb, "r1", wire.ScopeOwn)
 	for _, load := range hb.Loads {
@@ -331,22 +340,31 @@
 	}
 }
 
-// An answer may have arrived, unread, when its run is replaced. The caller gets it, and the
-// replacement is released.
+// An answer may have arrived, unread, when a second run is begun. The caller gets it, and the
+// second run is abandoned and released.
 func TestUnusedReplacementIsReleased(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := newTestIngress(t, 100)
 		e.codec.decodeTime = firstByteFactor*testFirstByteSLO + time.Millisecond
-		for _, name := range []string{"t1", "t2"} {
-			e.addTarget(name, inventory.Ready, func(_ context.Context, w http.ResponseWriter, _ *http.Request) {
-				_, _ = io.WriteString(w, "answer")
-			})
-		}
+		e.addTarget("t1", inventory.Ready, func(_ context.Context, w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "answer")
+		})
+		time.AfterFunc(time.Millisecond, func() {
+			e.addTarget("t2", inventory.Ready, func(ctx context.Context, _ http.ResponseWriter, _ *http.Request) { <-ctx.Done() })
+		})
+		start := time.Now()
 		if status, body, err := e.call("safe"); status != http.StatusOK || body != "answer" || err != nil {
 			t.Errorf("got status %d, body %q and error %v, want the complete answer", status, body, err)
 		}
-		e.checkRuns(1)
+		if took := time.Since(start); took != e.codec.decodeTime {
+			t.Errorf("the answer took %s, want %s", took, e.codec.decodeTime)
+		}
 		e.checkReleased()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if len(e.runs) != 2 || e.runs[1].target != "t2" || !e.runs[1].abandoned.Equal(time.Now()) {
+			t.Errorf("got runs %+v, want one on t1, and one on t2 that is abandoned", e.runs)
+		}
 	})
 }
 
@@ -456,6 +474,10 @@
 			sleep(ctx, firstByteFactor*testFirstByteSLO+time.Millisecond)
 			_, _ = io.WriteString(w, "answer")
 		}},
+		{"resumable", allEvents, firstByteFactor * testFirstByteSLO, func(ctx context.Context, w http.ResponseWriter, _ *http.Request) {
+			sleep(ctx, firstByteFactor*testFirstByteSLO+time.Millisecond)
+			streamEvents(ctx, w, 1, 3, 0)
+		}},
 		{"resumable", allEvents, minStallTimeout, func(ctx context.Context, w http.ResponseWriter, _ *http.Request) {
 			streamEvents(ctx, w, 1, 1, 0)
 			sleep(ctx, minStallTimeout+time.Millisecond)
