--- a/internal/ingress/replacement_test.go
+++ b/internal/ingress/replacement_test.go
@@ -21,11 +21,14 @@
 // briefSilence exceeds the first-byte timeout and the stall timeout of all test routes.
 const briefSilence = 1500 * time.Millisecond
 
-// pausingRuns are runs of a sound target that is silent for a while and then goes on.
-var pausingRuns = []struct {
+// pausingRun is a run of a sound target that is silent for a while and then goes on, with the
+// route on which it is made and the answer that it gives.
+type pausingRun struct {
 	name, route, want string
 	run               runFunc
-}{
+}
+
+var pausingRuns = []pausingRun{
 	{"late answer", "safe", "answer", func(ctx context.Context, w http.ResponseWriter, _ *http.Request) {
 		sleep(ctx, briefSilence)
 		_, _ = io.WriteString(w, "answer")
@@ -371,3 +374,40 @@
 		}
 	})
 }
+
+// A change must not end a run that has begun before it: the caller would lose an answer that was on
+// its way.
+func TestRunOutlivesChange(t *testing.T) {
+	changes := map[string]func(e *testIngress){
+		"shorter timeout": func(e *testIngress) { e.configure(2, "app", 100*time.Millisecond) },
+		"other service":   func(e *testIngress) { e.configure(2, "other", 10*time.Second) },
+		"target leaves": func(e *testIngress) {
+			e.listed[0].State, e.listed[0].Revision = inventory.Leaving, 2
+			e.scheduler.SetTargets(e.listed, nil)
+		},
+		"target not listed": func(e *testIngress) { e.scheduler.SetTargets(nil, nil) },
+	}
+	runs := append([]pausingRun{
+		{"answer of a route without retries", "once", "answer", answerLate},
+		{"stream that cannot be resumed", "stream", allEvents, streamWithPauses},
+	}, pausingRuns...)
+	for name, change := range changes {
+		for _, run := range runs {
+			t.Run(run.name+"/"+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					e := newTestIngress(t, 100)
+					e.addTarget("t1", inventory.Ready, run.run)
+					go func() {
+						sleep(t.Context(), testFirstByteSLO)
+						change(e)
+					}()
+					status, body, err := e.call(run.route)
+					if status != http.StatusOK || body != run.want || err != nil {
+						t.Errorf("got status %d, body %q and error %v, want the complete answer", status, body, err)
+					}
+					e.checkReleased()
+				})
+			})
+		}
+	}
+}
--- a/internal/ingress/silence_test.go
+++ b/internal/ingress/silence_test.go
@@ -79,18 +79,21 @@
 
 func (*testCodec) SetRefusalHeader(http.Header, Call, time.Duration) {}
 
-// testConfig is a ConfigSource with a fixed configuration.
-type testConfig struct{ catalog *catalog.Catalog }
+// testConfig is a ConfigSource.
+type testConfig struct {
+	current atomic.Pointer[catalog.Catalog]
+}
 
-func (c testConfig) Current() *catalog.Catalog { return c.catalog }
+func (c *testConfig) Current() *catalog.Catalog { return c.current.Load() }
 
-func (testConfig) Confirmed() bool { return true }
+func (*testConfig) Confirmed() bool { return true }
 
 // testIngress is a handler that serves callers on a network in memory.
 type testIngress struct {
 	t         *testing.T
 	network   *memnet.Network
 	codec     *testCodec
+	config    *testConfig
 	scheduler *scheduler.Scheduler
 	upstream  *upstream.Client
 	listed    []inventory.Target
@@ -116,30 +119,21 @@
 // newTestIngress starts a handler. retryExtra is the number of retries that the fleet may
 // make in a window.
 func newTestIngress(t *testing.T, retryExtra float64) *testIngress {
-	e := &testIngress{t: t, network: memnet.New(), codec: &testCodec{}}
+	e := &testIngress{t: t, network: memnet.New(), codec: &testCodec{}, config: &testConfig{}}
 	monotonic := clock.Monotonic()
 	now := func() clock.Instant { return monotonic().Add(time.Duration(e.heldUp.Load())) }
 	e.scheduler = scheduler.New(scheduler.Options{
 		Self: "r0", DataCentre: "a", Regions: map[fleet.DataCentreID]fleet.RegionID{"a": "ra"}, Now: now,
 		ShareWindow: 4 * time.Second, RetryExtra: retryExtra, RetryWindow: 10 * time.Second,
 	})
-	services := []catalog.Service{{ID: "app"}}
-	config := catalog.Config{Version: 1, Services: services}
-	for _, r := range testRoutes {
-		r.Host, r.Prefix, r.MaxTargets = testHost, "/"+r.Name+"/", 2
-		r.FirstByteSLO, r.Timeout, r.Anonymous = testFirstByteSLO, 10*time.Second, true
-		r.Services = []catalog.WeightedService{{Service: "app", Weight: 1}}
-		config.Routes = append(config.Routes, r)
-	}
-	current := catalog.New(config)
-	e.scheduler.SetCatalog(current)
+	e.configure(1, "app", 10*time.Second)
 	e.scheduler.SetAlive([]roster.Member{{ID: "r0"}})
 	e.upstream = upstream.NewClient(func(ctx context.Context, network, addr string) (net.Conn, error) {
 		sleep(ctx, e.dialTime)
 		return e.network.Host("10.0.0.1").Dial(ctx, network, addr)
 	})
 	handler := New(Options{
-		Codec: e.codec, ConfigSource: testConfig{current}, Scheduler: e.scheduler, Upstream: e.upstream,
+		Codec: e.codec, ConfigSource: e.config, Scheduler: e.scheduler, Upstream: e.upstream,
 		Now: now, Log: zerolog.Nop(), BodyMemory: 1 << 20,
 		Observe: func(r Report) {
 			e.mu.Lock()
@@ -152,6 +146,21 @@
 	return e
 }
 
+// configure puts a version of the configuration in force, in which all routes have this service
+// and timeout.
+func (e *testIngress) configure(version uint64, service fleet.ServiceID, timeout time.Duration) {
+	config := catalog.Config{Version: version, Services: []catalog.Service{{ID: service}}}
+	for _, r := range testRoutes {
+		r.Host, r.Prefix, r.MaxTargets = testHost, "/"+r.Name+"/", 2
+		r.FirstByteSLO, r.Timeout, r.Anonymous = testFirstByteSLO, timeout, true
+		r.Services = []catalog.WeightedService{{Service: service, Weight: 1}}
+		config.Routes = append(config.Routes, r)
+	}
+	current := catalog.New(config)
+	e.config.current.Store(current)
+	e.scheduler.SetCatalog(current)
+}
+
 // lastReport returns the report of the last request that ended.
 func (e *testIngress) lastReport() Report {
 	e.t.Helper()
