ingress: release a second run that had delivered when the caller left

A target stayed reserved and at work for a caller that had left: the second run had delivered and was chosen, and the caller left before the first run's goroutine saw that. stop took the end of the second run's context for that of a run that its own goroutine releases, which it does only if the run was not chosen. Found by reading; the case "second run has delivered" of TestBothRunsEndWhenCallerLeaves failed before: "1 requests are still counted on t2", "t2 is still at work after 1s".

--- a/internal/ingress/silence.go
+++ b/internal/ingress/silence.go
@@ -203,7 +203,7 @@
 		w.timer.Stop()
 	}
 	s := w.standby
-	if s == nil || !s.adopted && s.ctx.Err() != nil {
+	if s == nil || !s.adopted && !w.chosen && s.ctx.Err() != nil {
 		return nil
 	}
 	if !s.adopted && !w.chosen {
