ingress: keep the retry of a second run that was not sent for the next attempt

The retry budget could be exceeded. If the target of a second run left before the send and the first run broke off by then, the placement's retry was returned, and the attempt that followed drew on none, as after any attempt that was not sent. Found by reading; TestUnsentSecondRunLeavesOneRetry failed before with "4 runs after request 2, want 3".

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -179,7 +179,7 @@
 	}
 	<-s.done
 	if s.unsent {
-		p.Withdraw()
+		p.End(scheduler.Unsent)
 		x.result.Reason = "target_left"
 		return notSent
 	}
--- a/internal/ingress/replacement_test.go
+++ b/internal/ingress/replacement_test.go
@@ -18,6 +18,10 @@
 
 type runFunc = func(ctx context.Context, w http.ResponseWriter, r *http.Request)
 
+// oneRetry is a number of retries of the fleet of which one is left to an instance, which uses 0.7
+// of an eighth of it.
+const oneRetry = 1.2 * 8 / 0.7
+
 // briefSilence exceeds the first-byte timeout and the stall timeout of all test routes.
 const briefSilence = 1500 * time.Millisecond
 
@@ -67,8 +71,7 @@
 		retryExtra float64
 	}{
 		{name: "refuses", run: refuse},
-		// One retry of the whole fleet is left, which the replacement uses.
-		{name: "refuses and the retry budget is used up", retryExtra: 1.2 * 8 / 0.7, run: refuse},
+		{name: "refuses and the retry budget is used up", retryExtra: oneRetry, run: refuse},
 		{name: "breaks before its answer", run: breakOff},
 		{name: "breaks within its answer", run: func(ctx context.Context, w http.ResponseWriter, r *http.Request) {
 			w.Header().Set("Content-Length", "100")
@@ -435,3 +438,38 @@
 		}
 	}
 }
+
+// A second run that is not sent must leave its retry to the attempt that follows in its place, and
+// to no other.
+func TestUnsentSecondRunLeavesOneRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestIngress(t, oneRetry)
+		e.dialTime = 200 * time.Millisecond
+		var runs atomic.Int64
+		run := func(ctx context.Context, w http.ResponseWriter, r *http.Request) {
+			if runs.Add(1) == 1 {
+				// The second run is being connected to when this one breaks off.
+				sleep(ctx, firstByteFactor*testFirstByteSLO-50*time.Millisecond)
+				breakOff(ctx, w, r)
+			}
+			answerLate(ctx, w, r)
+		}
+		e.addTarget("t1", inventory.Ready, run)
+		go func() {
+			sleep(t.Context(), time.Millisecond)
+			e.addTarget("t2", inventory.Ready, run)
+			sleep(t.Context(), firstByteFactor*testFirstByteSLO+100*time.Millisecond)
+			e.listed[1].State, e.listed[1].Revision = inventory.Leaving, 2
+			e.addTarget("t3", inventory.Ready, run)
+		}()
+		for i, want := range []int64{2, 3} {
+			if status, body, err := e.call("safe"); status != http.StatusOK || body != "answer" || err != nil {
+				t.Errorf("request %d: got status %d, body %q and error %v, want the complete answer", i+1, status, body, err)
+			}
+			if got := runs.Load(); got != want {
+				t.Errorf("%d runs after request %d, want %d", got, i+1, want)
+			}
+		}
+		e.checkReleased()
+	})
+}
