--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -234,3 +235,64 @@
 		t.Errorf("%d connections are open", n)
 	}
 }
+
+// A request may have been taken out of the kernel's buffer and wait for a lock when its connection is
+// about to be closed as idle. Its caller would get no answer although nothing is sent to a target.
+func TestConnIsNotClosedWhileItsRequestIsRead(t *testing.T) {
+	closers := map[string]func(c *callerConns){
+		"idle timeout":    func(c *callerConns) { c.limit = 0; c.sweep(time.Second) },
+		"too many":        func(c *callerConns) { c.sweep(0) },
+		"end of the stop": func(c *callerConns) { c.closeAllIdle() },
+	}
+	for name, closeIdle := range closers {
+		t.Run(name, func(t *testing.T) {
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			var now clock.Instant
+			conns := newCallerConns(1, func() clock.Instant { return now })
+			l := &callerListener{Listener: inner, conns: conns}
+			defer l.Close()
+			caller, err := net.Dial("tcp", inner.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer caller.Close()
+			accepted, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer accepted.Close()
+			conns.track(accepted, http.StateIdle)
+			now = now.Add(10 * time.Second)
+
+			conns.mu.Lock()
+			closed, read := make(chan struct{}), make(chan string)
+			go func() {
+				defer close(closed)
+				closeIdle(conns)
+			}()
+			// The closer waits for the lock first.
+			time.Sleep(20 * time.Millisecond)
+			go func() {
+				b := make([]byte, 8)
+				n, err := accepted.Read(b)
+				read <- fmt.Sprint(string(b[:n]), " ", err)
+			}()
+			if _, err := io.WriteString(caller, "GET"); err != nil {
+				t.Fatal(err)
+			}
+			for accepted.(*callerConn).hasUnread() {
+				time.Sleep(time.Millisecond)
+			}
+			// The reader waits for it behind the closer.
+			time.Sleep(20 * time.Millisecond)
+			conns.mu.Unlock()
+			<-closed
+			if got := <-read; got != "GET <nil>" {
+				t.Errorf("read %q, want the request", got)
+			}
+		})
+	}
+}
