gateway: do not close a connection as idle once its request has been read

Taking bytes out of the kernel's buffer and marking the connection as used are now one step under the connection's own mutex, and so are the look into that buffer and marking the connection as closed. Either the request is seen and the connection stays, or the connection is marked first, and the request is not read. Bytes are read where the socket is readable (RawConn.Read), since a Read that waits cannot hold a lock. The connection is closed after the mutex is released: Close waits for a Read that is in progress.

TestRequestIsNotReadFromConnMarkedAsClosed is new.

--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -3,8 +3,11 @@
 import (
 	"cmp"
 	"context"
+	"io"
+	"maps"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"syscall"
@@ -73,21 +76,88 @@
 type callerConn struct {
 	net.Conn
 	conns *callerConns
-	// closed is set once conns has closed the connection. conns.mu guards it.
-	closed bool
+	// socket is the connection's socket, nil if it has none.
+	socket syscall.RawConn
+
+	// mu makes taking bytes out of the kernel's buffer and closing the connection as idle
+	// exclude each other. It is locked after conns.mu and never while waiting.
+	mu sync.Mutex
+	// used is set once bytes were read since the connection was last idle, closed once conns
+	// has closed the connection.
+	used, closed bool
 }
 
-// Read implements net.Conn. It discards what it reads if the connection was closed as idle at
-// the same time: the request could not be answered.
+// Read implements net.Conn. It returns nothing from a connection that was closed as idle: the
+// request could not be answered.
 func (c *callerConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 && !c.conns.received(c) {
-		c.conns.reportUnanswered(c, closedAsIdle)
-		return 0, net.ErrClosed
+	if c.socket == nil {
+		n, err := c.Conn.Read(b)
+		if n > 0 && !c.use() {
+			c.conns.reportUnanswered(c, closedAsIdle)
+			return 0, net.ErrClosed
+		}
+		return n, err
+	}
+	n, err := c.readSocket(b)
+	if n > 0 {
+		c.conns.received(c)
 	}
 	return n, err
 }
 
+// use records that bytes were read. It returns false if the connection was closed before.
+func (c *callerConn) use() bool {
+	c.mu.Lock()
+	c.used = true
+	open := !c.closed
+	c.mu.Unlock()
+	c.conns.received(c)
+	return open
+}
+
+// readSocket reads what has arrived, or waits for it, unless the connection was closed as idle.
+func (c *callerConn) readSocket(b []byte) (int, error) {
+	var n int
+	var readErr error
+	err := c.socket.Read(func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.closed {
+			n, readErr = 0, net.ErrClosed
+			return true
+		}
+		for {
+			if n, readErr = unix.Read(int(fd), b); readErr != unix.EINTR {
+				break
+			}
+		}
+		c.used = c.used || n > 0
+		return readErr != unix.EAGAIN
+	})
+	switch {
+	case err != nil:
+		return 0, c.readError(err)
+	case readErr != nil:
+		return 0, c.readError(readErr)
+	case n == 0 && len(b) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// readError returns err as net.TCPConn would: net/http tells errors of reads by their type.
+func (c *callerConn) readError(err error) error {
+	var operation *net.OpError
+	if errors.As(err, &operation) {
+		err = operation.Err
+	}
+	var number syscall.Errno
+	if errors.As(err, &number) {
+		err = os.NewSyscallError("read", number)
+	}
+	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
+}
+
 // CloseWrite closes the sending side, if the connection has one that can be closed alone.
 // net/http does so before it closes a connection with an unread request body, which would
 // otherwise be reset.
@@ -123,19 +193,21 @@
 		return nil
 	}
 	conn := &callerConn{Conn: inner, conns: c}
+	if sc, ok := inner.(syscall.Conn); ok {
+		// Without a socket the connection is closed: Read then returns the error.
+		conn.socket, _ = sc.SyscallConn()
+	}
 	c.open++
 	c.fresh[conn] = struct{}{}
 	return conn
 }
 
-// received records that bytes were read from a connection, which therefore is not idle. It
-// returns false if the connection was closed before.
-func (c *callerConns) received(conn *callerConn) bool {
+// received records that bytes were read from a connection, which therefore is not idle.
+func (c *callerConns) received(conn *callerConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.fresh, conn)
 	delete(c.idle, conn)
-	return !conn.closed
 }
 
 // stop releases all callers of awaitSlot. No connection is tracked afterwards.
@@ -205,6 +277,9 @@
 	switch state {
 	case http.StateIdle:
 		c.idle[conn] = c.now()
+		conn.mu.Lock()
+		conn.used = false
+		conn.mu.Unlock()
 	case http.StateClosed, http.StateHijacked:
 		delete(c.fresh, conn)
 		delete(c.idle, conn)
@@ -293,26 +368,16 @@
 // sweep closes connections that have been idle for longer than idleFor (0 for no limit)
 // and, if too many connections are open, those that have been idle longest.
 func (c *callerConns) sweep(idleFor time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.now()
 	if idleFor > 0 {
-		for conn, since := range c.idle {
-			if now.Sub(since) > idleFor+idleMargin {
-				c.closeIdle(conn)
-			}
+		for _, conn := range c.idleSince(c.now().Add(-idleFor - idleMargin)) {
+			c.closeIdle(conn)
 		}
 	}
-	if c.limit == 0 || float64(c.open) <= trimAboveFraction*float64(c.limit) {
+	surplus := c.surplus()
+	if surplus <= 0 {
 		return
 	}
-	surplus := c.open - int(trimToFraction*float64(c.limit))
-	oldest := make([]*callerConn, 0, len(c.idle))
-	for conn := range c.idle {
-		oldest = append(oldest, conn)
-	}
-	slices.SortFunc(oldest, func(a, b *callerConn) int { return cmp.Compare(c.idle[a], c.idle[b]) })
-	for _, conn := range oldest {
+	for _, conn := range c.idleSince(c.now()) {
 		if surplus <= 0 {
 			return
 		}
@@ -322,6 +387,31 @@
 	}
 }
 
+// surplus returns how many connections are to be closed because too many are open.
+func (c *callerConns) surplus() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.limit == 0 || float64(c.open) <= trimAboveFraction*float64(c.limit) {
+		return 0
+	}
+	return c.open - int(trimToFraction*float64(c.limit))
+}
+
+// idleSince returns the connections that have been idle since before the given time, the longest
+// first.
+func (c *callerConns) idleSince(before clock.Instant) []*callerConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var conns []*callerConn
+	for conn, since := range c.idle {
+		if since < before {
+			conns = append(conns, conn)
+		}
+	}
+	slices.SortFunc(conns, func(a, b *callerConn) int { return cmp.Compare(c.idle[a], c.idle[b]) })
+	return conns
+}
+
 // drain closes connections as they become idle, until none is open. It returns the error of
 // ctx if ctx ends before.
 func (c *callerConns) drain(ctx context.Context) error {
@@ -341,39 +431,56 @@
 // connections that were open.
 func (c *callerConns) closeAllIdle() int {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	for conn := range c.idle {
+	open := c.open
+	conns := slices.AppendSeq(slices.Collect(maps.Keys(c.idle)), maps.Keys(c.fresh))
+	c.mu.Unlock()
+	for _, conn := range conns {
 		c.closeIdle(conn)
 	}
-	for conn := range c.fresh {
-		c.closeIdle(conn)
-	}
-	return c.open
+	return open
 }
 
-// closeIdle closes a connection without a request, unless one waits to be read. It reports
-// whether it closed the connection. c.mu must be held: received locks it before a request is
-// handled, so that no request is handled whose connection was closed.
+// closeIdle closes a connection without a request, unless bytes of one have arrived. It reports
+// whether it closed the connection. c.mu must not be held: others need it for each request, and
+// closing many connections takes long.
 func (c *callerConns) closeIdle(conn *callerConn) bool {
-	if conn.hasUnread() {
+	if !c.forgetIdle(conn) {
+		return false
+	}
+	// Close waits until no Read uses the socket, and such a Read may wait for conn.mu.
+	_ = conn.Close()
+	return true
+}
+
+// forgetIdle marks a connection without a request as closed, unless bytes of one have arrived. It
+// reports whether it has marked it.
+func (c *callerConns) forgetIdle(conn *callerConn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, isIdle := c.idle[conn]
+	_, isFresh := c.fresh[conn]
+	if !isIdle && !isFresh {
 		return false
 	}
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	if conn.used || conn.hasUnread() {
+		return false
+	}
+	conn.closed = true
 	delete(c.fresh, conn)
 	delete(c.idle, conn)
-	conn.closed = true
-	_ = conn.Close()
 	return true
 }
 
 // hasUnread reports whether bytes wait to be read in the socket's buffer.
 func (c *callerConn) hasUnread() bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
+	if c.socket == nil {
 		return false
 	}
 	unread := false
 	// Control, unlike Read, does not wait for the Read that is pending on an idle connection.
-	_ = raw.Control(func(fd uintptr) {
+	_ = c.socket.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		unread = n > 0 && err == nil
--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -293,6 +293,44 @@
 			if got := <-read; got != "GET <nil>" {
 				t.Errorf("read %q, want the request", got)
 			}
+			if _, err := io.WriteString(accepted, "answer"); err != nil {
+				t.Errorf("write of the answer: %v", err)
+			}
 		})
 	}
 }
+
+// A request that arrives after a connection was marked as closed must not be read: it could not be
+// answered.
+func TestRequestIsNotReadFromConnMarkedAsClosed(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conns := newCallerConns(1, clock.Monotonic())
+	l := &callerListener{Listener: inner, conns: conns}
+	defer l.Close()
+	caller, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer caller.Close()
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	conn := accepted.(*callerConn)
+	if !conns.forgetIdle(conn) {
+		t.Fatal("a connection without a request is not closed")
+	}
+	if _, err := io.WriteString(caller, "GET"); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := conn.Read(make([]byte, 8)); n != 0 || !errors.Is(err, net.ErrClosed) {
+		t.Errorf("read %d bytes and error %v, want none and %v", n, err, net.ErrClosed)
+	}
+	if !conn.hasUnread() {
+		t.Error("the request was taken out of the kernel's buffer")
+	}
+}
