--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -30,6 +30,11 @@
 	// GaveUp reports whether the last unsuccessful attempt that may have run was ended by
 	// this instance, because its target sent nothing for too long.
 	GaveUp bool
+	// Silence is the last silence for which a replacement was placed, or sought if none was placed.
+	Silence Silence
+	// NoRetry says why no attempt followed the last one although the caller has no complete
+	// response, empty if the scheduler was asked for another.
+	NoRetry string
 	// Refusal is the scheduler's refusal that ended the request, nil if there was none.
 	Refusal *scheduler.Refusal
 	// Cause is the underlying error of Reason, empty if there is none.
@@ -51,6 +56,57 @@
 	Sends, Runs, Events int
 }
 
+// Silence describes a target that sent nothing for too long, and its replacement.
+type Silence struct {
+	// Target is the silent target, empty if there was none.
+	Target fleet.TargetID
+	// From is the time from the request's arrival to the start of the silence, Asked that to
+	// the last request for a replacement.
+	From, Asked time.Duration
+	// Replacement is the target that was to take over, empty if none was free.
+	Replacement fleet.TargetID
+	Result      ReplacementResult
+	// Took is the time from Asked to Result, 0 if the result was not known when the attempt ended.
+	Took time.Duration
+}
+
+// ReplacementResult is what became of the replacement of a silent target.
+type ReplacementResult string
+
+// Results of a replacement.
+const (
+	// replacementNotPlaced: no other target could take the request.
+	replacementNotPlaced ReplacementResult = "not_placed"
+	// replacementUnreachable: no connection to it could be opened.
+	replacementUnreachable ReplacementResult = "unreachable"
+	// replacementLeft: it had to leave, or the caller left, before the request was sent.
+	replacementLeft ReplacementResult = "left"
+	// replacementRefused: it did not run the request.
+	replacementRefused ReplacementResult = "refused"
+	// replacementBroken: its run broke off before it had delivered.
+	replacementBroken ReplacementResult = "broken"
+	// replacementUnsound: its response could not be passed on.
+	replacementUnsound ReplacementResult = "unsound"
+	// replacementFailed: it answered with an error of its own.
+	replacementFailed ReplacementResult = "failed"
+	// replacementUnneeded: the silent run delivered or the request ended before.
+	replacementUnneeded ReplacementResult = "unneeded"
+	// replacementTookOver: it delivered first, and the silent run was ended.
+	replacementTookOver ReplacementResult = "took_over"
+	// replacementFollowed: the silent run ended by itself, and the request went on with it.
+	replacementFollowed ReplacementResult = "followed"
+)
+
+// Reasons for which no attempt follows an unsuccessful one.
+const (
+	// noRetryTargets: the request may run on no further target.
+	noRetryTargets = "targets_used"
+	// noRetrySends: maxSends attempts reached a target.
+	noRetrySends = "sends_used"
+	// noRetryEnded: the caller left or the request's time is up.
+	noRetryEnded = "request_ended"
+)
+
 // recordRefusal records that the scheduler refused the request or its retry.
 func (x *exchange) recordRefusal(refusal *scheduler.Refusal) {
 	x.result.Refusal = refusal
@@ -106,6 +162,14 @@
 	if r.RetryRefused != "" && r.GaveUp {
 		line = line.Bool("gave_up", true)
 	}
+	if r.NoRetry != "" {
+		line = line.Str("no_retry", r.NoRetry)
+	}
+	if s := &r.Silence; s.Target != "" {
+		line = line.Str("silent_target", string(s.Target)).Int64("silent_from_ms", s.From.Milliseconds()).
+			Int64("silent_asked_ms", s.Asked.Milliseconds()).Str("replacement", string(s.Replacement)).
+			Str("replacement_result", string(s.Result)).Int64("replacement_ms", s.Took.Milliseconds())
+	}
 	if r.Refusal != nil {
 		line = appendInputs(line, r.Refusal)
 		if r.Refusal.Reason == scheduler.ReasonCrashesTargets {
@@ -142,8 +206,9 @@
 const maxLoggedParts = 8
 
 // logBrokenRun logs a run whose connection to the target broke, with the shared parts of its
-// prompt. down says that the target is known to be down. err may be nil.
-func (x *exchange) logBrokenRun(p *scheduler.Placement, down bool, err error) {
+// prompt. down says that the target is known to be down, events is the number of events that
+// the run contributed. err may be nil.
+func (x *exchange) logBrokenRun(p *scheduler.Placement, down bool, events int, err error) {
 	parts := zerolog.Arr()
 	shared := x.call.Parts[:max(len(x.call.Parts)-1, 0)]
 	for _, part := range shared[:min(len(shared), maxLoggedParts)] {
@@ -151,7 +216,7 @@
 	}
 	x.h.options.Log.Info().Str("event", "run_broken").Str("id", x.call.ID).Str("route", x.route.Name).
 		Str("customer", string(x.customer)).Str("target", string(p.Target.ID)).Int64("target_start", p.Target.StartMillis).
-		Bool("target_down", down).Int("events", x.runEvents).Array("parts", parts).Int("shared_parts", len(shared)).Err(err).Msg("")
+		Bool("target_down", down).Int("events", events).Array("parts", parts).Int("shared_parts", len(shared)).Err(err).Msg("")
 }
 
 // appendInputs adds the inputs of a refusal to a log line, without those that do not apply.
