Ingress: pass on only what can be an event of a stream

Callers would have seen the head and the text of an error in the middle of a stream, and the end of a stream that had broken off there as a complete one.

Cause: all lines before an empty one counted as an event, so that a target that writes an error into the body of its stream, or in place of the rest that it is asked for, had that passed on.

A line of an event is now an empty line, a comment or a field whose name is a word. Anything else breaks the run off before the event that contains it; the stream is resumed elsewhere or aborted. Unknown fields stay allowed, since targets add their own.

--- a/internal/ingress/events.go
+++ b/internal/ingress/events.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 
@@ -22,6 +23,9 @@
 // errTruncatedEvent is returned when a stream ended within an event.
 var errTruncatedEvent = errors.New("stream ended within an event")
 
+// maxQuotedBytes limits how much of what a target sent is quoted in an error.
+const maxQuotedBytes = 40
+
 // eventReader reads server-sent events from a stream.
 type eventReader struct {
 	in  *bufio.Reader
@@ -43,7 +47,7 @@
 
 // next returns the next complete event. The error is io.EOF if the stream ended between
 // events, errTruncatedEvent if it ended within one, and an *upstream.LimitError if an event
-// exceeds maxEventBytes.
+// exceeds maxEventBytes. Bytes that cannot belong to an event are an error, too.
 func (r *eventReader) next() (event, error) {
 	r.raw = r.raw[:0]
 	var idStart, idEnd, lineStart int
@@ -66,6 +70,9 @@
 			return event{}, err
 		}
 		text := bytes.TrimRight(r.raw[lineStart:], "\r\n")
+		if !isEventLine(text) {
+			return event{}, errors.Errorf("event stream: got line %.*q, want a field or a comment", maxQuotedBytes, text)
+		}
 		// An empty line at the start ends no event. It is kept and passed on with the next event.
 		if len(text) == 0 && lineStart > 0 {
 			return event{raw: r.raw, id: r.raw[idStart:idEnd]}, nil
@@ -78,6 +85,23 @@
 	}
 }
 
+// isEventLine reports whether a line, without its end, can be part of an event: an empty line, a
+// comment or a field. The name of a field is not restricted to the known ones, but it is a word.
+// A target may write the head or the text of an error into its stream.
+func isEventLine(text []byte) bool {
+	name, _, hasColon := bytes.Cut(text, []byte(":"))
+	if !hasColon {
+		switch string(name) {
+		case "", "data", "event", "id", "retry":
+			return true
+		}
+		return false
+	}
+	return !bytes.ContainsFunc(name, func(c rune) bool {
+		return c < utf8.RuneSelf && c != '-' && c != '_' && (c < '0' || c > '9') && (c < 'A' || c > 'Z') && (c < 'a' || c > 'z')
+	})
+}
+
 // hasBuffered reports whether a complete event can be read without blocking.
 func (r *eventReader) hasBuffered() bool {
 	// Peek does not fail for bytes that are buffered.
--- a/internal/ingress/events_test.go
+++ b/internal/ingress/events_test.go
@@ -111,3 +111,23 @@
 		}
 	}
 }
+
+// Lines that are no part of an event, such as the head of an error, must not be passed on as one.
+func TestErrorIsTakenForEvent(t *testing.T) {
+	for _, text := range []string{
+		"data: x\n\n", "data\n\n", "id:7\r\ndata: a: b\r\n\r\n", ": comment\n\n", ":\n\n", "weight-versions: 3\nid: 7\n\n", "\nx_1:\n\n",
+		"\ufeffdata: x\n\n", "data: HTTP/1.1 500 Internal Server Error\n\n", "event:error\nretry: 5\nid\n\n",
+	} {
+		if e, err := newEventReader(strings.NewReader(text)).next(); err != nil || string(e.raw) != text {
+			t.Errorf("event %q: got %q and error %v, want it unchanged", text, e.raw, err)
+		}
+	}
+	for _, text := range []string{
+		"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", "overloaded\n\n", "error: x\nat line 3\n\n",
+		"{\"error\": \"x\"}\n\n", "<html>: x\n\n", "two words: x\n\n", "\x00: x\n\n", "data: x\nHTTP/1.1 200 OK\n\n", " data: x\n\n",
+	} {
+		if e, err := newEventReader(strings.NewReader(text)).next(); err == nil {
+			t.Errorf("text %q: got event %q, want an error", text, e.raw)
+		}
+	}
+}
