Ingress: continue a stream only with the events that follow

Callers would have seen events of a second run from the start, a second time or with some left out, an error in the form of an event, or the stream ended as complete by an empty answer of another kind.

Cause: after a stream broke off, the status 200 and the signature alone decided that the next target's bytes are the events that follow.

A resumed response must now have the media type of the first one, and its first event a numeric id above the last one; where ids have risen by one so far, the very next one. Later ids must increase, too. A run that does not continue the stream is ended with the reason resume_refused and its cause in the request's line; the caller's connection is aborted unless another target may take over. Events that were held for the one that is refused are flushed first.

TestEventOfOtherPlaceIsJoined checks the decision by itself.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -253,14 +253,11 @@
 		p.End(scheduler.Broken)
 		x.result.Reason = "answer_unsound"
 		return mayHaveRun
+	case x.headerWritten && (resp.Status != http.StatusOK || mediaType(resp) != x.streamType):
+		return x.refuseResumed(p, resp, errors.Errorf("resumed response: got status %d and type %q, want %d and %q",
+			resp.Status, mediaType(resp), http.StatusOK, x.streamType))
 	case x.route.Kind == catalog.Stream && resp.Status == http.StatusOK:
 		return x.relayStream(ctx, p, resp)
-	case x.headerWritten:
-		// The target did not resume the stream but sent another kind of response.
-		resp.Finish(false)
-		p.End(scheduler.Failed)
-		x.result.Reason = "resume_refused"
-		return mayHaveRun
 	}
 	return x.relayBuffered(ctx, p, resp)
 }
--- a/internal/ingress/events.go
+++ b/internal/ingress/events.go
@@ -43,6 +43,9 @@
 	raw []byte
 	// id is the value of the event's id field, empty if it has none.
 	id []byte
+	// hasContent reports whether the event has a field other than retry, so that it is more than
+	// comments and settings of the connection.
+	hasContent bool
 }
 
 // next returns the next complete event. The error is io.EOF if the stream ended between
@@ -51,6 +54,7 @@
 func (r *eventReader) next() (event, error) {
 	r.raw = r.raw[:0]
 	var idStart, idEnd, lineStart int
+	hasContent := false
 	for {
 		part, err := r.in.ReadSlice('\n')
 		if size := len(r.raw) + len(part); size > maxEventBytes {
@@ -75,12 +79,14 @@
 		}
 		// An empty line at the start ends no event. It is kept and passed on with the next event.
 		if len(text) == 0 && lineStart > 0 {
-			return event{raw: r.raw, id: r.raw[idStart:idEnd]}, nil
+			return event{raw: r.raw, id: r.raw[idStart:idEnd], hasContent: hasContent}, nil
 		}
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			idEnd = lineStart + len(text)
 			idStart = idEnd - len(bytes.TrimPrefix(value, []byte(" ")))
 		}
+		name, _, _ := bytes.Cut(text, []byte(":"))
+		hasContent = hasContent || len(name) > 0 && string(name) != "retry"
 		lineStart = len(r.raw)
 	}
 }
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -135,6 +135,9 @@
 	// current run contributed.
 	lastEvent string
 	runEvents int
+	// streamType is the media type of the stream, position the place up to which it was written.
+	streamType string
+	position   streamPosition
 	// silence watches the current attempt. replacement is the placement that it obtained for
 	// the next one, nil for none.
 	silence     *silenceWatch
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -102,6 +103,7 @@
 func (x *exchange) relayStream(ctx context.Context, p *scheduler.Placement, resp *upstream.Response) attemptResult {
 	events := newEventReader(resp.Body)
 	flusher := http.NewResponseController(x.w)
+	resumed, joined := x.headerWritten, false
 	for first := true; ; first = false {
 		e, err := events.next()
 		x.silence.received()
@@ -113,9 +115,17 @@
 			return answered
 		}
 		if err != nil {
+			x.flushEvents(flusher)
 			resp.Finish(false)
 			return x.markBroken(ctx, p, err)
 		}
+		if resumed {
+			if err := x.position.checkNext(e, !joined); err != nil {
+				x.flushEvents(flusher)
+				return x.refuseResumed(p, resp, err)
+			}
+			joined = joined || e.hasContent
+		}
 		if first {
 			p.PrefillDone()
 			x.writeStreamHeader(resp)
@@ -142,9 +152,24 @@
 		header[name] = values
 	}
 	header.Del("Content-Length")
+	x.streamType = mediaType(resp)
 	x.writeHeader(resp.Status)
 }
 
+// mediaType returns the media type of a response without its parameters.
+func mediaType(resp *upstream.Response) string {
+	name, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
+// refuseResumed ends a run that was to resume the stream, but whose response does not continue it.
+func (x *exchange) refuseResumed(p *scheduler.Placement, resp *upstream.Response, err error) attemptResult {
+	resp.Finish(false)
+	p.End(scheduler.Failed)
+	x.result.Reason, x.result.Cause = "resume_refused", err.Error()
+	return mayHaveRun
+}
+
 // writeEvent writes an event to the caller. It flushes unless the next event has arrived, too,
 // so that events that arrive together are sent together.
 func (x *exchange) writeEvent(flusher *http.ResponseController, e event, nextBuffered bool) error {
@@ -153,6 +178,7 @@
 	}
 	x.result.Events++
 	x.runEvents++
+	x.position.add(e)
 	if len(e.id) > 0 {
 		x.lastEvent = string(e.id)
 	}
@@ -161,3 +187,12 @@
 	}
 	return flusher.Flush()
 }
+
+// flushEvents sends the events that were written and not flushed, since what was to follow them
+// does not.
+func (x *exchange) flushEvents(flusher *http.ResponseController) {
+	if x.headerWritten {
+		// A caller that has left is noticed by the next write.
+		_ = flusher.Flush()
+	}
+}
--- a/internal/ingress/stream_position_test.go
+++ b/internal/ingress/stream_position_test.go
@@ -34,3 +34,59 @@
 		e.checkReleased()
 	})
 }
+
+// A run may continue a stream only with an event that comes after the last one.
+func TestEventOfOtherPlaceIsJoined(t *testing.T) {
+	type next struct {
+		text  string
+		later bool
+	}
+	tests := map[string]struct {
+		written  string
+		accepted []next
+		refused  []next
+	}{
+		"nothing written": {"", []next{{"id: 7\ndata: x\n\n", false}, {"data: x\n\n", false}}, nil},
+		"only comments":   {": a\n\nretry: 5\n\n", []next{{"id: 1\ndata: x\n\n", false}}, nil},
+		"consecutive": {
+			"id: 1\ndata: x\n\n: a\n\nid: 2\ndata: x\n\n",
+			[]next{{"id: 3\ndata: x\n\n", false}, {": a\n\n", false}, {"retry: 5\n\n", false}, {"id: 4\ndata: x\n\n", true}, {"data: x\n\n", true}},
+			[]next{{"id: 4\ndata: x\n\n", false}, {"id: 2\ndata: x\n\n", false}, {"id: 1\ndata: x\n\n", true}, {"data: x\n\n", false}, {"id: x\n\n", true}, {"id: -3\n\n", false}},
+		},
+		"with steps": {
+			"id: 10\ndata: x\n\nid: 13\ndata: x\n\n",
+			[]next{{"id: 14\ndata: x\n\n", false}, {"id: 99\ndata: x\n\n", false}},
+			[]next{{"id: 13\ndata: x\n\n", false}, {"id: 11\ndata: x\n\n", false}},
+		},
+		"one event": {"id: 1\ndata: x\n\n", []next{{"id: 3\ndata: x\n\n", false}}, []next{{"id: 1\ndata: x\n\n", false}}},
+	}
+	read := func(text string) event {
+		e, err := newEventReader(strings.NewReader(text)).next()
+		if err != nil {
+			t.Fatalf("event %q: %v", text, err)
+		}
+		return e
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var p streamPosition
+			events := newEventReader(strings.NewReader(test.written))
+			for e, err := events.next(); err == nil; e, err = events.next() {
+				p.add(e)
+			}
+			if !p.isKnown() {
+				t.Errorf("position %+v is not known", p)
+			}
+			for _, n := range test.accepted {
+				if err := p.checkNext(read(n.text), !n.later); err != nil {
+					t.Errorf("event %q, later: %t: %v, want it to be accepted", n.text, n.later, err)
+				}
+			}
+			for _, n := range test.refused {
+				if err := p.checkNext(read(n.text), !n.later); err == nil {
+					t.Errorf("event %q, later: %t, is accepted", n.text, n.later)
+				}
+			}
+		})
+	}
+}
