Ingress: start no second run within a response that cannot be continued

Callers would have seen a stream without ids begin again in its middle, events after a long answer that is no stream, or a silent stream without ids given up for a run from the start.

Cause: whenever a route may be retried, the request went to another target though the response had begun, with the id of the last event that had one, or with none.

A response that has begun is now continued only if it is a stream and its last event has a numeric id above those before it. Otherwise the caller's connection is aborted, and a silent run is not replaced.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -65,7 +65,7 @@
 			x.sends++
 			x.runs++
 			retry = true
-			if !x.route.Repeatable() || x.runs >= x.route.MaxTargets {
+			if !x.route.Repeatable() || x.runs >= x.route.MaxTargets || !x.isContinuable() {
 				x.fail(ctx)
 				return
 			}
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -135,7 +135,9 @@
 	// current run contributed.
 	lastEvent string
 	runEvents int
-	// streamType is the media type of the stream, position the place up to which it was written.
+	// streaming reports whether a stream is being written. streamType is its media type, position
+	// the place up to which it was written.
+	streaming  bool
 	streamType string
 	position   streamPosition
 	// silence watches the current attempt. replacement is the placement that it obtained for
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -152,7 +152,7 @@
 		header[name] = values
 	}
 	header.Del("Content-Length")
-	x.streamType = mediaType(resp)
+	x.streaming, x.streamType = true, mediaType(resp)
 	x.writeHeader(resp.Status)
 }
 
@@ -162,6 +162,12 @@
 	return strings.ToLower(strings.TrimSpace(name))
 }
 
+// isContinuable reports whether another run can continue the response from where it is: nothing
+// of it has been written, or the events of a stream up to a known position.
+func (x *exchange) isContinuable() bool {
+	return !x.headerWritten || x.streaming && x.position.isKnown()
+}
+
 // refuseResumed ends a run that was to resume the stream, but whose response does not continue it.
 func (x *exchange) refuseResumed(p *scheduler.Placement, resp *upstream.Response, err error) attemptResult {
 	resp.Finish(false)
--- a/internal/ingress/silence.go
+++ b/internal/ingress/silence.go
@@ -172,7 +172,7 @@
 // isReplaceable reports whether another attempt may follow the current one if that breaks
 // off.
 func (x *exchange) isReplaceable() bool {
-	return x.route.Repeatable() && x.runs+1 < x.route.MaxTargets && x.sends+1 < maxSends
+	return x.route.Repeatable() && x.runs+1 < x.route.MaxTargets && x.sends+1 < maxSends && x.isContinuable()
 }
 
 // firstByteTimeout returns how long the target may take until its first byte before the
