Entry: a second run must repeat all that the caller has

Callers of medlarwind's own interface would have seen an answer that broke off end as complete where the second run's output was shorter: pieces of the first run, with the trailer and the token counts of the second.

Cause: the outputs are compared only when the second one reaches the length of the first, and its end was not looked at.

A run that ends before that is now the same failure as one with other output (answer_diverged).

TestShorterSecondRunEndsAnswer failed in 2 of 6 cases before and in none now. All of internal/entry passes under the race detector.

--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -184,6 +184,9 @@
 	output.bootID = stream.BootID()
 	for {
 		chunk, err := stream.Next()
+		if err == io.EOF && output.skipBytes > 0 {
+			return errDiverged
+		}
 		if err == io.EOF {
 			g.answer.finish(output.inputTokens, output.outputTokens)
 			return nil
