--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -203,6 +203,7 @@
 	"target_broken":             "the connection to the target broke before the answer",
 	"answer_broken":             "the target's answer was incomplete",
 	"answer_unsound":            "the target's answer failed validation",
+	"resume_refused":            "the response of the target that was to resume the stream did not continue it",
 	"time_up":                   "the timeout of the caller or of the route expired",
 	"caller_gone":               "the caller had disconnected",
 	"unknown_key":               "no customer has the key",
