Quarantine: failing tests of a deadly part that another explanation allows

While nothing is answered, crashes with other causes make a part that requests share the better explanation of all crashes, and the deadly one is allowed again though no target has answered with it.

--- a/internal/quarantine/evidence_test.go
+++ b/internal/quarantine/evidence_test.go
@@ -417,3 +417,81 @@
 		n.RecordAnswering(request, n.now)
 	}
 }
+
+// While nothing is answered, targets also crash for other reasons, under requests of which one part
+// then explains the crashes of the deadly one, too. That must not allow the deadly one again.
+func TestOtherExplanationAllowsDeadlyPart(t *testing.T) {
+	n := newEvidenceNode()
+	for range refuseAfter {
+		n.crash(n.traits(1, shared, deadly))
+	}
+	if !n.isRefused(1, deadly) {
+		t.Fatal("the deadly part may run after it crashed targets")
+	}
+	for range refuseAfter {
+		n.crash(n.traits(1, shared))
+		if !n.isRefused(1, deadly) {
+			t.Fatal("the deadly part may run, though no target has answered with it")
+		}
+	}
+	n.RecordAnswering(n.traits(1, shared), n.now)
+	if !n.isRefused(1, deadly) || n.isRefused(1, shared) {
+		t.Error("want the deadly part refused and the other one allowed after a target answered with that")
+	}
+}
+
+// Instances that refused different parts first, while nothing was answered, must come to the same
+// decision once they hear of each other, and so must one that starts later. No part that one of
+// them had refused may be allowed.
+func TestUnansweredPartsStayRefusedOnAllInstances(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		nodes := make([]*evidenceNode, rapid.IntRange(1, 4).Draw(t, "instances"))
+		now := evidenceStart
+		for i := range nodes {
+			nodes[i] = newEvidenceNode()
+			nodes[i].request, nodes[i].start = uint64(i*1000), uint64(i*1000)
+		}
+		isRefused := func(n *evidenceNode, part uint64) bool { return n.records[part] != nil && n.records[part].refused }
+		parts := []uint64{common, shared, deadly, deadly2}
+		everRefused := map[uint64]bool{}
+		step := func(lost float64) {
+			for _, to := range rng.Perm(len(nodes)) {
+				for _, from := range rng.Perm(len(nodes)) {
+					if rng.Float64() >= lost {
+						nodes[to].Merge(nodes[from].Report(now), now)
+					}
+				}
+			}
+			for _, n := range nodes {
+				for _, part := range parts {
+					everRefused[part] = everRefused[part] || isRefused(n, part)
+				}
+			}
+		}
+		for range 8 + rng.IntN(16) {
+			now = now.Add(time.Duration(200+rng.IntN(400)) * time.Millisecond)
+			n := nodes[rng.IntN(len(nodes))]
+			n.now = now
+			var in []uint64
+			for _, part := range parts {
+				if rng.IntN(2) == 0 {
+					in = append(in, part)
+				}
+			}
+			n.crashNow(n.traits(uint32(1+rng.IntN(2)), in...))
+			step(0.5)
+		}
+		nodes = append(nodes, newEvidenceNode())
+		for range len(nodes) {
+			step(0)
+		}
+		for i, n := range nodes {
+			for _, part := range parts {
+				if isRefused(n, part) != everRefused[part] {
+					t.Fatalf("part %d: refused at instance %d: %t, at any time at any instance: %t", part, i, isRefused(n, part), everRefused[part])
+				}
+			}
+		}
+	})
+}
