--- a/internal/quarantine/evidence_test.go
+++ b/internal/quarantine/evidence_test.go
@@ -495,3 +495,26 @@
 		}
 	})
 }
+
+// Several parts of a request may stay refused while nothing is answered, though one of them explains
+// all crashes. A request with them must still be tried, or all with these parts would be refused for long.
+func TestPartsRefusedTogetherAreNeverTried(t *testing.T) {
+	n := newEvidenceNode()
+	for range refuseAfter {
+		n.crash(n.traits(1, common, shared))
+	}
+	n.crash(n.traits(1, common, deadly))
+	if !n.isRefused(1, common) || !n.isRefused(1, shared) {
+		t.Fatal("want both parts refused")
+	}
+	n.now = n.now.Add(firstTrial)
+	request := n.traits(1, common, shared)
+	if j := n.Check(request, n.now, firstInOrder); !j.Trial {
+		t.Fatalf("%+v, want a trial", j)
+	}
+	n.RecordTrial(request, n.now)
+	n.RecordAnswering(request, n.now)
+	if n.isRefused(1, common, shared) {
+		t.Error("the parts are still refused after a target answered the trial")
+	}
+}
