--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -142,11 +142,6 @@
 	// heldCount is the number of crashes that are not cleared.
 	heldCount int
 	refused   bool
-	// condemned reports that some instance has refused the part. Until a target answers with it, only
-	// the age of its crashes ends that, since another explanation of them does not make it sound.
-	condemned bool
-	// explained reports that the trait is refused though others explain its crashes.
-	explained bool
 }
 
 // Evidence finds out which requests crash targets, from the crashes that all instances of
@@ -283,7 +278,7 @@
 		return Judgement{}
 	}
 	var found *record
-	j, unexplained := Judgement{}, 0
+	j, refusals := Judgement{}, 0
 	for i := -1; i < len(t.Parts); i++ {
 		key := t.Whole
 		if i >= 0 {
@@ -297,9 +292,7 @@
 		if i > 0 && slices.Contains(t.Parts[:i], key) {
 			continue
 		}
-		if !r.explained {
-			unexplained++
-		}
+		refusals++
 		if found == nil || r.trialDue() > found.trialDue() {
 			found, j = r, Judgement{Refused: true, Trait: key, Part: i, Crashes: r.heldCount}
 		}
@@ -312,8 +305,8 @@
 	}
 	position, instances := order(found.key)
 	j.TrialIn = untilTurn(-j.TrialIn, position, instances)
-	// A trial with a second trait that crashes targets by itself would tell nothing of the first.
-	if unexplained <= 1 && j.TrialIn == 0 {
+	// A trial with a second refused trait would tell nothing of the first.
+	if refusals == 1 && j.TrialIn == 0 {
 		j.Refused, j.Trial = false, true
 	}
 	return j
@@ -346,9 +339,6 @@
 		if r := e.records[w.Trait]; r != nil && w.Sound {
 			e.setSound(r, now)
 		}
-		if r := e.records[w.Trait]; r != nil && w.Condemned && !r.condemned && !r.whole {
-			r.condemned, e.undecided = true, true
-		}
 		if r := e.records[w.Trait]; r != nil && w.Trials > r.trials && w.TrialAgeMillis >= 0 {
 			r.trials, r.changedAt = w.Trials, now
 			r.triedAt = max(r.triedAt, now.Add(-time.Duration(w.TrialAgeMillis)*time.Millisecond))
@@ -371,7 +361,7 @@
 	slices.SortFunc(chosen, compareNews)
 	list := make([]wire.Evidence, 0, min(len(chosen), maxReported))
 	for _, r := range chosen[:min(len(chosen), maxReported)] {
-		w := wire.Evidence{Trait: r.key, Whole: r.whole, Depth: r.depth, Sound: r.sound, Condemned: r.condemned, Trials: r.trials}
+		w := wire.Evidence{Trait: r.key, Whole: r.whole, Depth: r.depth, Sound: r.sound, Trials: r.trials}
 		if r.trials > 0 {
 			w.TrialAgeMillis = now.Sub(r.triedAt).Milliseconds()
 		}
@@ -436,7 +426,7 @@
 // decide decides which traits are refused. A crash counts only against the first trait that is
 // refused for it. Traits are judged in the order of suspicion, so that where several were
 // together, few are refused that explain all crashes, and those first that no target has
-// answered with. Of these a part that was refused before stays so.
+// answered with.
 func (e *Evidence) decide() {
 	if !e.undecided {
 		return
@@ -460,11 +450,8 @@
 				left = append(left, c)
 			}
 		}
-		needed := r.suffice(left)
-		refused := needed || r.staysCondemned() && r.suffice(r.held())
-		r.explained = refused && !needed
+		refused := independent(left) >= r.refuseAfter() && (r.whole || distinct(left, crash.byRequest) >= minRequests)
 		if refused {
-			r.condemned = !r.whole
 			e.refused++
 			for _, c := range r.held() {
 				explained[c.id] = true
@@ -480,14 +467,6 @@
 	}
 }
 
-// suffice reports whether crashes are enough to refuse the trait.
-func (r *record) suffice(crashes []crash) bool {
-	return independent(crashes) >= r.refuseAfter() && (r.whole || distinct(crashes, crash.byRequest) >= minRequests)
-}
-
-// staysCondemned reports whether the part was refused and no target has answered with it since.
-func (r *record) staysCondemned() bool { return r.condemned && !r.sound }
-
 func (e *Evidence) noteChange(r *record) {
 	if len(e.changes) < maxEvidenceChanges {
 		held := r.held()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -186,10 +186,8 @@
 	Whole bool `json:"w,omitempty"`
 	Depth int  `json:"d,omitempty"`
 	// Sound reports whether some target has answered with the part at some time.
-	Sound bool `json:"s,omitempty"`
-	// Condemned reports whether some instance has refused the part.
-	Condemned bool    `json:"f,omitempty"`
-	Crashes   []Crash `json:"c,omitempty"`
+	Sound   bool    `json:"s,omitempty"`
+	Crashes []Crash `json:"c,omitempty"`
 	// Trials counts the requests that ran although the trait was refused, the last of them
 	// TrialAgeMillis ago, in milliseconds.
 	Trials         int   `json:"n,omitempty"`
