Ingress: comments alone do not make an unframed stream whole

Callers would have seen a stream end as complete where the target's connection ended after a comment, in the first run or in one that resumes the stream.

Cause: any block counted as an event, after which the end of the connection is the end of the stream. A run must now have sent an event with a field.

--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -103,13 +103,13 @@
 func (x *exchange) relayStream(ctx context.Context, p *scheduler.Placement, resp *upstream.Response) attemptResult {
 	events := newEventReader(resp.Body)
 	flusher := http.NewResponseController(x.w)
-	resumed, joined := x.headerWritten, false
+	resumed, begun := x.headerWritten, false
 	for first := true; ; first = false {
 		e, err := events.next()
 		x.silence.received()
 		// A resumed stream may have no further events. If nothing but the connection marks its end,
 		// that cannot be told from a target that crashed before its first event.
-		if errors.Is(err, io.EOF) && (!first || x.headerWritten && !resp.EndsWithConn) {
+		if errors.Is(err, io.EOF) && (begun || !resp.EndsWithConn && x.headerWritten) {
 			resp.Finish(true)
 			p.End(scheduler.Completed)
 			return answered
@@ -120,12 +120,12 @@
 			return x.markBroken(ctx, p, err)
 		}
 		if resumed {
-			if err := x.position.checkNext(e, !joined); err != nil {
+			if err := x.position.checkNext(e, !begun); err != nil {
 				x.flushEvents(flusher)
 				return x.refuseResumed(p, resp, err)
 			}
-			joined = joined || e.hasContent
 		}
+		begun = begun || e.hasContent
 		if first {
 			p.PrefillDone()
 			x.writeStreamHeader(resp)
