--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -70,8 +70,11 @@
 			x.sends++
 			x.runs++
 			retry = true
-			if !x.route.Repeatable() || x.runs >= x.route.MaxTargets {
+			if !x.route.Repeatable() || x.runs >= x.route.MaxTargets || !x.isContinuable() {
 				x.result.NoRetry = noRetryTargets
+				if !x.isContinuable() {
+					x.result.NoRetry = noRetryPosition
+				}
 				x.fail(ctx)
 				return
 			}
@@ -286,14 +289,11 @@
 		p.End(scheduler.Broken)
 		x.result.Reason = "answer_unsound"
 		return mayHaveRun
+	case x.headerWritten && !x.continuesStream(resp):
+		return x.refuseResumed(p, resp, errors.Errorf("resumed response: got status %d and type %q, want %d and %q",
+			resp.Status, mediaType(resp), http.StatusOK, x.streamType))
 	case x.isStream(resp):
 		return x.relayStream(ctx, p, resp)
-	case x.headerWritten:
-		// The target did not resume the stream but sent another kind of response.
-		resp.Finish(false)
-		p.End(scheduler.Failed)
-		x.result.Reason = "resume_refused"
-		return mayHaveRun
 	}
 	return x.relayBuffered(ctx, p, resp)
 }
--- a/internal/ingress/events.go
+++ b/internal/ingress/events.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 
@@ -22,6 +23,9 @@
 // errTruncatedEvent is returned when a stream ended within an event.
 var errTruncatedEvent = errors.New("stream ended within an event")
 
+// maxQuotedBytes limits how much of what a target sent is quoted in an error.
+const maxQuotedBytes = 40
+
 // eventReader reads server-sent events from a stream.
 type eventReader struct {
 	in  *bufio.Reader
@@ -39,14 +43,18 @@
 	raw []byte
 	// id is the value of the event's id field, empty if it has none.
 	id []byte
+	// hasContent reports whether the event has a field other than retry, so that it is more than
+	// comments and settings of the connection.
+	hasContent bool
 }
 
 // next returns the next complete event. The error is io.EOF if the stream ended between
 // events, errTruncatedEvent if it ended within one, and an *upstream.LimitError if an event
-// exceeds maxEventBytes.
+// exceeds maxEventBytes. Bytes that cannot belong to an event are an error, too.
 func (r *eventReader) next() (event, error) {
 	r.raw = r.raw[:0]
 	var idStart, idEnd, lineStart int
+	hasContent := false
 	for {
 		part, err := r.in.ReadSlice('\n')
 		if size := len(r.raw) + len(part); size > maxEventBytes {
@@ -66,18 +74,40 @@
 			return event{}, err
 		}
 		text := bytes.TrimRight(r.raw[lineStart:], "\r\n")
+		if !isEventLine(text) {
+			return event{}, errors.Errorf("event stream: got line %.*q, want a field or a comment", maxQuotedBytes, text)
+		}
 		// An empty line at the start ends no event. It is kept and passed on with the next event.
 		if len(text) == 0 && lineStart > 0 {
-			return event{raw: r.raw, id: r.raw[idStart:idEnd]}, nil
+			return event{raw: r.raw, id: r.raw[idStart:idEnd], hasContent: hasContent}, nil
 		}
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			idEnd = lineStart + len(text)
 			idStart = idEnd - len(bytes.TrimPrefix(value, []byte(" ")))
 		}
+		name, _, _ := bytes.Cut(text, []byte(":"))
+		hasContent = hasContent || len(name) > 0 && string(name) != "retry"
 		lineStart = len(r.raw)
 	}
 }
 
+// isEventLine reports whether a line, without its end, can be part of an event: an empty line, a
+// comment or a field. The name of a field is not restricted to the known ones, but it is a word.
+// A target may write the head or the text of an error into its stream.
+func isEventLine(text []byte) bool {
+	name, _, hasColon := bytes.Cut(text, []byte(":"))
+	if !hasColon {
+		switch string(name) {
+		case "", "data", "event", "id", "retry":
+			return true
+		}
+		return false
+	}
+	return !bytes.ContainsFunc(name, func(c rune) bool {
+		return c < utf8.RuneSelf && c != '-' && c != '_' && (c < '0' || c > '9') && (c < 'A' || c > 'Z') && (c < 'a' || c > 'z')
+	})
+}
+
 // hasBuffered reports whether a complete event can be read without blocking.
 func (r *eventReader) hasBuffered() bool {
 	// Peek does not fail for bytes that are buffered.
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -135,6 +135,11 @@
 	// current run contributed.
 	lastEvent string
 	runEvents int
+	// streaming reports whether a stream is being written. streamType is its media type, position
+	// the place up to which it was written.
+	streaming  bool
+	streamType string
+	position   streamPosition
 	// silence watches the current attempt. standby is the second run that it began and with
 	// which the request goes on, nil for none.
 	silence *silenceWatch
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -111,11 +112,12 @@
 func (x *exchange) relayStream(ctx context.Context, p *scheduler.Placement, resp *upstream.Response) attemptResult {
 	events := newEventReader(resp.Body)
 	flusher := http.NewResponseController(x.w)
+	resumed, begun := x.headerWritten, false
 	for first := true; ; first = false {
 		e, err := events.next()
 		// A resumed stream may have no further events. If nothing but the connection marks its end,
 		// that cannot be told from a target that crashed before its first event.
-		complete := errors.Is(err, io.EOF) && (!first || x.headerWritten && !resp.EndsWithConn)
+		complete := errors.Is(err, io.EOF) && (begun || !resp.EndsWithConn && x.headerWritten)
 		if (err == nil || complete) && !x.silence.received() {
 			complete, err = false, errTargetSilent
 		}
@@ -125,9 +127,17 @@
 			return answered
 		}
 		if err != nil {
+			x.flushEvents(flusher)
 			resp.Finish(false)
 			return x.markBroken(ctx, p, err)
 		}
+		if resumed {
+			if err := x.position.checkNext(e, !begun); err != nil {
+				x.flushEvents(flusher)
+				return x.refuseResumed(p, resp, err)
+			}
+		}
+		begun = begun || e.hasContent
 		if first {
 			p.PrefillDone()
 			x.writeStreamHeader(resp)
@@ -154,9 +164,35 @@
 		header[name] = values
 	}
 	header.Del("Content-Length")
+	x.streaming, x.streamType = true, mediaType(resp)
 	x.writeHeader(resp.Status)
 }
 
+// mediaType returns the media type of a response without its parameters.
+func mediaType(resp *upstream.Response) string {
+	name, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
+// continuesStream reports whether a response is of the kind that was being written.
+func (x *exchange) continuesStream(resp *upstream.Response) bool {
+	return resp.Status == http.StatusOK && mediaType(resp) == x.streamType
+}
+
+// isContinuable reports whether another run can continue the response from where it is: nothing
+// of it has been written, or the events of a stream up to a known position.
+func (x *exchange) isContinuable() bool {
+	return !x.headerWritten || x.streaming && x.position.isKnown()
+}
+
+// refuseResumed ends a run that was to resume the stream, but whose response does not continue it.
+func (x *exchange) refuseResumed(p *scheduler.Placement, resp *upstream.Response, err error) attemptResult {
+	resp.Finish(false)
+	p.End(scheduler.Failed)
+	x.result.Reason, x.result.Cause = "resume_refused", err.Error()
+	return mayHaveRun
+}
+
 // writeEvent writes an event to the caller. It flushes unless the next event has arrived, too,
 // so that events that arrive together are sent together.
 func (x *exchange) writeEvent(flusher *http.ResponseController, e event, nextBuffered bool) error {
@@ -165,6 +201,7 @@
 	}
 	x.result.Events++
 	x.runEvents++
+	x.position.add(e)
 	if len(e.id) > 0 {
 		x.lastEvent = string(e.id)
 	}
@@ -173,3 +210,12 @@
 	}
 	return flusher.Flush()
 }
+
+// flushEvents sends the events that were written and not flushed, since what was to follow them
+// does not.
+func (x *exchange) flushEvents(flusher *http.ResponseController) {
+	if x.headerWritten {
+		// A caller that has left is noticed by the next write.
+		_ = flusher.Flush()
+	}
+}
--- a/internal/ingress/replacement_test.go
+++ b/internal/ingress/replacement_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"medlarwind.dev/medlarwind/internal/inventory"
+	"medlarwind.dev/medlarwind/internal/records"
 )
 
 type runFunc = func(ctx context.Context, w http.ResponseWriter, r *http.Request)
@@ -129,7 +130,7 @@
 						sleep(t.Context(), time.Millisecond)
 						e.addTarget("t2", inventory.Ready, run.run)
 						sleep(t.Context(), limit+dialTime/2)
-						e.listed[1].State, e.listed[1].Revision = inventory.Leaving, 2
+						e.listed[1].State, e.listed[1].WrittenAt = inventory.Leaving, records.NewPosition(0, 2)
 						e.scheduler.SetTargets(e.listed, nil)
 					}()
 					status, body, err := e.call(run.route)
@@ -409,7 +410,7 @@
 		"shorter timeout": func(e *testIngress) { e.configure(2, "app", 100*time.Millisecond) },
 		"other service":   func(e *testIngress) { e.configure(2, "other", 10*time.Second) },
 		"target leaves": func(e *testIngress) {
-			e.listed[0].State, e.listed[0].Revision = inventory.Leaving, 2
+			e.listed[0].State, e.listed[0].WrittenAt = inventory.Leaving, records.NewPosition(0, 2)
 			e.scheduler.SetTargets(e.listed, nil)
 		},
 		"target not listed": func(e *testIngress) { e.scheduler.SetTargets(nil, nil) },
@@ -459,7 +460,7 @@
 			sleep(t.Context(), time.Millisecond)
 			e.addTarget("t2", inventory.Ready, run)
 			sleep(t.Context(), firstByteFactor*testFirstByteSLO+100*time.Millisecond)
-			e.listed[1].State, e.listed[1].Revision = inventory.Leaving, 2
+			e.listed[1].State, e.listed[1].WrittenAt = inventory.Leaving, records.NewPosition(0, 2)
 			e.addTarget("t3", inventory.Ready, run)
 		}()
 		for i, want := range []int64{2, 3} {
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -101,6 +101,8 @@
 const (
 	// noRetryTargets: the request may run on no further target.
 	noRetryTargets = "targets_used"
+	// noRetryPosition: no other run can continue the response from where it is.
+	noRetryPosition = "position_unknown"
 	// noRetrySends: maxSends attempts reached a target.
 	noRetrySends = "sends_used"
 	// noRetryEnded: the caller left or the request's time is up.
--- a/internal/ingress/silence.go
+++ b/internal/ingress/silence.go
@@ -253,10 +253,9 @@
 }
 
 // isReplaceable reports whether a second run may be begun beside the current one, if second
-// runs have taken this many sends and runs before. A stream that has begun can only go on
-// after an event with an id.
+// runs have taken this many sends and runs before.
 func (x *exchange) isReplaceable(sends, runs int) bool {
-	return x.route.Repeatable() && (!x.headerWritten || x.lastEvent != "") &&
+	return x.route.Repeatable() && x.isContinuable() && (!x.headerWritten || x.lastEvent != "") &&
 		x.runs+runs+1 < x.route.MaxTargets && x.sends+sends+1 < maxSends
 }
 
--- a/internal/ingress/standby.go
+++ b/internal/ingress/standby.go
@@ -28,6 +28,8 @@
 	// resuming is set if the caller has a part of the stream.
 	resumeAfter string
 	resuming    bool
+	// position is the place in the stream up to which the caller has it.
+	position streamPosition
 	// adopted is set once the exchange continues with this run. The watch's mutex guards it.
 	adopted bool
 
@@ -39,14 +41,15 @@
 	info ResponseInfo
 	err  error
 	// delivered reports whether the response can take the place of the first run's. broken
-	// reports whether it broke off before.
-	delivered, broken bool
+	// reports whether it broke off before, unsound whether it does not continue the stream.
+	delivered, broken, unsound bool
 }
 
 // newStandby returns a run on p that goes on after what was passed on so far.
 func (x *exchange) newStandby(ctx context.Context, p *scheduler.Placement) *standby {
 	s := &standby{
-		x: x, placement: p, body: x.body.bytes, resumeAfter: x.resumeAfter(), resuming: x.headerWritten, done: make(chan struct{}),
+		x: x, placement: p, body: x.body.bytes, resumeAfter: x.resumeAfter(), resuming: x.headerWritten,
+		position: x.position, done: make(chan struct{}),
 	}
 	s.ctx, s.cancel = context.WithCancelCause(ctx)
 	return s
@@ -74,7 +77,8 @@
 // reports whether the response can be passed on and is not an error of the target.
 func (s *standby) awaitDelivery() bool {
 	isStream := s.x.isStream(s.resp)
-	if s.info.NotRun || !s.x.isAcceptable(s.resp, s.info) || s.resuming && !isStream {
+	s.unsound = !s.x.isAcceptable(s.resp, s.info) || s.resuming && !s.x.continuesStream(s.resp)
+	if s.info.NotRun || s.unsound {
 		return false
 	}
 	var read []byte
@@ -82,11 +86,14 @@
 	rest := s.resp.Body
 	if isStream {
 		events := newEventReader(s.resp.Body)
-		_, err = events.next()
-		read, rest = events.raw, events.in
-		if errors.Is(err, io.EOF) && s.resuming && !s.resp.EndsWithConn {
+		read, err = s.firstEvent(events)
+		rest = events.in
+		if errors.Is(err, io.EOF) && len(read) == 0 && s.resuming && !s.resp.EndsWithConn {
 			return true
 		}
+		if s.unsound {
+			return false
+		}
 	} else {
 		read, err = readBuffered(s.resp.Body, s.resp.Length)
 	}
@@ -97,6 +104,26 @@
 	return err == nil && s.resp.Status < http.StatusInternalServerError
 }
 
+// firstEvent reads up to the first event with content and returns all that it read. It sets
+// unsound if that event does not continue the stream.
+func (s *standby) firstEvent(events *eventReader) ([]byte, error) {
+	var read []byte
+	for {
+		e, err := events.next()
+		read = append(read, events.raw...)
+		if err != nil {
+			return read, err
+		}
+		if e.hasContent {
+			s.unsound = s.resuming && s.position.checkNext(e, true) != nil
+			return read, nil
+		}
+		if len(read) > maxEventBytes {
+			return read, errors.Errorf("stream without events: got %d bytes, want at most %d", len(read), maxEventBytes)
+		}
+	}
+}
+
 // failingReader is a reader that returns an error.
 type failingReader struct{ err error }
 
@@ -129,7 +156,7 @@
 		return replacementRefused, result
 	case s.resp == nil || s.broken:
 		return replacementBroken, result
-	case !s.x.isAcceptable(s.resp, s.info), s.resuming && !s.x.isStream(s.resp):
+	case s.unsound:
 		return replacementUnsound, result
 	}
 	return replacementFailed, result
--- a/internal/quarantine/evidence_test.go
+++ b/internal/quarantine/evidence_test.go
@@ -417,3 +417,25 @@
 		n.RecordAnswering(request, n.now)
 	}
 }
+
+// While nothing is answered, targets also crash for other reasons, under requests of which one part
+// then explains the crashes of the deadly one, too. That must not allow the deadly one again.
+func TestOtherExplanationAllowsDeadlyPart(t *testing.T) {
+	n := newEvidenceNode()
+	for range refuseAfter {
+		n.crash(n.traits(1, shared, deadly))
+	}
+	if !n.isRefused(1, deadly) {
+		t.Fatal("the deadly part may run after it crashed targets")
+	}
+	for range refuseAfter {
+		n.crash(n.traits(1, shared))
+		if !n.isRefused(1, deadly) {
+			t.Fatal("the deadly part may run, though no target has answered with it")
+		}
+	}
+	n.RecordAnswering(n.traits(1, shared), n.now)
+	if !n.isRefused(1, deadly) || n.isRefused(1, shared) {
+		t.Error("want the deadly part refused and the other one allowed after a target answered with that")
+	}
+}
