records: the elements of a peer's list are bounded, whatever they are

A compressed copy of 15 MB of nulls, or changes of 3 MB of numbers, in place of records made an instance allocate 1.0 and 0.6 GB (the added cases of TestRecordsFromPeerFitInMemory, which failed before; want at most 112 MB). The same class as in the store's client: elements were counted by their braces. Commas are counted, too, and the records once they are decoded.

--- a/internal/records/limits_test.go
+++ b/internal/records/limits_test.go
@@ -29,9 +29,15 @@
 	bomb := compress(strings.Repeat(" ", 24<<20))
 	many := compress(empty(15 << 20))
 	patch := []byte(empty(3 << 20))
+	nulls := compress("[null" + strings.Repeat(",null", 15<<20/5) + "]")
+	fewNulls := []byte("[null" + strings.Repeat(",null", 100_000) + "]")
+	numbers := []byte("[0" + strings.Repeat(",0", 3<<20/2) + "]")
 	for name, decode := range map[string]func() error{
 		"bomb":          func() error { _, err := records.Decode(bomb); return err },
 		"empty records": func() error { _, err := records.Decode(many); return err },
+		"nulls":         func() error { _, err := records.Decode(nulls); return err },
+		"few nulls":     func() error { _, err := records.DecodeChanges(fewNulls); return err },
+		"numbers":       func() error { _, err := records.DecodeChanges(numbers); return err },
 		"empty changes": func() error { _, err := records.DecodeChanges(patch); return err },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -27,6 +27,9 @@
 	// maxDecodedRecords bounds the number of records received from a peer at once. An empty
 	// record takes 100 times its size in memory.
 	maxDecodedRecords = 50000
+	// maxDecodedCommas bounds the elements of the list, whatever they are. A record has four
+	// fields.
+	maxDecodedCommas = 4 * maxDecodedRecords
 	// maxRecentChanges bounds the changes kept for peers that lag behind. It covers 20 s at
 	// 12 changes a second, four times the mean rate of changes to the targets of large sites.
 	maxRecentChanges = 256
@@ -185,9 +188,17 @@
 	if n := bytes.Count(text, []byte("{")); n > maxDecodedRecords {
 		return nil, errors.Errorf("%d records, want at most %d", n, maxDecodedRecords)
 	}
+	if n := bytes.Count(text, []byte(",")); n > maxDecodedCommas {
+		return nil, errors.Errorf("%d commas, want at most %d", n, maxDecodedCommas)
+	}
 	var all []Change
-	err := json.Unmarshal(text, &all)
-	return all, err
+	if err := json.Unmarshal(text, &all); err != nil {
+		return nil, err
+	}
+	if len(all) > maxDecodedRecords {
+		return nil, errors.Errorf("%d records, want at most %d", len(all), maxDecodedRecords)
+	}
+	return all, nil
 }
 
 // Encode encodes the whole copy for a peer and returns it with its revision. The text is
