Ingress: log responses that belong to another request

An operator could not see that a target writes responses to other requests on kept connections: they were skipped without a line. A refusal that was believed and one that was dropped leave the same request line. Each now has a line response_skipped with the request and the target. No change of behaviour.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -165,7 +165,7 @@
 			Remaining: remaining, Target: p.Target.ID, Customer: x.customer, ResumeAfter: x.resumeAfter(),
 		}),
 		Body:    x.body.bytes,
-		Matches: func(h http.Header) bool { return o.Codec.IsResponseTo(x.call, h) },
+		Matches: func(h http.Header) bool { return x.isResponse(p, h) },
 	})
 	if err != nil {
 		return x.sendFailed(ctx, p, err)
@@ -173,6 +173,15 @@
 	return x.relay(ctx, p, resp)
 }
 
+// isResponse reports whether a response of the placement's target belongs to the request.
+func (x *exchange) isResponse(p *scheduler.Placement, h http.Header) bool {
+	if x.h.options.Codec.IsResponseTo(x.call, h) {
+		return true
+	}
+	x.h.options.Log.Warn().Str("event", "response_skipped").Str("id", x.call.ID).Str("target", string(p.Target.ID)).Msg("")
+	return false
+}
+
 // resumeAfter returns the id of the event after which the target should resume the stream,
 // empty to start from the beginning.
 func (x *exchange) resumeAfter() string {
