Upstream: a repeated response is not the next request's

A target wrote an earlier response once more on a kept connection.

Cause: a response without an id passed for that to whatever was sent last on its connection. One that names an earlier id was skipped already.

Now such a response counts only as the first of its connection, where nothing else can have been answered, and that connection is not reused: the next request could not tell the response, written again, from its own. On a connection that carried another response it is skipped like one that names another id; the request waits on for its own, and if the connection ends first, it may have run (502). A request that has no id itself gets a connection of its own, since any response to it is without one. Targets that never name ids are still served, on a connection for each request.

Ruled out: treating it as an error at once (the request, which runs, would be cut off for bytes that belong to none), and skipping alone (stand-ins that name no ids then wait until the deadline: the platform's tests of limits failed).

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -165,7 +165,9 @@
 			Remaining: remaining, Target: p.Target.ID, Customer: x.customer, ResumeAfter: x.resumeAfter(),
 		}),
 		Body:    x.body.bytes,
-		Matches: func(h http.Header) bool { return x.isResponse(p, h) },
+		NewConn: x.call.ID == "",
+		Match:   func(h http.Header) upstream.Match { return o.Codec.MatchResponse(x.call, h) },
+		Skipped: func(status int) { x.logSkipped(p, status) },
 	})
 	if err != nil {
 		return x.sendFailed(ctx, p, err)
@@ -173,13 +175,10 @@
 	return x.relay(ctx, p, resp)
 }
 
-// isResponse reports whether a response of the placement's target belongs to the request.
-func (x *exchange) isResponse(p *scheduler.Placement, h http.Header) bool {
-	if x.h.options.Codec.IsResponseTo(x.call, h) {
-		return true
-	}
-	x.h.options.Log.Warn().Str("event", "response_skipped").Str("id", x.call.ID).Str("target", string(p.Target.ID)).Msg("")
-	return false
+// logSkipped logs a response of the placement's target that belongs to another request.
+func (x *exchange) logSkipped(p *scheduler.Placement, status int) {
+	x.h.options.Log.Warn().Str("event", "response_skipped").Str("id", x.call.ID).Str("target", string(p.Target.ID)).
+		Int("status", status).Msg("")
 }
 
 // resumeAfter returns the id of the event after which the target should resume the stream,
--- a/internal/ingress/codec.go
+++ b/internal/ingress/codec.go
@@ -6,6 +6,7 @@
 
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/scheduler"
+	"medlarwind.dev/medlarwind/internal/upstream"
 )
 
 // Call holds what the caller's headers say about its request.
@@ -81,8 +82,8 @@
 	ResponseHeader(h http.Header) http.Header
 	// DecodeResponse decodes a target's status and headers.
 	DecodeResponse(status int, h http.Header) ResponseInfo
-	// IsResponseTo reports whether a response with the headers h belongs to call.
-	IsResponseTo(call Call, h http.Header) bool
+	// MatchResponse says whether a response with the headers h belongs to call.
+	MatchResponse(call Call, h http.Header) upstream.Match
 	// SetRefusalHeader sets in h the headers of a refusal by this instance. retryAfter is 0
 	// for none.
 	SetRefusalHeader(h http.Header, call Call, retryAfter time.Duration)
--- a/internal/ingress/silence_test.go
+++ b/internal/ingress/silence_test.go
@@ -68,7 +68,7 @@
 	return ResponseInfo{Signed: true, NotRun: h.Get(notRunHeader) != ""}
 }
 
-func (*testCodec) IsResponseTo(Call, http.Header) bool { return true }
+func (*testCodec) MatchResponse(Call, http.Header) upstream.Match { return upstream.Own }
 
 func (*testCodec) SetRefusalHeader(http.Header, Call, time.Duration) {}
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -46,8 +46,8 @@
 	limit *limitedReader
 	// addr is the target's IP:port, the key of the connection in the pool.
 	addr string
-	// reused reports whether the connection has carried a request before.
-	reused bool
+	// answered reports whether a response has been read from the connection.
+	answered bool
 	// expires is the time after which the connection must not be reused.
 	expires time.Time
 }
@@ -95,7 +95,6 @@
 			return p.connect(ctx, addr)
 		}
 		if c.isReusable(time.Now()) {
-			c.reused = true
 			return c, nil
 		}
 		_ = c.Close()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -69,11 +69,31 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response with these headers belongs to the request. If it
-	// is nil, every response does.
-	Matches func(http.Header) bool
+	// NewConn makes the request the first on its connection, for one whose response cannot be
+	// told from those to others.
+	NewConn bool
+	// Match says whether a response with these headers belongs to the request. If it is nil,
+	// every response is Own.
+	Match func(http.Header) Match
+	// Skipped is called with the status of each response that is skipped because it belongs to
+	// another request, if it is not nil.
+	Skipped func(status int)
 }
 
+// Match says to which request a response belongs.
+type Match int
+
+const (
+	// Other: to another request.
+	Other Match = iota
+	// Unnamed: the response does not say. It is that to the request only if it is the first on
+	// its connection, which is not reused then: a target may write the response once more, and
+	// the next request could not tell it from its own.
+	Unnamed
+	// Own: to the request itself.
+	Own
+)
+
 // Client sends requests and reuses connections. It is safe for concurrent use.
 type Client struct{ pool *pool }
 
@@ -127,6 +147,8 @@
 	client   *Client
 	conn     *conn
 	response *http.Response
+	// match is Own or Unnamed.
+	match Match
 	// bodyWriteDone receives the result of writing a large request body; nil if the body
 	// was written together with the headers.
 	bodyWriteDone chan error
@@ -139,7 +161,11 @@
 // the connection is interrupted and closed, also while the body is read. The error is an
 // *Error.
 func (c *Client) Send(ctx context.Context, r Request) (*Response, error) {
-	cn, err := c.pool.get(ctx, r.Addr)
+	open := c.pool.get
+	if r.NewConn {
+		open = c.pool.connect
+	}
+	cn, err := open(ctx, r.Addr)
 	if err != nil {
 		return nil, &Error{DialFailed: true, Err: err}
 	}
@@ -221,14 +247,17 @@
 			}
 			continue
 		}
-		if r.Matches == nil || r.Matches(response.Header) {
+		if resp.match = r.matchResponse(response.Header, resp.conn); resp.match != Other {
 			resp.response, resp.Status, resp.Header = response, response.StatusCode, response.Header
 			resp.Body, resp.Length = response.Body, response.ContentLength
 			resp.EndsWithConn = response.ContentLength < 0 && len(response.TransferEncoding) == 0
 			resp.setReadDeadline(time.Time{})
 			return nil
 		}
-		// This is a late, second response to an earlier request on this connection.
+		// This is a second response to an earlier request on this connection.
+		if r.Skipped != nil {
+			r.Skipped(response.StatusCode)
+		}
 		if skipped++; skipped > maxSkippedResponses || response.Close {
 			return errors.New("response belongs to another request")
 		}
@@ -240,6 +269,20 @@
 	}
 }
 
+// matchResponse returns Own or Unnamed if a response read from cn belongs to the request.
+func (r *Request) matchResponse(h http.Header, cn *conn) Match {
+	first := !cn.answered
+	cn.answered = true
+	if r.Match == nil {
+		return Own
+	}
+	m := r.Match(h)
+	if m == Unnamed && !first {
+		return Other
+	}
+	return m
+}
+
 // readOneHeader waits for the next response and reads its headers. The read deadline that it
 // sets remains, for a body that is skipped.
 func (resp *Response) readOneHeader(method string) (*http.Response, error) {
@@ -278,7 +321,7 @@
 // then can the connection be reused for another request.
 func (resp *Response) Finish(complete bool) {
 	uninterrupted := resp.stopCancel()
-	if !complete || !uninterrupted || resp.response.Close || !resp.awaitBodyWritten() {
+	if !complete || !uninterrupted || resp.response.Close || resp.match != Own || !resp.awaitBodyWritten() {
 		_ = resp.conn.Close()
 		return
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -65,10 +65,21 @@
 	return upstream.Request{
 		Addr: addr, Method: http.MethodPost, Target: "/a%2Fb/?q=1", Host: "h.example",
 		Header: http.Header{"X-Id": {id}}, Body: []byte("body"),
-		Matches: func(h http.Header) bool { return h.Get("X-Id") == id },
+		Match: func(h http.Header) upstream.Match { return matchID(h, id) },
 	}
 }
 
+// matchID matches the id of a response.
+func matchID(h http.Header, id string) upstream.Match {
+	switch h.Get("X-Id") {
+	case "":
+		return upstream.Unnamed
+	case id:
+		return upstream.Own
+	}
+	return upstream.Other
+}
+
 func responseText(id, body string) string {
 	return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
 }
