Ingress: a repeated refusal is not that of the same request sent again

A target that has taken over an address answers 421 to a request for the earlier one, which is still listed. The request is sent again to the second entry, at the same address, and most likely on the same connection, which was used last. If the target writes the 421 once more there, it has the request's own id: the caller was told 503 for a request that ran, or it ran at a third target (REFUSED, TWICE).

An attempt at an address to which the request was sent before now has a connection of its own, where nothing of the earlier attempt can arrive. That costs one connection in this case only: retries go to other addresses otherwise.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -156,6 +157,10 @@
 	x.silence = x.newSilenceWatch(attemptCtx, cancel)
 	defer func() { x.replacement = x.silence.stop() }()
 	x.silence.await(x.firstByteTimeout(p))
+	// An address is met again while a target that another has replaced is still listed. The id then
+	// does not tell the response to this attempt from that to the earlier one.
+	newConn := x.call.ID == "" || slices.Contains(x.sentTo, p.Target.Addr)
+	x.sentTo = append(x.sentTo, p.Target.Addr)
 	resp, err := o.Upstream.Send(attemptCtx, upstream.Request{
 		Addr:   p.Target.Addr,
 		Method: x.r.Method,
@@ -165,7 +170,7 @@
 			Remaining: remaining, Target: p.Target.ID, Customer: x.customer, ResumeAfter: x.resumeAfter(),
 		}),
 		Body:    x.body.bytes,
-		NewConn: x.call.ID == "",
+		NewConn: newConn,
 		Match:   func(h http.Header) upstream.Match { return o.Codec.MatchResponse(x.call, h) },
 		Skipped: func(status int) { x.logSkipped(p, status) },
 	})
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -129,6 +129,8 @@
 	// sends counts the unsuccessful attempts that reached a target, runs those of them that
 	// may have run there.
 	sends, runs int
+	// sentTo lists the addresses to which attempts were made.
+	sentTo []string
 	// headerWritten reports whether the status and headers were written to the caller.
 	headerWritten bool
 	// lastEvent is the id of the last event written, runEvents the number of events that the
