--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -208,6 +209,24 @@
 	}
 }
 
+// needsNewConn reports whether an attempt at an address must not use a connection that another
+// attempt has used, and records the attempt. An address is met again while a target that another
+// has replaced is still listed: the id then does not tell the response to this attempt from that
+// to the earlier one.
+func (x *exchange) needsNewConn(addr string) bool {
+	x.sentMu.Lock()
+	defer x.sentMu.Unlock()
+	needed := x.call.ID == "" || slices.Contains(x.sentTo, addr)
+	x.sentTo = append(x.sentTo, addr)
+	return needed
+}
+
+// logSkipped logs a response of the placement's target that belongs to another request.
+func (x *exchange) logSkipped(p *scheduler.Placement, status int) {
+	x.h.options.Log.Warn().Str("event", "response_skipped").Str("id", x.call.ID).Str("target", string(p.Target.ID)).
+		Int("status", status).Msg("")
+}
+
 // resumeAfter returns the id of the event after which the target should resume the stream,
 // empty to start from the beginning.
 func (x *exchange) resumeAfter() string {
--- a/internal/ingress/standby.go
+++ b/internal/ingress/standby.go
@@ -219,6 +219,8 @@
 			Remaining: x.job.Deadline.Sub(o.Now()), Target: p.Target.ID, Customer: x.customer, ResumeAfter: resumeAfter,
 		}),
 		Body:    body,
-		Matches: func(h http.Header) bool { return o.Codec.IsResponseTo(x.call, h) },
+		NewConn: x.needsNewConn(p.Target.Addr),
+		Match:   func(h http.Header) upstream.Match { return o.Codec.MatchResponse(x.call, h) },
+		Skipped: func(status int) { x.logSkipped(p, status) },
 	}
 }
