--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -234,6 +234,17 @@
 			})
 		})
 	}
+	for _, era := range []uint64{0, 2} {
+		b.Run(fmt.Sprintf("heartbeat/era=%d", era), func(b *testing.B) {
+			rnd := rand.New(rand.NewPCG(1, 2))
+			hb := wire.Heartbeat{Incarnation: fleet.Incarnation(rnd.Uint64()), EchoIncarnation: fleet.Incarnation(rnd.Uint64())}
+			frameBytes(b, wire.MethodHeartbeat, func() any {
+				hb.Seq, hb.EchoSeq = hb.Seq+1, hb.EchoSeq+1
+				hb.Records = &wire.RecordsState{Era: era, Revision: 1000 + hb.Seq/5, AgeMillis: int64(rnd.IntN(900))}
+				return hb
+			})
+		})
+	}
 	for _, traits := range []int{1, 32} {
 		b.Run(fmt.Sprintf("heartbeat/evidence=%d", traits), func(b *testing.B) {
 			rnd := rand.New(rand.NewPCG(1, 2))
