--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"medlarwind.dev/medlarwind/internal/catalog"
 	"medlarwind.dev/medlarwind/internal/scheduler"
 	"medlarwind.dev/medlarwind/internal/upstream"
 )
@@ -45,15 +44,21 @@
 
 // serve makes attempts until the caller has a response or no retry is allowed.
 func (x *exchange) serve(ctx context.Context) {
-	defer x.withdrawReplacement()
+	defer x.releaseStandby()
 	for retry := false; ; {
-		p, err := x.place(ctx, retry)
-		if err != nil {
-			x.handleRefusal(ctx, err)
-			return
+		var result attemptResult
+		if s := x.takeStandby(); s != nil {
+			result = x.attempt(ctx, s.placement, s)
+		} else {
+			p, err := x.h.options.Scheduler.Admit(ctx, x.job, retry)
+			if err != nil {
+				x.handleRefusal(ctx, err)
+				return
+			}
+			x.job.Exclude(p.Target.ID)
+			result = x.attempt(ctx, p, nil)
 		}
-		x.job.Exclude(p.Target.ID)
-		switch x.attempt(ctx, p) {
+		switch result {
 		case answered:
 			return
 		case notSent:
@@ -65,32 +70,39 @@
 			x.sends++
 			x.runs++
 			retry = true
-			if !x.route.Repeatable() || x.runs >= x.route.MaxTargets || !x.isContinuable() {
+			if !x.route.Repeatable() || x.runs >= x.route.MaxTargets {
+				x.result.NoRetry = noRetryTargets
+				x.fail(ctx)
+				return
+			}
+			if !x.isContinuable() {
+				x.result.NoRetry = noRetryPosition
 				x.fail(ctx)
 				return
 			}
 		}
 		if ctx.Err() != nil || x.sends >= maxSends {
+			x.result.NoRetry = noRetrySends
+			if ctx.Err() != nil {
+				x.result.NoRetry = noRetryEnded
+			}
 			x.fail(ctx)
 			return
 		}
 	}
 }
 
-// place returns the placement for the next attempt.
-func (x *exchange) place(ctx context.Context, retry bool) (*scheduler.Placement, error) {
-	if p := x.replacement; p != nil {
-		x.replacement = nil
-		return p, nil
-	}
-	return x.h.options.Scheduler.Admit(ctx, x.job, retry)
+// takeStandby returns the second run with which the request goes on, nil if there is none.
+func (x *exchange) takeStandby() *standby {
+	s := x.standby
+	x.standby = nil
+	return s
 }
 
-// withdrawReplacement releases a replacement that is not needed any more.
-func (x *exchange) withdrawReplacement() {
-	if x.replacement != nil {
-		x.replacement.Withdraw()
-		x.replacement = nil
+// releaseStandby ends a second run that is not needed any more.
+func (x *exchange) releaseStandby() {
+	if s := x.takeStandby(); s != nil {
+		s.release()
 	}
 }
 
@@ -131,48 +143,73 @@
 	}
 }
 
-// attempt sends the request to one target and relays the response.
-func (x *exchange) attempt(ctx context.Context, p *scheduler.Placement) attemptResult {
+// attempt sends the request to one target and relays the response. If s is not nil, it goes on
+// with that run of the request, which has been begun on p.
+func (x *exchange) attempt(ctx context.Context, p *scheduler.Placement, s *standby) attemptResult {
 	x.result.Target, x.result.ExpectedWait = p.Target.ID, p.Wait
 	x.result.Cached, x.result.Rank = p.Cached, p.Rank
 	x.runEvents = 0
-	if !p.Valid() {
+	if s == nil && !p.Valid() {
 		p.End(scheduler.Unsent)
 		x.result.Reason = "target_left"
 		return notSent
 	}
 	if callerGone(x.r.Context()) {
-		p.End(scheduler.Unsent)
+		if s != nil {
+			s.release()
+		} else {
+			p.End(scheduler.Unsent)
+		}
 		x.result.Reason = "caller_gone"
 		panic(http.ErrAbortHandler)
 	}
 	o := &x.h.options
-	remaining := x.job.Deadline.Sub(o.Now())
 	if x.result.Waited == 0 {
 		x.result.Waited = o.Now().Sub(x.arrived)
 	}
-	attemptCtx, cancel := context.WithCancelCause(ctx)
+	var attemptCtx context.Context
+	var cancel context.CancelCauseFunc
+	if s != nil {
+		attemptCtx, cancel = s.ctx, s.cancel
+	} else {
+		attemptCtx, cancel = context.WithCancelCause(ctx)
+	}
 	defer cancel(nil)
-	x.silence = x.newSilenceWatch(attemptCtx, cancel)
-	defer func() { x.replacement = x.silence.stop() }()
+	x.silence = x.newSilenceWatch(ctx, cancel, p.Target.ID)
+	defer x.endWatch()
 	x.silence.await(x.firstByteTimeout(p))
-	resp, err := o.Upstream.Send(attemptCtx, upstream.Request{
-		Addr:   p.Target.Addr,
-		Method: x.r.Method,
-		Target: x.r.RequestURI,
-		Host:   x.r.Host,
-		Header: o.Codec.ForwardHeader(x.r.Header, Forwarding{
-			Remaining: remaining, Target: p.Target.ID, Customer: x.customer, ResumeAfter: x.resumeAfter(),
-		}),
-		Body:    x.body.bytes,
-		Matches: func(h http.Header) bool { return o.Codec.IsResponseTo(x.call, h) },
-	})
+	if s == nil {
+		resp, err := o.Upstream.Send(attemptCtx, x.upstreamRequest(p, x.body.bytes, x.resumeAfter()))
+		return x.endAttempt(ctx, p, resp, err)
+	}
+	<-s.done
+	if s.unsent {
+		p.End(scheduler.Unsent)
+		x.result.Reason = "target_left"
+		return notSent
+	}
+	return x.endAttempt(ctx, p, s.resp, s.err)
+}
+
+// endAttempt relays the response to an attempt, or records that there is none.
+func (x *exchange) endAttempt(ctx context.Context, p *scheduler.Placement, resp *upstream.Response, err error) attemptResult {
 	if err != nil {
 		return x.sendFailed(ctx, p, err)
 	}
 	return x.relay(ctx, p, resp)
 }
 
+// endWatch ends the watch over the current attempt and takes over what it found.
+func (x *exchange) endWatch() {
+	x.standby = x.silence.stop()
+	sends, runs := x.silence.spent()
+	x.sends += sends
+	x.runs += runs
+	if s := x.silence.report(); s.Target != "" {
+		x.result.Silence = s
+	}
+}
+
 // resumeAfter returns the id of the event after which the target should resume the stream,
 // empty to start from the beginning.
 func (x *exchange) resumeAfter() string {
@@ -208,7 +245,7 @@
 		return
 	}
 	down := x.checkCrash(ctx, p)
-	x.logBrokenRun(p, down, err)
+	x.logBrokenRun(p, down, x.runEvents, err)
 }
 
 // checkCrash finds out whether the target of a broken run has crashed, before a retry may
@@ -228,10 +265,11 @@
 
 // brokenOutcome returns the outcome of an attempt that got no complete response.
 func (x *exchange) brokenOutcome(ctx context.Context) scheduler.Outcome {
+	x.silence.stop()
 	switch {
 	case ctx.Err() != nil:
 		return scheduler.Abandoned
-	case x.silence.stop() != nil:
+	case x.silence.gaveUp():
 		return scheduler.Silent
 	}
 	return scheduler.Broken
@@ -253,10 +291,10 @@
 		p.End(scheduler.Broken)
 		x.result.Reason = "answer_unsound"
 		return mayHaveRun
-	case x.headerWritten && (resp.Status != http.StatusOK || mediaType(resp) != x.streamType):
+	case x.headerWritten && !x.isSameStream(resp):
 		return x.refuseResumed(p, resp, errors.Errorf("resumed response: got status %d and type %q, want %d and %q",
 			resp.Status, mediaType(resp), http.StatusOK, x.streamType))
-	case x.route.Kind == catalog.Stream && resp.Status == http.StatusOK:
+	case x.isStream(resp):
 		return x.relayStream(ctx, p, resp)
 	}
 	return x.relayBuffered(ctx, p, resp)
