--- a/internal/ingress/stream_position_test.go
+++ b/internal/ingress/stream_position_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"medlarwind.dev/medlarwind/internal/inventory"
 )
@@ -90,3 +91,35 @@
 		})
 	}
 }
+
+// A silent run must be ended only for one that continues its stream. Until then it may go on.
+func TestSilentStreamIsEndedForOtherResponse(t *testing.T) {
+	write := func(contentType, text string) func(context.Context, http.ResponseWriter, *http.Request) {
+		return func(ctx context.Context, w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", contentType)
+			_, _ = io.WriteString(w, text)
+			_ = http.NewResponseController(w).Flush()
+			sleep(ctx, 10*longSilence)
+		}
+	}
+	for name, second := range map[string]func(context.Context, http.ResponseWriter, *http.Request){
+		"other type":       write("application/json", testEvent(2)),
+		"text":             write("text/event-stream", "overloaded\n\n"),
+		"from the start":   write("text/event-stream", testEvent(1)+testEvent(2)),
+		"event without id": write("text/event-stream", "data: x\n\n"),
+		"only a comment":   write("text/event-stream", ": wait\n\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newTestIngress(t, 100)
+				e.addTarget("t1", inventory.Ready, streamWithPauses)
+				time.AfterFunc(time.Millisecond, func() { e.addTarget("t2", inventory.Ready, second) })
+				status, body, err := e.call("resumable")
+				if status != http.StatusOK || body != allEvents || err != nil {
+					t.Errorf("got status %d, body %q and error %v, want the complete stream of the first run", status, body, err)
+				}
+				e.checkReleased()
+			})
+		})
+	}
+}
