gateway: records that are not applied yet are no lost configuration

An instance that had received a change, and not yet applied it, took a peer that was faster for one with a configuration lost in a restore: it refused requests until the fetch from that peer or a second had passed. The comparison is with the records that were applied, and ends with the version in force.

--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -101,10 +101,10 @@
 	if p.Catalog != nil {
 		g.setConfiguration(p.Catalog, p.Configuration, "platform")
 	}
-	if !g.appliedAt.IsZero() && !g.appliedAt.SharesHistory(p.Position) {
+	if applied := g.appliedAt.Load(); applied != nil && !applied.SharesHistory(p.Position) {
 		g.scheduler.NoteRestore()
 	}
-	g.appliedAt = p.Position
+	g.appliedAt.Store(&p.Position)
 	g.scheduler.SetTargets(p.Targets, p.Evacuated)
 	outdated, keptEvacuations := g.scheduler.Outdated()
 	g.options.Log.Info().Str("event", "targets").Uint64("era", p.Position.Era()).Uint64("revision", p.Position.Revision()).Int("listed", len(p.Targets)).
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,18 +86,19 @@
 	metrics     *metrics
 	callers     *callerConns
 	catalog     atomic.Pointer[catalog.Catalog]
-	// comparedConfig is set once a peer has reported its configuration. outdatedUntil is the
-	// clock.Instant until which a peer's configuration counts as newer than this instance's.
+	// comparedConfig is set once a peer has reported its configuration. newerVersion is a version
+	// that a peer has in force and that the platform's records lack, outdatedUntil the
+	// clock.Instant until which that counts.
 	comparedConfig atomic.Bool
+	newerVersion   atomic.Uint64
 	outdatedUntil  atomic.Int64
 	// configMu guards changes of catalog, configText, its undecoded content, and olderVersion, the
 	// last older version that the platform showed.
 	configMu     sync.Mutex
 	configText   []byte
 	olderVersion uint64
-	// appliedAt is the position of the records that were applied last. Only the goroutine that
-	// applies them uses it.
-	appliedAt records.Position
+	// appliedAt is the position of the records that were applied last, nil before the first.
+	appliedAt atomic.Pointer[records.Position]
 	// leaving is set once a graceful stop has begun.
 	leaving atomic.Bool
 	// relay is set while this instance exchanges heartbeats with other data centres for its
--- a/internal/gateway/inforce.go
+++ b/internal/gateway/inforce.go
@@ -54,10 +54,12 @@
 		g.comparedConfig.Store(true)
 		return
 	}
-	at, _ := g.copy.State()
-	if at.IsZero() || records.NewPosition(hb.Records.Era, hb.Records.Revision).After(at) {
+	// Records that this instance has but has not applied yet may bring the peer's configuration.
+	applied := g.appliedAt.Load()
+	if applied == nil || records.NewPosition(hb.Records.Era, hb.Records.Revision).After(*applied) {
 		return
 	}
+	g.newerVersion.Store(hb.ConfigVersion)
 	g.outdatedUntil.Store(int64(now.Add(outdatedNoticeTime)))
 	g.comparedConfig.Store(true)
 	if !g.fetching {
@@ -70,7 +72,7 @@
 // records lack, or whether this instance has just started and has not heard from a peer.
 func (g *Gateway) mayBeOutdated() bool {
 	now := g.options.Now()
-	return now < clock.Instant(g.outdatedUntil.Load()) ||
+	return now < clock.Instant(g.outdatedUntil.Load()) && g.configVersion() < g.newerVersion.Load() ||
 		!g.comparedConfig.Load() && now.Sub(g.startedAt) < aloneSettleTime
 }
 
@@ -84,9 +86,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.fetching = false
-	if err == nil {
-		g.outdatedUntil.Store(0)
-	}
 }
 
 func (g *Gateway) takeConfiguration(ctx context.Context, from fleet.InstanceID) error {
