ingress: show that a stream goes on in the middle of an unsound second run

Callers would see a stream with events missing that ends as if complete (ORDER): event 1, then 4 and 5. The target of a second run ignores after which event it is to resume, and its first events arrive together. awaitDelivery reads them, finds that they do not continue the stream and returns without putting them back. If the first run has broken off by then, the request goes on with the second run, whose next event is checked as if it were its first: after a single event passed on, any higher id is accepted. Both cases fail.

--- a/internal/ingress/replacement_test.go
+++ b/internal/ingress/replacement_test.go
@@ -474,3 +474,36 @@
 		e.checkReleased()
 	})
 }
+
+// A second run that does not continue the stream must be refused, also if the first one has broken
+// off meanwhile and the request goes on with it. No event may be missing.
+func TestUnsoundSecondRunIsNotContinued(t *testing.T) {
+	for _, first := range []int{0, 1} {
+		t.Run(fmt.Sprint("resumed from event ", first), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newTestIngress(t, 100)
+				e.addTarget("t1", inventory.Ready, func(ctx context.Context, w http.ResponseWriter, r *http.Request) {
+					streamEvents(ctx, w, 1, 1, 0)
+					sleep(ctx, briefSilence)
+					breakOff(ctx, w, r)
+				})
+				time.AfterFunc(time.Millisecond, func() {
+					e.addTarget("t2", inventory.Ready, func(ctx context.Context, w http.ResponseWriter, _ *http.Request) {
+						sleep(ctx, briefSilence)
+						w.Header().Set("Content-Type", "text/event-stream")
+						// The events up to the third arrive together.
+						_, _ = io.WriteString(w, testEvent(first)+testEvent(2)+testEvent(3))
+						_ = http.NewResponseController(w).Flush()
+						sleep(ctx, briefSilence/10)
+						streamEvents(ctx, w, 4, 5, 0)
+					})
+				})
+				status, body, err := e.call("resumable")
+				if status != http.StatusOK || err == nil || !strings.HasPrefix(whole, body) {
+					t.Errorf("got status %d, body %q and error %v, want the first events and an error", status, body, err)
+				}
+				e.checkReleased()
+			})
+		})
+	}
+}
