ingress: refuse a second run that does not continue the stream also if it follows

Callers would see a stream with events missing that ends as if complete.

What was read of the second run is now put back in every case. The request that goes on with it then checks the run's first event as that of any other resumed run, and refuses the run.

--- a/internal/ingress/standby.go
+++ b/internal/ingress/standby.go
@@ -91,9 +91,6 @@
 		if errors.Is(err, io.EOF) && len(read) == 0 && s.resuming && !s.resp.EndsWithConn {
 			return true
 		}
-		if s.unsound {
-			return false
-		}
 	} else {
 		read, err = readBuffered(s.resp.Body, s.resp.Length)
 	}
@@ -101,7 +98,7 @@
 		s.broken, rest = true, failingReader{err}
 	}
 	s.resp.Body = io.MultiReader(bytes.NewReader(read), rest)
-	return err == nil && s.resp.Status < http.StatusInternalServerError
+	return err == nil && !s.unsound && s.resp.Status < http.StatusInternalServerError
 }
 
 // firstEvent reads up to the first event with content and returns all that it read. It sets
