ingress: log why a run ended when its request did

The cause is now the request's own, and its end comes first among the reasons against a further attempt.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -71,26 +71,29 @@
 			x.sends++
 			x.runs++
 			retry = true
-			if !x.route.Repeatable() || x.runs >= x.route.MaxTargets || !x.isContinuable() {
-				x.result.NoRetry = noRetryTargets
-				if !x.isContinuable() {
-					x.result.NoRetry = noRetryPosition
-				}
-				x.fail(ctx)
-				return
-			}
 		}
-		if ctx.Err() != nil || x.sends >= maxSends {
-			x.result.NoRetry = noRetrySends
-			if ctx.Err() != nil {
-				x.result.NoRetry = noRetryEnded
-			}
+		if x.result.NoRetry = x.noRetryReason(ctx, result); x.result.NoRetry != "" {
 			x.fail(ctx)
 			return
 		}
 	}
 }
 
+// noRetryReason returns why no attempt may follow one with this result, empty if one may.
+func (x *exchange) noRetryReason(ctx context.Context, result attemptResult) string {
+	switch {
+	case ctx.Err() != nil:
+		return noRetryEnded
+	case result == mayHaveRun && (!x.route.Repeatable() || x.runs >= x.route.MaxTargets):
+		return noRetryTargets
+	case result == mayHaveRun && !x.isContinuable():
+		return noRetryPosition
+	case x.sends >= maxSends:
+		return noRetrySends
+	}
+	return ""
+}
+
 // takeStandby returns the second run with which the request goes on, nil if there is none.
 func (x *exchange) takeStandby() *standby {
 	s := x.standby
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -98,8 +98,12 @@
 // markBroken records a response that broke off before its end. err may be nil.
 func (x *exchange) markBroken(ctx context.Context, p *scheduler.Placement, err error) attemptResult {
 	x.result.Reason = "answer_broken"
-	if x.silence.gaveUp() {
+	switch {
+	case x.silence.gaveUp():
 		err = errTargetSilent
+	case ctx.Err() != nil:
+		// The error of the read is only a consequence.
+		err = context.Cause(ctx)
 	}
 	if err != nil {
 		x.result.Cause, x.result.GaveUp = err.Error(), isSilence(err)
