ingress: an empty continuation does not end a silent stream

A stream could end as complete before its last event: while its target was silent, a second target that answered the request to resume it with an empty stream counted as having delivered, and the sound run was ended for it. An empty stream proves nothing; the first run goes on. A run that hangs after its last event is then not completed by a second one.

Evidence: TestSilentStreamIsEndedForOtherResponse/nothing failed before: 200 with event 1 of 3 and a clean end.

--- a/internal/ingress/standby.go
+++ b/internal/ingress/standby.go
@@ -88,9 +88,6 @@
 		events := newEventReader(s.resp.Body)
 		read, err = s.firstEvent(events)
 		rest = events.in
-		if errors.Is(err, io.EOF) && len(read) == 0 && s.resuming && !s.resp.EndsWithConn {
-			return true
-		}
 	} else {
 		read, err = readBuffered(s.resp.Body, s.resp.Length)
 	}
--- a/internal/ingress/stream_position_test.go
+++ b/internal/ingress/stream_position_test.go
@@ -108,6 +108,10 @@
 		"from the start":   write("text/event-stream", testEvent(1)+testEvent(2)),
 		"event without id": write("text/event-stream", "data: x\n\n"),
 		"only a comment":   write("text/event-stream", ": wait\n\n"),
+		"nothing": func(_ context.Context, w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.WriteHeader(http.StatusOK)
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
