ingress: a client error of a second target does not end a silent run

Evidence: TestSilentRunIsEndedForClientErrorOfSecondTarget failed before with 404, want the answer of the first run.

--- a/internal/ingress/standby.go
+++ b/internal/ingress/standby.go
@@ -74,7 +74,7 @@
 }
 
 // awaitDelivery reads the response until it has delivered, and puts back what it read. It
-// reports whether the response can be passed on and is not an error of the target.
+// reports whether the response can be passed on and is neither a refusal nor an error of the target.
 func (s *standby) awaitDelivery() bool {
 	isStream := s.x.isStream(s.resp)
 	s.unsound = !s.x.isAcceptable(s.resp, s.info) || s.resuming && !s.x.continuesStream(s.resp)
@@ -95,7 +95,7 @@
 		s.broken, rest = true, failingReader{err}
 	}
 	s.resp.Body = io.MultiReader(bytes.NewReader(read), rest)
-	return err == nil && !s.unsound && s.resp.Status < http.StatusInternalServerError
+	return err == nil && !s.unsound && s.resp.Status < http.StatusBadRequest
 }
 
 // firstEvent reads up to the first event with content and returns all that it read. It sets
--- a/internal/ingress/stream_position_test.go
+++ b/internal/ingress/stream_position_test.go
@@ -127,3 +127,21 @@
 		})
 	}
 }
+
+// The refusal of a second target says nothing of the first one's run, which may still answer.
+func TestSilentRunIsEndedForClientErrorOfSecondTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestIngress(t, 100)
+		e.addTarget("t1", inventory.Ready, answerLate)
+		time.AfterFunc(time.Millisecond, func() {
+			e.addTarget("t2", inventory.Ready, func(_ context.Context, w http.ResponseWriter, _ *http.Request) {
+				http.Error(w, "no such session", http.StatusNotFound)
+			})
+		})
+		status, body, err := e.call("safe")
+		if status != http.StatusOK || body != "answer" || err != nil {
+			t.Errorf("got status %d, body %q and error %v, want the answer of the first run", status, body, err)
+		}
+		e.checkReleased()
+	})
+}
