inventory: failing test of a target that restarts across a restore

What callers would see: requests at the full rate at a target that is cold. updateTarget drops the cold time that the first listing after a restore states if the target's id is known, although the entry may be of a later run. The test fails: "the new run of a target is not cold, want it cold for 4 s".

--- a/internal/inventory/restore_test.go
+++ b/internal/inventory/restore_test.go
@@ -118,3 +118,15 @@
 		t.Error("a target is cold again because its entry was restored")
 	}
 }
+
+func TestTargetThatRestartedDuringRestoreIsNotCold(t *testing.T) {
+	v := inventory.New()
+	v.Update([]inventory.Target{restored("x", "10.0.0.1:1", 5, 7)}, nil, start)
+	v.NoteRestore(start.Add(time.Second))
+	current := restored("x", "10.0.0.1:1", 9, 12)
+	current.ColdRemaining = 4 * time.Second
+	v.Update([]inventory.Target{current}, nil, start.Add(time.Second))
+	if e, ok := v.Get("x"); !ok || !e.IsCold(start.Add(2*time.Second)) {
+		t.Error("the new run of a target is not cold, want it cold for 4 s")
+	}
+}
