inventory: a target that restarted across a restore is cold again

What callers would see: requests at the full rate at a target that is cold. Cause: the cold time of entries that a restore brings back is out of date and is dropped for known targets, where known meant the id. An entry of another run or address replaces what was known, so its cold time is not out of date. TestTargetThatRestartedDuringRestoreIsNotCold failed before (the new run of a target is not cold, want it cold for 4 s) and passes; the tests of the package pass with -race -cpu 1.

--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -134,12 +134,12 @@
 }
 
 // updateTarget applies a listed entry. restored says that the listing is of an older copy: what
-// it states of the cold time of a known target is then out of date.
+// it states of the cold time of a known run of a target is then out of date.
 func (v *Inventory) updateTarget(t Target, restored bool, now clock.Instant) {
 	e := v.targets[t.ID]
 	known := e != nil
 	if e == nil || e.StartMillis != t.StartMillis || e.Addr != t.Addr {
-		e = &Entry{}
+		e, known = &Entry{}, false
 		v.targets[t.ID] = e
 	}
 	if t.ColdRemaining > 0 && t.WrittenAt != e.WrittenAt && !(restored && known) {
