--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -75,8 +75,8 @@
 	return c.position, c.confirmedAt
 }
 
-// Changed returns a channel that receives a value after a change. Several changes may share
-// one value.
+// Changed returns a channel that receives a value after the position has moved, even if no
+// record has changed. Several moves may share one value.
 func (c *Copy) Changed() <-chan struct{} { return c.changed }
 
 // All returns the copy's position and its records sorted by key.
@@ -135,7 +135,7 @@
 	}
 	c.position = to
 	c.confirmedAt = max(c.confirmedAt, confirmedAt)
-	if len(changes) > 0 {
+	if to != from || len(changes) > 0 {
 		c.signal()
 	}
 	return true
