ingress: requests taken late in a graceful stop are answered before it ends

What callers saw, from other operators of systems like ours: in a planned stop requests that came late in the grace were passed on and cut with no answer at its end, among them requests that may not be repeated (LOST). It could happen here: whether a request is still taken was decided by the time of its arrival alone, so that one whose route allows it more time than the stop has left was cut.

A request that is no stream is now taken in the later part of a stop only if its time is up before the stop ends, and 300 ms before the end requests of which nothing was passed on are answered: 503 if they have not run, else 502 or 504.

--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -184,6 +184,9 @@
 	// answerLifetimes is the number of lifetimes for which callers may keep a directory
 	// answer.
 	answerLifetimes = 3
+	// endMargin is the time before the end of a graceful stop at which requests without an answer
+	// are ended, so that their callers get one.
+	endMargin = 300 * time.Millisecond
 	// streamsFraction and requestsFraction are the fractions of a graceful stop during which
 	// new streams and other new requests are still served; later ones might not end in time.
 	streamsFraction  = 0.3
@@ -199,21 +202,31 @@
 	start := g.options.Now()
 	g.leaving.Store(true)
 	limit := g.options.Settings.StopGrace - stopMargin
-	g.handler.StartDrain(time.Duration(streamsFraction*float64(limit)), time.Duration(requestsFraction*float64(limit)))
+	g.handler.StartDrain(time.Duration(streamsFraction*float64(limit)), time.Duration(requestsFraction*float64(limit)), limit-endMargin)
 	g.options.Log.Info().Str("event", "stopping").Int64("active", g.handler.Active()).Msg("")
 	g.sendRound()
 	linger := answerLifetimes*g.options.Settings.LocateLifetime + heartbeatInterval
 	wait(min(linger, time.Duration(requestsFraction*float64(limit))))
 	g.closeCallerListener()
-	ctx, cancel := context.WithTimeout(context.Background(), max(limit-g.options.Now().Sub(start), 0))
-	defer cancel()
-	err := g.callers.drain(ctx)
+	err := g.drainCallers(max(limit-endMargin-g.options.Now().Sub(start), 0))
+	if err != nil {
+		g.handler.EndAll()
+		err = g.drainCallers(max(limit-g.options.Now().Sub(start), 0))
+	}
 	conns := g.callers.counts()
 	g.options.Log.Info().Str("event", "stop_done").Int64("active", g.handler.Active()).
 		Int("conns_open", conns.open).Int("conns_idle", conns.idle).Int("conns_busy", conns.busy).
 		Int64("after_ms", sinceMillis(g.options.Now, start)).Err(err).Msg("")
 }
 
+// drainCallers closes callers' connections as they become idle, for up to d. The error says that
+// some are left.
+func (g *Gateway) drainCallers(d time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	return g.callers.drain(ctx)
+}
+
 // closeCallerListener closes the callers' listener if it is open.
 func (g *Gateway) closeCallerListener() {
 	select {
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -117,7 +117,7 @@
 		return
 	}
 	x.recordRefusal(refusal)
-	if x.runs > 0 || x.headerWritten {
+	if x.runs > 0 || x.headerWritten || errors.Is(context.Cause(ctx), errStopping) {
 		x.fail(ctx)
 		return
 	}
@@ -129,8 +129,11 @@
 // connection.
 func (x *exchange) fail(ctx context.Context) {
 	reason := x.result.Reason
-	if errors.Is(context.Cause(ctx), errRequestTimeout) {
+	switch {
+	case errors.Is(context.Cause(ctx), errRequestTimeout):
 		reason = "time_up"
+	case errors.Is(context.Cause(ctx), errStopping):
+		reason = string(scheduler.ReasonLeaving)
 	}
 	switch {
 	case x.headerWritten, x.r.Context().Err() != nil:
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -81,7 +81,9 @@
 
 // New returns a handler with the given options.
 func New(o Options) *Handler {
-	return &Handler{options: o, bodies: bodyMemory{limit: o.BodyMemory}}
+	h := &Handler{options: o, bodies: bodyMemory{limit: o.BodyMemory}}
+	h.drain.ended, h.drain.end = context.WithCancel(context.Background())
+	return h
 }
 
 // ServeHTTP serves one request and reports its result.
@@ -102,7 +104,9 @@
 		return
 	}
 	defer x.body.release()
-	ctx, cancel := context.WithTimeoutCause(r.Context(), x.job.Deadline.Sub(h.options.Now()), errRequestTimeout)
+	stoppable, stop := context.WithCancelCause(r.Context())
+	defer context.AfterFunc(h.drain.ended, func() { stop(errStopping) })()
+	ctx, cancel := context.WithTimeoutCause(stoppable, x.job.Deadline.Sub(h.options.Now()), errRequestTimeout)
 	defer cancel()
 	h.options.Scheduler.RecordArrival(x.job)
 	x.serve(ctx)
@@ -174,7 +178,7 @@
 		return x.refuseUnknown(http.StatusNotFound, "no_route")
 	}
 	x.route = route
-	if x.h.drain.refuses(route.Kind == catalog.Stream, o.Now()) {
+	if now := o.Now(); x.h.drain.refuses(route.Kind == catalog.Stream, now.Add(x.timeout()), now) {
 		x.refuse(http.StatusServiceUnavailable, string(scheduler.ReasonLeaving), drainRetryAfter)
 		return false
 	}
@@ -203,6 +207,18 @@
 	return false
 }
 
+// timeout returns how long the request may take: until the time of the caller or the route is up.
+func (x *exchange) timeout() time.Duration {
+	timeout := x.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if x.call.Budget > 0 {
+		timeout = min(timeout, x.call.Budget)
+	}
+	return timeout
+}
+
 // buildJob chooses the service and creates the job. If the route has no service, it refuses
 // the request and returns false.
 func (x *exchange) buildJob(c *catalog.Catalog, customer *catalog.Customer) bool {
@@ -216,17 +232,10 @@
 		x.refuse(http.StatusServiceUnavailable, "no_service", noConfigRetryAfter)
 		return false
 	}
-	timeout := x.route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	if x.call.Budget > 0 {
-		timeout = min(timeout, x.call.Budget)
-	}
 	x.job = &scheduler.Job{
 		ID: x.call.ID, Route: x.route, Service: x.service,
 		Prompt: x.call.Prompt, Output: x.call.expectedOutput(), Parts: x.call.Parts,
-		Arrived: x.arrived, Deadline: x.arrived.Add(timeout),
+		Arrived: x.arrived, Deadline: x.arrived.Add(x.timeout()),
 	}
 	x.job.Elapsed, x.job.CallerTimeout = x.h.callerTimeouts.elapsed(x.route.Name, x.call.Budget, x.arrived)
 	var regions []fleet.RegionID
