--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -44,8 +44,12 @@
 	incarnation fleet.Incarnation
 	scope       wire.Scope
 	receivedAt  clock.Instant
-	loads       map[fleet.TargetID]placement.Load
-	counters    map[fleet.CustomerID]Usage
+	// standby is set if the peer sends its sums less often than another relay does.
+	standby bool
+	// activeAt is when the peer last reported a load or usage that had grown.
+	activeAt clock.Instant
+	loads    map[fleet.TargetID]placement.Load
+	counters map[fleet.CustomerID]Usage
 	// contributed is the growth of the peer's counters while its reports were included in
 	// the totals.
 	contributed map[fleet.CustomerID]Usage
@@ -84,6 +88,9 @@
 // first report of a peer after it started, or the first with another scope, only sets the
 // baseline, because the time over which its counters grew is unknown.
 func (t *Table) HandleHeartbeat(from wire.Hello, hb *wire.Heartbeat, now clock.Instant) map[fleet.CustomerID]Usage {
+	if hb.Scope == wire.ScopeKept {
+		return nil
+	}
 	r := t.reports[from.Instance]
 	cause, since := missingBaseline(r, from, hb.Scope), time.Duration(0)
 	if r != nil {
@@ -93,10 +100,14 @@
 		t.reports[from.Instance] = r
 	}
 	r.dataCentre, r.incarnation, r.scope, r.receivedAt = from.DataCentre, from.Incarnation, hb.Scope, now
+	r.standby = hb.Standby
 	r.loads = make(map[fleet.TargetID]placement.Load, len(hb.Loads))
 	for _, l := range hb.Loads {
 		r.loads[l.Target] = placement.Load{Running: l.Running, Unread: l.Unread, Memory: l.Memory, Starts: l.Starts, Waiting: l.Waiting}
 	}
+	if len(hb.Loads) > 0 || hasGrown(r.counters, hb.Usage) {
+		r.activeAt = now
+	}
 	t.recomputeTotals(now)
 	growth := t.updateCounters(r, hb.Usage, cause == "" && slices.Contains(t.included, r))
 	if cause != "" {
@@ -105,6 +116,22 @@
 	return growth
 }
 
+// hasGrown reports whether usage differs from the counters before.
+func hasGrown(before map[fleet.CustomerID]Usage, usage []wire.CustomerUsage) bool {
+	return len(usage) != len(before) || slices.ContainsFunc(usage, func(u wire.CustomerUsage) bool {
+		return before[u.Customer] != Usage{float64(u.Requested), float64(u.Started)}
+	})
+}
+
+// IsIdle reports whether a peer has had no load, and no request, for a time.
+func (t *Table) IsIdle(id fleet.InstanceID, now clock.Instant) bool {
+	r := t.reports[id]
+	return r != nil && now.Sub(r.activeAt) > idleAfter
+}
+
+// idleAfter is the time without load after which an instance counts as idle.
+const idleAfter = 2 * time.Second
+
 // updateCounters replaces a report's counters. If count is set it returns by how much
 // they grew and adds that to the totals.
 func (t *Table) updateCounters(r *peerReport, usage []wire.CustomerUsage, count bool) map[fleet.CustomerID]Usage {
@@ -172,7 +199,9 @@
 			fresh = append(fresh, r)
 		}
 	}
-	slices.SortFunc(fresh, func(a, b *peerReport) int { return cmp.Compare(a.id, b.id) })
+	slices.SortFunc(fresh, func(a, b *peerReport) int {
+		return cmp.Or(cmp.Compare(standbyOrder(a), standbyOrder(b)), cmp.Compare(a.id, b.id))
+	})
 	var chosen []*peerReport
 	dataCentres := make(map[fleet.DataCentreID]bool)
 	for _, r := range fresh {
@@ -186,19 +215,27 @@
 			}
 		case wire.ScopeOwn:
 			chosen = append(chosen, r)
-		case wire.ScopeNone:
+		case wire.ScopeKept, wire.ScopeNone:
 		}
 	}
 	return chosen
 }
 
+// standbyOrder puts the reports that come less often last.
+func standbyOrder(r *peerReport) int {
+	if r.standby {
+		return 1
+	}
+	return 0
+}
+
 // FillHeartbeat fills a heartbeat to a peer with this instance's own loads and counters
 // and with the sums that the scope asks for.
 func (t *Table) FillHeartbeat(hb *wire.Heartbeat, to fleet.InstanceID, scope wire.Scope,
 	loads map[fleet.TargetID]placement.Load, usage map[fleet.CustomerID]Usage,
 ) {
 	hb.Scope = scope
-	if scope == wire.ScopeNone {
+	if scope == wire.ScopeNone || scope == wire.ScopeKept {
 		return
 	}
 	totals := make(map[fleet.TargetID]placement.Load, len(loads))
@@ -222,7 +259,7 @@
 				counters[id] = counters[id].minus(u)
 			}
 		}
-	case wire.ScopeOwn, wire.ScopeNone:
+	case wire.ScopeOwn, wire.ScopeKept, wire.ScopeNone:
 	}
 	hb.Loads, hb.Usage = listLoads(totals), listUsage(counters)
 }
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -1,18 +1,15 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
 	"medlarwind.dev/medlarwind/internal/clock"
-	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/locate"
 	"medlarwind.dev/medlarwind/internal/records"
-	"medlarwind.dev/medlarwind/internal/roster"
 )
 
-// Times of reading the platform, and the limit of a directory answer.
+// Times of reading the platform.
 const (
 	// relayReadAge is the age of the records at which a relay reads the platform itself,
 	// even if it is not the reader. A reader's own copy is up to 1.4 s old (two watches of
@@ -31,8 +28,6 @@
 	settleTime = 3 * time.Second
 	// aloneSettleTime replaces settleTime for an instance without live peers.
 	aloneSettleTime = time.Second
-	// maxLocatedAddrs bounds the addresses in one directory answer.
-	maxLocatedAddrs = 64
 )
 
 // readDuty returns this instance's role in reading the platform. A few instances of each
@@ -117,66 +112,14 @@
 }
 
 // locate returns the directory's answer for a caller; false if no instance is known.
-func (g *Gateway) locate(from CallerLocation) (LocateResult, bool) {
+func (g *Gateway) locate(from locate.Caller) (LocateResult, bool) {
 	g.mu.Lock()
 	alive := g.roster.Alive(g.options.Now())
 	g.mu.Unlock()
-	addrs := Locate(alive, from, g.options.Settings.Regions)
+	addrs := locate.Addrs(alive, from, g.options.Settings.Regions)
 	return LocateResult{Addrs: addrs, Lifetime: g.options.Settings.LocateLifetime}, len(addrs) > 0
 }
 
-// Locate returns the caller addresses of the instances that a caller should use: those
-// that are ready in its region, else all that are ready, else all that are not stopping,
-// else those that are stopping. It returns at most maxLocatedAddrs addresses, sorted, so
-// that the order does not depend on the instance asked. O(members · log members).
-func Locate(alive []roster.Member, from CallerLocation, regions map[fleet.DataCentreID]fleet.RegionID) []string {
-	best := classNone
-	var members []roster.Member
-	for _, m := range alive {
-		class := classify(m, from, regions)
-		if class > best {
-			best, members = class, nil
-		}
-		if class == best && class != classNone {
-			members = append(members, m)
-		}
-	}
-	slices.SortFunc(members, func(a, b roster.Member) int { return cmp.Compare(a.CallerAddr, b.CallerAddr) })
-	addrs := make([]string, 0, min(len(members), maxLocatedAddrs))
-	for _, m := range members[:min(len(members), maxLocatedAddrs)] {
-		addrs = append(addrs, m.CallerAddr)
-	}
-	return addrs
-}
-
-// locateClass ranks instances by how suitable they are for a caller; higher is better.
-type locateClass int
-
-const (
-	// classNone has no address for callers.
-	classNone locateClass = iota
-	classLeaving
-	classNotReady
-	classReady
-	// classSameRegion is ready and in the caller's region.
-	classSameRegion
-)
-
-// classify returns the class of an instance for a caller at from.
-func classify(m roster.Member, from CallerLocation, regions map[fleet.DataCentreID]fleet.RegionID) locateClass {
-	switch {
-	case m.CallerAddr == "":
-		return classNone
-	case m.Leaving:
-		return classLeaving
-	case m.NotReady:
-		return classNotReady
-	case regions[m.DataCentre] == from.Region:
-		return classSameRegion
-	}
-	return classReady
-}
-
 // Times of a graceful stop.
 const (
 	// stopMargin is the part of the grace period that is left for the process to exit.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"medlarwind.dev/medlarwind/internal/clock"
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/ingress"
+	"medlarwind.dev/medlarwind/internal/locate"
 	"medlarwind.dev/medlarwind/internal/peer"
 	"medlarwind.dev/medlarwind/internal/records"
 	"medlarwind.dev/medlarwind/internal/roster"
@@ -106,6 +107,8 @@
 	relay, reader atomic.Bool
 	// hasPeers is set while other instances are alive.
 	hasPeers atomic.Bool
+	// behind is set while the instance gets less processor time than its work needs.
+	behind atomic.Bool
 
 	// mu guards roster, peers, round and fetching.
 	mu     sync.Mutex
@@ -382,13 +385,17 @@
 func (g *Gateway) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	ticks := 0
+	ticks, last := 0, g.options.Now()
+	var lag locate.Lag
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		now := g.options.Now()
+		g.noteLag(&lag, now.Sub(last))
+		last = now
 		// Absent and cold targets change slowly, so that fewer ticks suffice while no request
 		// is queued.
 		if ticks++; ticks%idleTicksPerUpdate == 0 || g.scheduler.QueueLength() > 0 {
@@ -397,6 +404,19 @@
 	}
 }
 
+// noteLag adds the time between two ticks to lag. When the instance begins to fall behind or no
+// longer does, callers must learn it from the directory.
+func (g *Gateway) noteLag(lag *locate.Lag, elapsed time.Duration) {
+	behind := lag.Add(elapsed, tickInterval)
+	g.scheduler.SetProcessor(scheduler.ProcessorState{Delay: lag.Delay(), Behind: behind})
+	if g.behind.Swap(behind) == behind {
+		return
+	}
+	g.metrics.setBehind(behind)
+	g.options.Log.Warn().Str("event", "instance_behind").Bool("behind", behind).Int64("delay_ms", lag.Delay().Milliseconds()).
+		Int64("active", g.handler.Active()).Int("queued", g.scheduler.QueueLength()).Msg("")
+}
+
 // idleTicksPerUpdate is the number of ticks for each update of the scheduler while no
 // request is queued.
 const idleTicksPerUpdate = 5
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -27,7 +27,9 @@
 	platformFailures expvar.Int
 	// era is the platform's era that the records are of, eraChanges the number of changes.
 	era, eraChanges expvar.Int
-	logDropped      func() int64
+	// behind is 1 while the instance falls behind, timesBehind counts how often it began to.
+	behind, timesBehind expvar.Int
+	logDropped          func() int64
 
 	// mu guards the histograms.
 	mu        sync.Mutex
@@ -129,6 +131,16 @@
 	}
 }
 
+// setBehind records that the instance begins to fall behind or no longer does.
+func (m *metrics) setBehind(behind bool) {
+	if !behind {
+		m.behind.Set(0)
+		return
+	}
+	m.behind.Set(1)
+	m.timesBehind.Add(1)
+}
+
 // recordShares replaces the gauges of the shares and records the age of the reports.
 func (m *metrics) recordShares(r scheduler.ShareReport) {
 	m.shares.Store(&r)
@@ -169,6 +181,8 @@
 	all.Set("platform_failures", &m.platformFailures)
 	all.Set("store_era", &m.era)
 	all.Set("store_era_changes", &m.eraChanges)
+	all.Set("behind", &m.behind)
+	all.Set("times_behind", &m.timesBehind)
 	all.Set("first_byte_ms", expvar.Func(func() any { return m.summary(m.firstByte) }))
 	all.Set("waited_ms", expvar.Func(func() any { return m.summary(m.waited) }))
 	if m.logDropped != nil {
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -13,6 +13,7 @@
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/ingress"
 	"medlarwind.dev/medlarwind/internal/inventory"
+	"medlarwind.dev/medlarwind/internal/locate"
 	"medlarwind.dev/medlarwind/internal/records"
 )
 
@@ -74,12 +75,6 @@
 	DecodeConfiguration(content []byte) (*catalog.Catalog, error)
 }
 
-// CallerLocation is the region and data centre of a caller.
-type CallerLocation struct {
-	Region     fleet.RegionID
-	DataCentre fleet.DataCentreID
-}
-
 // LocateResult is an answer of the directory.
 type LocateResult struct {
 	// Addrs are the caller addresses of instances, at least one.
@@ -94,7 +89,7 @@
 	Readiness(ready func() bool) http.Handler
 	// Directory returns the handler that tells callers which addresses to use. locate
 	// returns false if no instance is known.
-	Directory(locate func(CallerLocation) (LocateResult, bool)) http.Handler
+	Directory(locate func(locate.Caller) (LocateResult, bool)) http.Handler
 }
 
 // Options configures a Gateway.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -6,6 +6,7 @@
 
 	"medlarwind.dev/medlarwind/internal/clock"
 	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/membership"
 	"medlarwind.dev/medlarwind/internal/records"
 	"medlarwind.dev/medlarwind/internal/roster"
 	"medlarwind.dev/medlarwind/internal/wire"
@@ -25,6 +26,11 @@
 	// sent. sentAt holds the sending time of sequence number n at n % sentTimesKept.
 	lastReceivedSeq, lastSentSeq uint64
 	sentAt                       [sentTimesKept]clock.Instant
+	// sentMembers and receivedMembers track the lists of members sent and received.
+	sentMembers     roster.SentMembers
+	receivedMembers roster.ReceivedMembers
+	// sentScope is the scope of the last heartbeat with loads.
+	sentScope wire.Scope
 	// ahead is set if the peer's last heartbeat reported newer records than this
 	// instance's.
 	ahead bool
@@ -44,9 +50,15 @@
 	}
 }
 
-// membersEvery is the interval, in heartbeat rounds, at which all members are listed in
-// fleets that are too large to list them in every round.
-const membersEvery = 3
+// Intervals in heartbeat rounds.
+const (
+	// membersEvery is the interval at which members that have changed are listed in fleets that
+	// are too large to list them in every round.
+	membersEvery = 3
+	// sumsEvery is the interval at which a relay sends its sums to peers that are idle or have
+	// another relay as their first source. It is below the time for which sums are used.
+	sumsEvery = 5
+)
 
 // sendRound updates the topology from the roster and sends one heartbeat to each
 // connected peer.
@@ -58,12 +70,12 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.roster.SetSelf(g.leaving.Load(), !g.isReady())
+	g.roster.SetSelf(g.leaving.Load(), !g.isReady(), g.behind.Load())
 	alive := g.roster.Alive(now)
 	topology := roster.Plan(fleet.InstanceID(g.options.Settings.PeerAddr), g.options.Settings.DataCentre, alive)
-	if g.round++; len(alive) <= roster.MaxMeshSize || g.round%membersEvery == 0 {
-		common.Members = g.roster.WireMembers(now)
-	}
+	g.round++
+	members := g.roster.WireMembers(now)
+	listMembers := len(alive) <= roster.MaxMeshSize || g.round%membersEvery == 0
 	g.relay.Store(topology.Relay)
 	g.reader.Store(topology.Reader)
 	g.hasPeers.Store(len(alive) > 1)
@@ -71,6 +83,7 @@
 	g.scheduler.SetAlive(alive)
 	g.logEvidence(g.scheduler.TakeEvidenceChanges())
 	g.logLimits(g.scheduler.TakeLimitChanges())
+	g.logOddTimes(g.scheduler.TakeOddTimes())
 	for _, hello := range g.transport.Connected() {
 		scope, planned := topology.Scopes[hello.Instance]
 		if !planned {
@@ -78,11 +91,11 @@
 		}
 		p := g.peerStateOf(hello.Instance, hello.Incarnation)
 		hb := common
-		if p.lastSentSeq == 0 {
-			// The first heartbeat to a peer always lists all members.
-			hb.Members = g.roster.WireMembers(now)
-		}
 		p.lastSentSeq++
+		// The first heartbeat to a peer always lists all members.
+		p.sentMembers.Fill(&hb, p.lastSentSeq, members, listMembers || p.lastSentSeq == 1)
+		hb.Standby = topology.Standby[hello.Instance]
+		scope = g.scopeInRound(p, hello.Instance, scope, hb.Standby)
 		hb.Seq, hb.EchoSeq, hb.EchoIncarnation = p.lastSentSeq, p.lastReceivedSeq, p.incarnation
 		p.sentAt[p.lastSentSeq%sentTimesKept] = now
 		g.scheduler.FillHeartbeat(&hb, hello.Instance, scope)
@@ -90,6 +103,18 @@
 	}
 }
 
+// scopeInRound returns the scope of the heartbeat to a peer in the current round: wire.ScopeKept
+// if the peer is not to get the sums in each round. g.mu must be held.
+func (g *Gateway) scopeInRound(p *peerState, id fleet.InstanceID, scope wire.Scope, standby bool) wire.Scope {
+	sums := scope == wire.ScopeRest || scope == wire.ScopeDataCentre
+	due := (uint64(g.round)+membership.Hash(string(id)))%sumsEvery == 0
+	if sums && scope == p.sentScope && !due && (standby || scope == wire.ScopeRest && g.scheduler.IsIdle(id)) {
+		return wire.ScopeKept
+	}
+	p.sentScope = scope
+	return scope
+}
+
 // peerStateOf returns the state of a peer's incarnation, creating it if necessary. g.mu
 // must be held.
 func (g *Gateway) peerStateOf(id fleet.InstanceID, incarnation fleet.Incarnation) *peerState {
@@ -121,7 +146,10 @@
 		return
 	}
 	p.lastReceivedSeq = hb.Seq
-	g.roster.Merge(hb.Members, now)
+	if hb.EchoIncarnation == g.incarnation && hb.EchoSeq <= p.lastSentSeq && p.lastSentSeq-hb.EchoSeq < sentTimesKept {
+		p.sentMembers.Acknowledge(hb.EchoSeq)
+	}
+	p.receivedMembers.Merge(g.roster, hb, now)
 	g.roster.MarkSeen(from.Instance, from.Incarnation, now)
 	if hb.Records != nil {
 		g.applyRecordsState(from.Instance, p, hb, now)
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -155,9 +155,7 @@
 	x.result.Cached, x.result.Rank = p.Cached, p.Rank
 	x.runEvents = 0
 	if s == nil && !p.Valid() {
-		p.End(scheduler.Unsent)
-		x.result.Reason = "target_left"
-		return notSent
+		return x.unsent(p, errTargetLeft)
 	}
 	if callerGone(x.r.Context()) {
 		if s != nil {
@@ -189,13 +187,54 @@
 	}
 	<-s.done
 	if s.unsent {
-		p.End(scheduler.Unsent)
-		x.result.Reason = "target_left"
-		return notSent
+		return x.unsent(p, errTargetLeft)
 	}
 	return x.endAttempt(ctx, p, s.resp, s.err)
 }
 
+// Errors of sendable.
+var (
+	errTargetLeft = errors.New("target left")
+	errCallerGone = errors.New("caller gone")
+)
+
+// sendable returns why a request must not be sent to a placement's target any more, nil if it
+// may be sent. Opening a connection may take long, and more so while the processor is short.
+func (x *exchange) sendable(p *scheduler.Placement) error {
+	switch {
+	case !p.Valid():
+		return errTargetLeft
+	case callerGone(x.r.Context()):
+		return errCallerGone
+	case x.h.options.Now() >= x.job.Deadline:
+		return errRequestTimeout
+	}
+	return nil
+}
+
+// isUnsendable reports whether err is, or wraps, one that sendable returned.
+func isUnsendable(err error) bool {
+	var failure *upstream.Error
+	return errors.As(err, &failure) && !failure.Sent && !failure.DialFailed &&
+		(errors.Is(err, errTargetLeft) || errors.Is(err, errCallerGone) || errors.Is(err, errRequestTimeout))
+}
+
+// unsent ends a placement to whose target nothing was sent for the given reason. If the caller
+// has gone, it aborts the connection.
+func (x *exchange) unsent(p *scheduler.Placement, err error) attemptResult {
+	p.End(scheduler.Unsent)
+	switch {
+	case errors.Is(err, errCallerGone):
+		x.result.Reason = "caller_gone"
+		panic(http.ErrAbortHandler)
+	case errors.Is(err, errRequestTimeout):
+		x.result.Reason = "time_up"
+	default:
+		x.result.Reason = "target_left"
+	}
+	return notSent
+}
+
 // endAttempt relays the response to an attempt, or records that there is none.
 func (x *exchange) endAttempt(ctx context.Context, p *scheduler.Placement, resp *upstream.Response, err error) attemptResult {
 	if err != nil {
@@ -244,14 +283,13 @@
 
 // sendFailed ends a placement whose attempt got no response, and returns the result.
 func (x *exchange) sendFailed(ctx context.Context, p *scheduler.Placement, err error) attemptResult {
+	if isUnsendable(err) {
+		return x.unsent(p, err)
+	}
 	x.result.Reason = "target_broken"
 	var failure *upstream.Error
 	if errors.As(err, &failure) && !failure.Sent {
-		outcome := scheduler.Unreachable
-		if ctx.Err() != nil {
-			outcome = scheduler.Abandoned
-		}
-		p.End(outcome)
+		p.End(dialOutcome(ctx, failure))
 		x.result.Reason = "target_unreachable"
 		return notSent
 	}
@@ -260,6 +298,17 @@
 	return mayHaveRun
 }
 
+// dialOutcome returns the outcome of an attempt of which nothing was sent.
+func dialOutcome(ctx context.Context, failure *upstream.Error) scheduler.Outcome {
+	switch {
+	case ctx.Err() != nil:
+		return scheduler.Abandoned
+	case failure.TimedOut():
+		return scheduler.DialTimedOut
+	}
+	return scheduler.Unreachable
+}
+
 // endBroken ends a placement whose run got no complete response. err may be nil.
 func (x *exchange) endBroken(ctx context.Context, p *scheduler.Placement, err error) {
 	outcome := x.brokenOutcome(ctx)
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -172,6 +172,9 @@
 			Int64("silent_asked_ms", s.Asked.Milliseconds()).Str("replacement", string(s.Replacement)).
 			Str("replacement_result", string(s.Result)).Int64("replacement_ms", s.Took.Milliseconds())
 	}
+	if r.RetryAfter > 0 {
+		line = line.Int64("retry_after_ms", r.RetryAfter.Milliseconds())
+	}
 	if r.Refusal != nil {
 		line = appendInputs(line, r.Refusal)
 		if r.Refusal.Reason == scheduler.ReasonCrashesTargets {
@@ -245,6 +248,9 @@
 	if in.HeldTargets > 0 {
 		line = line.Int("held_targets", in.HeldTargets).Int64("held_for_ms", in.HeldFor.Milliseconds())
 	}
+	if refusal.Reason == scheduler.ReasonInstanceBusy {
+		line = line.Int64("processor_delay_ms", in.ProcessorDelay.Milliseconds())
+	}
 	if refusal.Reason == scheduler.ReasonRetryBudget {
 		line = line.Int64("retries", int64(in.Retries)).Int64("retries_allowed", int64(in.RetriesAllowed))
 	}
--- a/internal/ingress/standby.go
+++ b/internal/ingress/standby.go
@@ -58,15 +58,11 @@
 // begin sends the request and waits until the response has delivered or failed.
 func (s *standby) begin() {
 	o := &s.x.h.options
-	// Connecting may take long, and the target may have to leave meanwhile.
 	if s.err = o.Upstream.Connect(s.ctx, s.placement.Target.Addr); s.err != nil {
 		return
 	}
-	if !s.placement.Valid() || callerGone(s.x.r.Context()) {
-		s.unsent = true
-		return
-	}
 	s.resp, s.err = o.Upstream.Send(s.ctx, s.x.upstreamRequest(s.placement, s.body, s.resumeAfter))
+	s.unsent = isUnsendable(s.err)
 	if s.err == nil {
 		s.info = o.Codec.DecodeResponse(s.resp.Status, s.resp.Header)
 		s.delivered = s.awaitDelivery()
@@ -172,7 +168,9 @@
 	x, p := s.x, s.placement
 	if result == notSent {
 		if became == replacementUnreachable {
-			p.End(scheduler.Unreachable)
+			var failure *upstream.Error
+			errors.As(s.err, &failure)
+			p.End(dialOutcome(s.ctx, failure))
 		}
 		p.Withdraw()
 		return
@@ -213,6 +211,7 @@
 			Remaining: x.job.Deadline.Sub(o.Now()), Target: p.Target.ID, Customer: x.customer, ResumeAfter: resumeAfter,
 		}),
 		Body:    body,
+		Ready:   func() error { return x.sendable(p) },
 		NewConn: x.needsNewConn(p.Target.Addr),
 		Match:   func(h http.Header) upstream.Match { return o.Codec.MatchResponse(x.call, h) },
 		Skipped: func(status int) { x.logSkipped(p, status) },
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -67,6 +67,9 @@
 	// ColdUntil is the end of the time in which the target accepts only a low rate of
 	// requests.
 	ColdUntil clock.Instant
+	// suspectUntil is the end of the time for which the target counts as cold because it may
+	// have restarted.
+	suspectUntil clock.Instant
 	// absentSince is the time of the first listing without the target, 0 while the target
 	// is listed.
 	absentSince clock.Instant
@@ -74,7 +77,7 @@
 }
 
 // IsCold reports whether the target accepts only a low rate of requests.
-func (e *Entry) IsCold(now clock.Instant) bool { return now < e.ColdUntil }
+func (e *Entry) IsCold(now clock.Instant) bool { return now < max(e.ColdUntil, e.suspectUntil) }
 
 // Inventory is the table of listed targets.
 type Inventory struct {
@@ -174,10 +177,17 @@
 
 // MarkBroken records that a target could not be reached or broke a connection. The target
 // is treated as cold for coldPeriod plus relistMargin, because it may have restarted before
-// the listing shows the new start.
+// the listing shows the new start; MarkRunning ends that.
 func (v *Inventory) MarkBroken(id fleet.TargetID, coldPeriod time.Duration, now clock.Instant) {
 	if e := v.targets[id]; e != nil && coldPeriod > 0 {
-		e.ColdUntil = max(e.ColdUntil, now.Add(coldPeriod+relistMargin))
+		e.suspectUntil = max(e.suspectUntil, now.Add(coldPeriod+relistMargin))
+	}
+}
+
+// MarkRunning records that a target has not restarted since it was last marked as broken.
+func (v *Inventory) MarkRunning(id fleet.TargetID) {
+	if e := v.targets[id]; e != nil {
+		e.suspectUntil = 0
 	}
 }
 
--- /dev/null
+++ b/internal/locate/behind.go
@@ -0,0 +1,45 @@
+package locate
+
+import "time"
+
+// Thresholds of a Lag.
+const (
+	// behindFrom is the smoothed delay from which an instance counts as falling behind.
+	behindFrom = 60 * time.Millisecond
+	// steadyBelow is the smoothed delay below which it must stay for steadyFor before it no
+	// longer does. Callers that left come back only then.
+	steadyBelow = 15 * time.Millisecond
+	steadyFor   = 5 * time.Second
+	// delayWeight is the weight of the newest delay.
+	delayWeight = 0.1
+)
+
+// Lag tells from the delays of a periodic timer whether the instance falls behind: whether
+// it gets less processor time than its work needs. The zero value is steady. It must not be
+// used concurrently.
+type Lag struct {
+	smoothed, steady time.Duration
+	behind           bool
+}
+
+// Add records that the timer, due after the given interval, fired after elapsed. It returns
+// whether the instance falls behind.
+func (l *Lag) Add(elapsed, interval time.Duration) bool {
+	delay := max(elapsed-interval, 0)
+	l.smoothed += time.Duration(delayWeight * float64(delay-l.smoothed))
+	if l.smoothed < steadyBelow {
+		l.steady += elapsed
+	} else {
+		l.steady = 0
+	}
+	switch {
+	case l.smoothed >= behindFrom:
+		l.behind = true
+	case l.steady >= steadyFor:
+		l.behind = false
+	}
+	return l.behind
+}
+
+// Delay returns the smoothed delay.
+func (l *Lag) Delay() time.Duration { return l.smoothed }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -43,6 +43,8 @@
 	ProcessorMillis int
 	Leaving         bool
 	NotReady        bool
+	// Behind is set while the instance gets less processor time than its work needs.
+	Behind bool
 	// LastSeen is when the instance was last heard from by any instance, converted to this
 	// machine's clock.
 	LastSeen clock.Instant
@@ -62,7 +64,9 @@
 }
 
 // SetSelf sets the state of this instance that is reported to peers.
-func (r *Roster) SetSelf(leaving, notReady bool) { r.self.Leaving, r.self.NotReady = leaving, notReady }
+func (r *Roster) SetSelf(leaving, notReady, behind bool) {
+	r.self.Leaving, r.self.NotReady, r.self.Behind = leaving, notReady, behind
+}
 
 // SetSeeds replaces the addresses of the seeds.
 func (r *Roster) SetSeeds(seeds []fleet.InstanceID) { r.seeds = seeds }
@@ -79,12 +83,16 @@
 		if current != nil && current.LastSeen >= lastSeen {
 			continue
 		}
-		if current == nil && (len(r.members) >= maxMembers || now.Sub(lastSeen) > expireAfter) {
-			continue
+		if current == nil {
+			if len(r.members) >= maxMembers || now.Sub(lastSeen) > expireAfter {
+				continue
+			}
+			current = new(Member)
+			r.members[m.ID] = current
 		}
-		r.members[m.ID] = &Member{
+		*current = Member{
 			ID: m.ID, Incarnation: m.Incarnation, DataCentre: m.DataCentre, CallerAddr: m.CallerAddr,
-			ProcessorMillis: m.ProcessorMillis, Leaving: m.Leaving, NotReady: m.NotReady, LastSeen: lastSeen,
+			ProcessorMillis: m.ProcessorMillis, Leaving: m.Leaving, NotReady: m.NotReady, Behind: m.Behind, LastSeen: lastSeen,
 		}
 	}
 }
@@ -104,7 +112,7 @@
 func toWire(m *Member, age time.Duration) wire.Member {
 	return wire.Member{
 		ID: m.ID, Incarnation: m.Incarnation, DataCentre: m.DataCentre, CallerAddr: m.CallerAddr,
-		ProcessorMillis: m.ProcessorMillis, Leaving: m.Leaving, NotReady: m.NotReady, AgeMillis: age.Milliseconds(),
+		ProcessorMillis: m.ProcessorMillis, Leaving: m.Leaving, NotReady: m.NotReady, Behind: m.Behind, AgeMillis: age.Milliseconds(),
 	}
 }
 
--- a/internal/roster/topology.go
+++ b/internal/roster/topology.go
@@ -24,6 +24,9 @@
 type Topology struct {
 	// Scopes holds the scope of the heartbeats to each peer.
 	Scopes map[fleet.InstanceID]wire.Scope
+	// Standby holds the peers that have another relay as their first source of sums. They get
+	// this relay's less often.
+	Standby map[fleet.InstanceID]bool
 	// Relay is set if this instance is a relay of its data centre.
 	Relay bool
 	// Reader is set if this instance reads the platform for its data centre, which is the
@@ -54,7 +57,7 @@
 // data centre and the relays of the other data centres, and the peers of any other
 // instance are the relays of its data centre.
 func Plan(self fleet.InstanceID, centre fleet.DataCentreID, members []Member) Topology {
-	p := Topology{Scopes: make(map[fleet.InstanceID]wire.Scope)}
+	p := Topology{Scopes: make(map[fleet.InstanceID]wire.Scope), Standby: make(map[fleet.InstanceID]bool)}
 	relays := Relays(centre, members)
 	p.Relay = slices.Contains(relays, self)
 	p.Reader = len(relays) > 0 && relays[0] == self
@@ -64,7 +67,7 @@
 			p.Scopes[m.ID] = wire.ScopeOwn
 		}
 	case p.Relay:
-		p.addRelayPeers(centre, members)
+		p.addRelayPeers(slices.Index(relays, self), len(relays), centre, members)
 	}
 	for _, id := range relays {
 		p.Scopes[id] = wire.ScopeOwn
@@ -74,19 +77,23 @@
 }
 
 // addRelayPeers adds the peers of a relay: the instances of its data centre and the
-// relays of the other data centres.
-func (p *Topology) addRelayPeers(centre fleet.DataCentreID, members []Member) {
+// relays of the other data centres. The relay is the first source of sums for every relays-th
+// instance of its data centre, and for the relay with its index in the other data centres.
+func (p *Topology) addRelayPeers(index, relays int, centre fleet.DataCentreID, members []Member) {
 	otherDataCentres := make(map[fleet.DataCentreID]bool)
 	for _, m := range members {
 		if m.DataCentre == centre {
 			p.Scopes[m.ID] = wire.ScopeRest
+			p.Standby[m.ID] = membership.Hash(string(m.ID))%uint64(relays) != uint64(index)
 		} else {
 			otherDataCentres[m.DataCentre] = true
 		}
 	}
 	for other := range otherDataCentres {
-		for _, id := range Relays(other, members) {
+		theirs := Relays(other, members)
+		for i, id := range theirs {
 			p.Scopes[id] = wire.ScopeDataCentre
+			p.Standby[id] = i%relays != index
 		}
 	}
 }
--- a/internal/scheduler/evidence.go
+++ b/internal/scheduler/evidence.go
@@ -130,22 +130,27 @@
 // judge says whether a job may run. s.mu must be held.
 func (s *Scheduler) judge(j *Job, now clock.Instant) quarantine.Judgement {
 	return s.evidence.Check(j.traits, now, func(trait uint64) (position, instances int) {
-		return s.position(strconv.FormatUint(trait, 16)), len(s.alive)
+		return s.position(strconv.FormatUint(trait, 16), s.entries), len(s.entries)
 	})
 }
 
-// position returns this instance's position, from 0, in the rendezvous order of the live
-// instances for a key, and the number of instances if it is not one of them. It takes
-// O(instances · log instances) time. s.mu must be held.
-func (s *Scheduler) position(key string) int {
-	members := make([]fleet.InstanceID, 0, len(s.alive))
-	for _, m := range s.alive {
-		members = append(members, m.ID)
-	}
-	if i := slices.Index(membership.Rank(key, members), s.options.Self); i >= 0 {
+// position returns this instance's position, from 0, in the rendezvous order of instances for a
+// key, and the number of instances if it is not one of them. It takes
+// O(instances · log instances) time.
+func (s *Scheduler) position(key string, instances []fleet.InstanceID) int {
+	if i := slices.Index(membership.Rank(key, instances), s.options.Self); i >= 0 {
 		return i
 	}
-	return len(members)
+	return len(instances)
+}
+
+// aliveIDs returns the live instances. s.mu must be held.
+func (s *Scheduler) aliveIDs() []fleet.InstanceID {
+	ids := make([]fleet.InstanceID, 0, len(s.alive))
+	for _, m := range s.alive {
+		ids = append(ids, m.ID)
+	}
+	return ids
 }
 
 // refuseSuspect returns the refusal of a job that may crash targets. s.mu must be held.
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -34,6 +34,13 @@
 	hb.Limits = s.limits.Report(now)
 }
 
+// IsIdle reports whether a peer has had no load, and no request, for a time.
+func (s *Scheduler) IsIdle(peer fleet.InstanceID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.exchange.IsIdle(peer, s.options.Now())
+}
+
 // HandleHeartbeat applies a heartbeat received from a peer. It returns what changed in
 // the use of peers' reports.
 func (s *Scheduler) HandleHeartbeat(from wire.Hello, hb *wire.Heartbeat) exchange.Changes {
@@ -52,7 +59,7 @@
 }
 
 // avoidBrokenTargets avoids targets that a peer reported as broken, and treats them as
-// cold afterwards. s.mu must be held.
+// cold afterwards, unless a run that has ended since disproves it. s.mu must be held.
 func (s *Scheduler) avoidBrokenTargets(broken []fleet.TargetID, now clock.Instant) {
 	for _, id := range broken {
 		e, ok := s.inventory.Get(id)
@@ -60,6 +67,9 @@
 			continue
 		}
 		t := s.target(id)
+		if !t.suspect(now) {
+			continue
+		}
 		t.avoidUntil = max(t.avoidUntil, now.Add(peerBrokenAvoid))
 		if s.catalog == nil {
 			continue
--- a/internal/scheduler/inputs.go
+++ b/internal/scheduler/inputs.go
@@ -44,6 +44,8 @@
 	// starts there, HeldFor the time until the first target may take it that could not.
 	HeldTargets int
 	HeldFor     time.Duration
+	// ProcessorDelay is by how much this instance's timers are late.
+	ProcessorDelay time.Duration
 	// Suspect is the judgement that refused a job because requests like it crash targets.
 	Suspect quarantine.Judgement
 	// Retries and RetriesAllowed are the state of the retry budget that refused a retry.
@@ -57,7 +59,7 @@
 	decidedAt      clock.Instant
 	preferred      fleet.TargetID
 	choice         placement.Choice
-	limit          loadLimit
+	limit          placement.Limit
 	running, slots int
 	// candidates is the number of targets that could start the job now.
 	candidates int
@@ -78,8 +80,9 @@
 func (s *Scheduler) inputs(j *Job, now clock.Instant) Inputs {
 	c := &j.considered
 	in := Inputs{
-		Decisions: c.decisions, Preferred: c.preferred, PreferredWait: c.choice.Wait, WaitLimit: c.limit.wait,
-		SlotLimit:        int(math.Ceil(c.limit.slots * float64(c.slots))),
+		Decisions: c.decisions, Preferred: c.preferred, PreferredWait: c.choice.Wait, WaitLimit: c.limit.Wait,
+		SlotLimit:        int(math.Ceil(c.limit.Slots * float64(c.slots))),
+		ProcessorDelay:   s.processor.Delay,
 		PreferredRunning: c.running, PreferredSlots: c.slots, ShortestWait: c.choice.ShortestWait,
 	}
 	if c.decisions > 0 {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -187,6 +187,7 @@
 	ReasonCrashesTargets Reason = "crashes_targets"
 	ReasonLeaving        Reason = "leaving"
 	ReasonTargetLimit    Reason = "target_limit"
+	ReasonInstanceBusy   Reason = "instance_busy"
 )
 
 // Refusal is the error returned for a job that was not started.
@@ -216,8 +217,11 @@
 	Failed
 	// Rejected means that the target reported that it did not run the request.
 	Rejected
-	// Unreachable means that no connection could be opened.
+	// Unreachable means that the target refused the connection.
 	Unreachable
+	// DialTimedOut means that no connection was opened in time: the target, the network or
+	// this instance may be the cause.
+	DialTimedOut
 	// Broken means that the connection broke or carried malformed data.
 	Broken
 	// Silent means that the target sent nothing for too long, so that another one took the
@@ -244,6 +248,10 @@
 	load       placement.Load
 	started    clock.Instant
 	prefilling bool
+	// toPrefill is the number of tokens that the target had to prefill up to the first event,
+	// distance the cost of its distance.
+	toPrefill int
+	distance  time.Duration
 	// answering is set once the target has sent more than its first event. It is used by the
 	// goroutine of the request only.
 	answering bool
--- a/internal/scheduler/limits.go
+++ b/internal/scheduler/limits.go
@@ -215,18 +215,19 @@
 // cold target. rate is the number of requests a second that the target accepts from the
 // whole fleet. Rendezvous hashing selects the instances that share the rate.
 func (s *Scheduler) coldShare(target *usableTarget, rate float64) int {
-	starters := min(len(s.alive), maxColdStarters)
-	if s.rankOf(target) >= starters {
+	starters := min(len(s.entries), maxColdStarters)
+	rank := s.entryRankOf(target)
+	if rank >= starters {
 		return 0
 	}
-	return pacing.Share(int(rate*coldWindow.Seconds()), max(starters, minSharers), s.rankOf(target))
+	return pacing.Share(int(rate*coldWindow.Seconds()), max(starters, minSharers), rank)
 }
 
 // rankOf returns this instance's position, from 0, among the live instances that share the
 // starts on a target, and the number of instances if it is not one of them. s.mu must be held.
 func (s *Scheduler) rankOf(target *usableTarget) int {
 	if !target.rankKnown {
-		target.rank, target.rankKnown = s.position(string(target.entry.ID)), true
+		target.rank, target.rankKnown = s.position(string(target.entry.ID), s.aliveIDs()), true
 		if target.rank >= len(s.alive) {
 			target.rank = max(target.rank, minSharers)
 		}
@@ -234,6 +235,19 @@
 	return target.rank
 }
 
+// entryRankOf returns this instance's position, from 0, among the entries that share the starts on
+// a cold target, and the number of entries, or minSharers if that is more, if it is not one of them.
+// s.mu must be held.
+func (s *Scheduler) entryRankOf(target *usableTarget) int {
+	if !target.entryRankKnown {
+		target.entryRank, target.entryRankKnown = s.position(string(target.entry.ID), s.entries), true
+		if target.entryRank >= len(s.entries) {
+			target.entryRank = max(target.entryRank, minSharers)
+		}
+	}
+	return target.entryRank
+}
+
 // ObserveLimit records the limit on requests a second that the target named in its answer,
 // or that it named none.
 func (p *Placement) ObserveLimit(perSecond float64, named bool) {
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -24,6 +24,9 @@
 	overShareWaitFraction = 0.5
 	// maxQueueMisses limits the jobs that are examined without success in one pass.
 	maxQueueMisses = 12
+	// passInterval is the least time between two passes over the queue of which the first found
+	// no job to start.
+	passInterval = 5 * time.Millisecond
 	// retryFraction limits the advised retry delay to a fraction of the job's remaining
 	// time.
 	retryFraction = 0.3
@@ -141,28 +144,39 @@
 }
 
 // startQueued starts the queued jobs that may start now: those of the customers that have
-// used the least of their share first, and the oldest first for each customer. s.mu must
-// be held.
+// used the least of their share first, and the oldest first for each customer. After a pass
+// that found no job to start, the next one follows at the earliest after passInterval: under
+// load each answer leads to a pass, and a pass costs as much as a dozen decisions. Tick makes
+// up for the passes that were left out. s.mu must be held.
 func (s *Scheduler) startQueued() {
-	if len(s.queue) == 0 {
+	now := s.options.Now()
+	if len(s.queue) == 0 || now.Sub(s.vainPassAt) < passInterval {
 		return
 	}
-	now := s.options.Now()
+	if s.passQueue(now) == 0 {
+		s.vainPassAt = now
+	}
+}
+
+// passQueue examines the queued jobs in order. It returns the number of jobs that have left the
+// queue. s.mu must be held.
+func (s *Scheduler) passQueue(now clock.Instant) int {
 	for _, w := range s.queue {
 		w.used = s.meter.Usage(w.job.Customer, now)
 	}
 	slices.SortStableFunc(s.queue, func(a, b *waiter) int {
 		return cmp.Or(cmp.Compare(a.used, b.used), cmp.Compare(a.enqueuedAt, b.enqueuedAt))
 	})
-	misses := 0
+	misses, done := 0, 0
 	for _, w := range slices.Clone(s.queue) {
 		v := s.place(w.job, w.retry, now)
 		if v.placement == nil && v.refusal == nil {
 			if misses++; misses >= maxQueueMisses {
-				return
+				break
 			}
 			continue
 		}
+		done++
 		if v.refusal != nil {
 			v.refusal.Waited = now.Sub(w.enqueuedAt)
 		}
@@ -170,4 +184,5 @@
 		w.done = true
 		w.decision <- v
 	}
+	return done
 }
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -5,6 +5,7 @@
 
 	"medlarwind.dev/medlarwind/internal/clock"
 	"medlarwind.dev/medlarwind/internal/placement"
+	"medlarwind.dev/medlarwind/internal/wire"
 )
 
 // Constants for avoiding targets after failures.
@@ -18,7 +19,8 @@
 	minAvoid       = 300 * time.Millisecond
 	maxAvoid       = 3 * time.Second
 	// downThreshold is the number of consecutive failures after which a broken or silent
-	// connection marks the target as down. A single one shows only that an answer was lost.
+	// connection, or one that was not opened in time, marks the target as down. A single one
+	// shows only that an answer or a packet was lost.
 	downThreshold = 3
 	// unreachableAvoid is the minimum time for which a target is avoided after a
 	// connection to it could not be opened.
@@ -47,6 +49,7 @@
 	t := s.target(p.Target.ID)
 	t.ownLoad.Unread -= p.load.Unread
 	p.load.Unread = 0
+	s.observeSpeed(p, t, s.options.Now())
 	s.startQueued()
 }
 
@@ -67,7 +70,7 @@
 		Memory:  t.ownLoad.Memory - p.load.Memory,
 	}
 	t.probing = false
-	if o == Rejected || o == Unreachable || o == Unsent {
+	if o == Rejected || o == Unreachable || o == DialTimedOut || o == Unsent {
 		s.refundUsage(p, now)
 	}
 	s.recordOutcome(p, t, o, now)
@@ -101,18 +104,20 @@
 	case Completed:
 		t.failureRate *= 1 - failureWeight
 		t.consecutiveFailures = 0
+		s.clearSuspicion(p, t, now)
 		if !p.answering {
 			s.evidence.RecordAnswering(p.job.traits, now)
 		}
 		s.evidence.RecordCompleted(p.job.traits, now)
-	case Failed, Rejected, Unreachable, Broken, Silent:
+	case Failed, Rejected, Unreachable, DialTimedOut, Broken, Silent:
 		t.failureRate += failureWeight * (1 - t.failureRate)
 		t.consecutiveFailures++
 		s.avoid(t, o, now)
 	case Abandoned, Unsent:
 	}
-	if o == Unreachable || (o == Broken || o == Silent) && t.consecutiveFailures >= downThreshold {
+	if s.isDown(t, o) {
 		t.brokenAt = now
+		t.suspicion = suspicion{since: now, reportedAt: now}
 		s.inventory.MarkBroken(p.Target.ID, p.job.Service.ColdPeriod, now)
 	}
 	if o != Broken {
@@ -124,6 +129,55 @@
 	}
 }
 
+// isDown reports whether a failure shows that the target has ended. An instance that falls behind
+// misses answers to its own packets. s.mu must be held.
+func (s *Scheduler) isDown(t *targetState, o Outcome) bool {
+	switch o {
+	case Unreachable:
+		return true
+	case DialTimedOut:
+		return t.consecutiveFailures >= downThreshold && !s.processor.Behind
+	case Broken, Silent:
+		return t.consecutiveFailures >= downThreshold
+	case Completed, Failed, Rejected, Unsent, Abandoned:
+	}
+	return false
+}
+
+// suspicion is the time for which instances hold that a target has restarted.
+type suspicion struct {
+	// since is when this instance learnt of it, 0 for none, reportedAt when it was last
+	// reported.
+	since, reportedAt clock.Instant
+	// disproved is set once a run from before it has ended well.
+	disproved bool
+}
+
+// disproofDelay is how long after a suspicion began a run must end to disprove it: what the
+// target sent before it ended has arrived by then.
+const disproofDelay = 300 * time.Millisecond
+
+// clearSuspicion ends the suspicion of a target's restart if a completed run that it contradicts
+// began before. s.mu must be held.
+func (s *Scheduler) clearSuspicion(p *Placement, t *targetState, now clock.Instant) {
+	if t.suspicion.since == 0 || p.started >= t.suspicion.since || now.Sub(t.suspicion.since) < disproofDelay {
+		return
+	}
+	t.suspicion.disproved = true
+	t.brokenAt = 0
+	s.inventory.MarkRunning(p.Target.ID)
+}
+
+// suspect records that a peer reports a target as broken. It returns false if the report is
+// disproved. s.mu must be held.
+func (t *targetState) suspect(now clock.Instant) bool {
+	if t.suspicion.since == 0 || now.Sub(t.suspicion.reportedAt) > wire.BrokenRetention {
+		t.suspicion = suspicion{since: now}
+	}
+	t.suspicion.reportedAt = now
+	return !t.suspicion.disproved
+}
+
 // avoid keeps requests away from a target, for longer with each consecutive failure. s.mu
 // must be held.
 func (s *Scheduler) avoid(t *targetState, o Outcome, now clock.Instant) {
@@ -131,7 +185,7 @@
 	if t.consecutiveFailures >= probeThreshold {
 		d = min(minAvoid<<min(t.consecutiveFailures-probeThreshold, 4), maxAvoid)
 	}
-	if o == Unreachable {
+	if o == Unreachable || o == DialTimedOut {
 		d = max(d, unreachableAvoid)
 	}
 	t.avoidUntil = max(t.avoidUntil, now.Add(d))
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -24,11 +24,13 @@
 	"medlarwind.dev/medlarwind/internal/exchange"
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/inventory"
+	"medlarwind.dev/medlarwind/internal/locate"
 	"medlarwind.dev/medlarwind/internal/pacing"
 	"medlarwind.dev/medlarwind/internal/placement"
 	"medlarwind.dev/medlarwind/internal/quarantine"
 	"medlarwind.dev/medlarwind/internal/quota"
 	"medlarwind.dev/medlarwind/internal/roster"
+	"medlarwind.dev/medlarwind/internal/speed"
 )
 
 // Options holds the settings of a Scheduler.
@@ -59,10 +61,21 @@
 	inventory *inventory.Inventory
 	meter     *quota.Meter
 	// ownMeter counts the demand at this instance alone.
-	ownMeter     *quota.Meter
-	ownPart      ownPart
-	cache        *affinity.Cache
-	alive        []roster.Member
+	ownMeter *quota.Meter
+	ownPart  ownPart
+	cache    *affinity.Cache
+	alive    []roster.Member
+	// entries are the live instances that callers are directed to. What the fleet divides between
+	// instances goes to them, since the others get few requests.
+	entries []fleet.InstanceID
+	speeds  *speed.Estimator
+	// speedsAt is when the speeds of all targets were last brought up to date.
+	speedsAt clock.Instant
+	// meanSpeeds are the mean speeds of the services' engines then.
+	meanSpeeds map[fleet.ServiceID]float64
+	oddTimes   []OddTime
+	// processor is how this instance's own processor keeps up.
+	processor    ProcessorState
 	targets      map[fleet.TargetID]*targetState
 	exchange     *exchange.Table
 	retryBudgets map[fleet.ServiceID]*pacing.RetryBudget
@@ -80,7 +93,9 @@
 	// within the last second.
 	startCounters map[fleet.CustomerID]*pacing.StartCounter
 	queue         []*waiter
-	fairShares    fairShares
+	// vainPassAt is the time of the last pass over the queue that found no job to start.
+	vainPassAt clock.Instant
+	fairShares fairShares
 	// targetLists holds the usable targets of each service. generation increases whenever
 	// the lists become invalid.
 	targetLists map[fleet.ServiceID]*targetList
@@ -94,6 +109,8 @@
 type targetState struct {
 	ownLoad placement.Load
 	starts  pacing.StartCounter
+	// speed is the estimated speed of an engine in tokens a millisecond, 0 if it is not known.
+	speed float64
 	// failureRate is the smoothed fraction of recent requests that failed.
 	failureRate float64
 	// avoidUntil is the time until which the target gets no requests after failures.
@@ -101,7 +118,8 @@
 	consecutiveFailures int
 	// brokenAt is when a failed connection last marked the target as down, which is
 	// reported to peers.
-	brokenAt clock.Instant
+	brokenAt  clock.Instant
+	suspicion suspicion
 	// heldBackAt is when a limit that the target names last held a request back, waitingSince
 	// when it began to.
 	heldBackAt, waitingSince clock.Instant
@@ -117,6 +135,8 @@
 		meter:         quota.NewMeter(o.ShareWindow),
 		ownMeter:      quota.NewMeter(o.ShareWindow),
 		cache:         affinity.New(),
+		speeds:        speed.New(placement.AssumedSpeed),
+		meanSpeeds:    make(map[fleet.ServiceID]float64),
 		targets:       make(map[fleet.TargetID]*targetState),
 		exchange:      exchange.New(o.DataCentre),
 		limits:        pacing.NewLimitTable(o.Incarnation),
@@ -158,6 +178,7 @@
 func (s *Scheduler) dropUnlistedTargets() {
 	now := s.options.Now()
 	s.limits.Expire(s.isListed, now)
+	s.speeds.Keep(s.isListed)
 	for id, t := range s.targets {
 		if _, listed := s.inventory.Get(id); !listed && t.ownLoad == (placement.Load{}) && t.starts.Count(time.Second, now) == 0 {
 			delete(s.targets, id)
@@ -198,13 +219,33 @@
 func (s *Scheduler) SetAlive(alive []roster.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !slices.EqualFunc(s.alive, alive, func(a, b roster.Member) bool { return a.ID == b.ID }) {
+	if !slices.EqualFunc(s.alive, alive, func(a, b roster.Member) bool { return a.ID == b.ID && a.Leaving == b.Leaving }) {
 		s.invalidateTargetLists()
+		s.entries = s.entriesOf(alive)
 	}
 	s.alive = alive
 	s.exchange.Expire(s.options.Now())
 }
 
+// SetProcessor records how this instance's own processor keeps up.
+func (s *Scheduler) SetProcessor(p ProcessorState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.processor = p
+}
+
+// entriesOf returns the instances that callers are directed to, all if none is known to be.
+func (s *Scheduler) entriesOf(alive []roster.Member) []fleet.InstanceID {
+	chosen := locate.Entries(alive, s.options.Regions)
+	var entries []fleet.InstanceID
+	for _, m := range alive {
+		if chosen[m.ID] || len(chosen) == 0 {
+			entries = append(entries, m.ID)
+		}
+	}
+	return entries
+}
+
 // Tick does the work that depends only on time: it expires absent targets and starts
 // queued jobs. It must be called periodically.
 func (s *Scheduler) Tick() {
@@ -213,6 +254,7 @@
 	if s.inventory.Expire(s.options.Now()) {
 		s.invalidateTargetLists()
 	}
+	s.updateSpeeds()
 	s.startQueued()
 }
 
@@ -277,6 +319,9 @@
 // if the job is placed. s.mu must be held.
 func (s *Scheduler) place(j *Job, retry bool, now clock.Instant) decision {
 	if !retry {
+		if s.isShed(j, now) {
+			return decision{refusal: s.refusal(j, ReasonInstanceBusy, now, now)}
+		}
 		return s.decide(j, now)
 	}
 	budget := s.retryBudget(j.Service.ID)
@@ -300,18 +345,32 @@
 		b = &pacing.RetryBudget{Window: s.options.RetryWindow}
 		s.retryBudgets[id] = b
 	}
-	// RetryExtra is divided between the live instances, but always by at least
-	// minBudgetDivisor, so that an instance that sees only a few others does not exceed
-	// its part. Only retryBudgetFraction of the budget is used; the rest is a margin for
-	// the edges of the sliding windows.
+	// Only retryBudgetFraction of the budget is used; the rest is a margin for the edges of the
+	// sliding windows.
 	b.Ratio = s.options.RetryRatio * retryBudgetFraction
-	b.Extra = s.options.RetryExtra * retryBudgetFraction / float64(max(len(s.alive), minBudgetDivisor))
+	b.Extra = s.options.RetryExtra * retryBudgetFraction * s.budgetPart()
 	return b
 }
 
+// budgetPart returns this instance's part of what a retry budget allows in addition to a fraction
+// of the requests: most of it is divided between the entries, the rest between the other
+// instances, but always by at least minBudgetDivisor, so that an instance that sees only a few
+// others does not exceed its part. s.mu must be held.
+func (s *Scheduler) budgetPart() float64 {
+	others := len(s.alive) - len(s.entries)
+	switch {
+	case others <= 0:
+		return 1 / float64(max(len(s.alive), minBudgetDivisor))
+	case slices.Contains(s.entries, s.options.Self):
+		return entryBudgetFraction / float64(max(len(s.entries), minBudgetDivisor))
+	}
+	return (1 - entryBudgetFraction) / float64(max(others, minBudgetDivisor))
+}
+
 // Constants of the retry budget.
 const (
 	retryBudgetFraction = 0.7
+	entryBudgetFraction = 0.8
 	minBudgetDivisor    = 8
 )
 
--- /dev/null
+++ b/internal/scheduler/shed.go
@@ -0,0 +1,37 @@
+package scheduler
+
+import (
+	"time"
+
+	"medlarwind.dev/medlarwind/internal/clock"
+)
+
+// All requests of a large customer can come to one instance with a small part of a processor.
+// What it takes on beyond that delays everything it does: answers pass their deadlines, callers
+// that leave are noticed late, and targets go on for nobody. New generations are therefore refused
+// while the processor is late, at once and before they cost more.
+
+// Delays of the instance's own timers from which generations are refused.
+const (
+	// shedSpareFrom applies to customers over their nominal share.
+	shedSpareFrom = 30 * time.Millisecond
+	// shedAllFrom applies to all customers.
+	shedAllFrom = 120 * time.Millisecond
+)
+
+// ProcessorState is how the processor of an instance keeps up with its work.
+type ProcessorState struct {
+	// Delay is by how much the instance's timers are late, smoothed.
+	Delay time.Duration
+	// Behind is set while the instance gets less processor time than its work needs.
+	Behind bool
+}
+
+// isShed reports whether a job is refused because the processor is late. Calls to plain services
+// cost less than their refusal and the return of their caller. s.mu must be held.
+func (s *Scheduler) isShed(j *Job, now clock.Instant) bool {
+	if j.Service.Engine == nil || s.processor.Delay < shedSpareFrom {
+		return false
+	}
+	return s.processor.Delay >= shedAllFrom || s.meter.Usage(j.Customer, now) > s.shares(now).nominal
+}
--- a/internal/scheduler/targets.go
+++ b/internal/scheduler/targets.go
@@ -37,7 +37,10 @@
 	// the target. It is valid if rankKnown is set.
 	rank      int
 	rankKnown bool
-	chances   startChances
+	// entryRank and entryRankKnown are the same among the entries.
+	entryRank      int
+	entryRankKnown bool
+	chances        startChances
 }
 
 // targetList holds the usable targets of one service. generation identifies the version
@@ -132,6 +135,7 @@
 		Rank:        rank,
 		Distance:    target.distance,
 		FailureRate: target.state.failureRate,
+		Speed:       target.state.speed,
 	}
 	if j.Service.Engine == nil {
 		c.Slots *= plainSlotFactor
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -56,6 +56,12 @@
 	return fmt.Sprintf("send request: %v", e.Err)
 }
 
+// TimedOut reports whether no connection was opened in time.
+func (e *Error) TimedOut() bool {
+	var network net.Error
+	return e.DialFailed && errors.As(e.Err, &network) && network.Timeout()
+}
+
 // Unwrap returns the underlying error.
 func (e *Error) Unwrap() error { return e.Err }
 
@@ -72,6 +78,9 @@
 	// NewConn makes the request the first on its connection, for one whose response cannot be
 	// told from those to others.
 	NewConn bool
+	// Ready is called when the connection is open, immediately before the request is written,
+	// if it is not nil. With an error the request is not sent.
+	Ready func() error
 	// Match says whether a response with these headers belongs to the request. If it is nil,
 	// every response is Own.
 	Match func(http.Header) Match
@@ -169,6 +178,12 @@
 	if err != nil {
 		return nil, &Error{DialFailed: true, Err: err}
 	}
+	if r.Ready != nil {
+		if err := r.Ready(); err != nil {
+			c.pool.put(cn)
+			return nil, &Error{Err: err}
+		}
+	}
 	resp, err := c.exchange(ctx, cn, r)
 	if err != nil {
 		_ = cn.Close()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -94,8 +94,13 @@
 	Limits []TargetLimit `json:"tl,omitempty"`
 	// Members, Loads, Usage and Records hold the whole state of the instances that serve
 	// HTTP callers directly. Scope states which instances Loads and Usage cover.
-	Scope   Scope           `json:"sc,omitempty"`
-	Members []Member        `json:"mb,omitempty"`
+	Scope   Scope    `json:"sc,omitempty"`
+	Members []Member `json:"mb,omitempty"`
+	// MembersSame stands for Members that have not changed but for their ages.
+	MembersSame *MembersSame `json:"ms,omitempty"`
+	// Standby reports that Loads and Usage are sent less often than by another relay, which
+	// the receiver prefers.
+	Standby bool            `json:"sb,omitempty"`
 	Loads   []TargetLoad    `json:"ld,omitempty"`
 	Usage   []CustomerUsage `json:"us,omitempty"`
 	Records *RecordsState   `json:"rc,omitempty"`
@@ -252,12 +257,24 @@
 	ScopeOwn Scope = ""
 	// ScopeDataCentre covers all instances of the sender's data centre.
 	ScopeDataCentre Scope = "centre"
+	// ScopeKept covers what the sender's last heartbeat with another scope covered; it has no
+	// Loads and Usage, those of that heartbeat stay in use.
+	ScopeKept Scope = "kept"
 	// ScopeNone covers no instance: the receiver gets its loads from other senders.
 	ScopeNone Scope = "none"
 	// ScopeRest covers the whole fleet except the receiver.
 	ScopeRest Scope = "rest"
 )
 
+// MembersSame stands for the last Members that the receiver has got from the sender.
+type MembersSame struct {
+	// Digest is that of these members without their ages.
+	Digest uint64 `json:"d"`
+	// AgeMillis is the greatest time since any instance last received a message from one of
+	// them, in milliseconds.
+	AgeMillis int64 `json:"g,omitempty"`
+}
+
 // Member describes one instance, which may be the sender itself. Instances that are in no
 // configured list discover each other through Members.
 type Member struct {
@@ -273,6 +290,8 @@
 	// yet.
 	Leaving  bool `json:"l,omitempty"`
 	NotReady bool `json:"u,omitempty"`
+	// Behind reports whether the instance gets less processor time than its work needs.
+	Behind bool `json:"b,omitempty"`
 	// AgeMillis is the time since any instance last received a message from this one, as far
 	// as the sender can tell, in milliseconds.
 	AgeMillis int64 `json:"g,omitempty"`
