An instance that gets more than its processor carries keeps its promises

One customer's callers, 14,086 requests, all came to one instance of 0.192 of a core, whatever the directory said. From the instance's log and the fleet's: - It fell behind: 600 to 1,200 requests a second, 8 in 10 refused, and each refusal brought its caller back. First events were noticed late, so that all engines looked busy (shortest wait 150 to 300 ms at all 60), so that still more was refused as over the share while the engines ran 4 to 22 of 48 slots. - A dial that its own lateness let time out marked the target as restarted for the whole fleet: 29 to 32 of 60 engines counted as cold from 11 s to 15 s. - Between the last check and the request a dial could take long: requests reached targets up to 1.9 s late, after their callers had left. - In a fleet of 80 to 195 instances most processor time went into heartbeats: 1.3 ms for one with 123 targets and 60 customers, 2.5 ms with 195 members (BenchmarkGatewayHeartbeat), ten a second to each instance that does nothing.

--- a/internal/cli/route.go
+++ b/internal/cli/route.go
@@ -63,6 +63,8 @@
 		Now:         clock.BootTime,
 		Log:         log,
 		LogDropped:  lines.Dropped,
+		// Goroutines wait for the processor long before timers are late.
+		SchedulingDelay: clock.NewSchedulingDelay().Mean,
 	})
 	runCtx, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -234,3 +234,56 @@
 		t.Errorf("%d changes are kept and %d dropped, want 100 in all and some dropped", len(c.Baselines), c.Dropped)
 	}
 }
+
+// A relay sends its sums to an idle instance less often: what it sent before must stay in use in
+// between, and an instance must count as idle only without load and requests.
+func TestSumsStayInUseBetweenHeartbeats(t *testing.T) {
+	table := exchange.New("a")
+	from := wire.Hello{Instance: "relay", Incarnation: 1, DataCentre: "a"}
+	now := clock.Instant(time.Hour)
+	table.HandleHeartbeat(from, &wire.Heartbeat{Scope: wire.ScopeRest, Loads: []wire.TargetLoad{{Target: "t", Running: 3}}}, now)
+	for range 4 {
+		now = now.Add(200 * time.Millisecond)
+		table.HandleHeartbeat(from, &wire.Heartbeat{Scope: wire.ScopeKept}, now)
+		if load := table.PeerLoad("t", now); load.Running != 3 {
+			t.Fatalf("load %+v after a heartbeat without loads, want that of the last with loads", load)
+		}
+	}
+	if table.IsIdle("relay", now) {
+		t.Error("an instance that reported a load 800 ms ago counts as idle")
+	}
+	idle := wire.Hello{Instance: "other", Incarnation: 1, DataCentre: "a"}
+	usage := []wire.CustomerUsage{{Customer: "c", Requested: 5, Started: 5}}
+	for range 20 {
+		now = now.Add(200 * time.Millisecond)
+		table.HandleHeartbeat(idle, &wire.Heartbeat{Usage: usage}, now)
+	}
+	if !table.IsIdle("other", now) {
+		t.Error("an instance without load and new requests does not count as idle")
+	}
+	usage[0].Requested++
+	table.HandleHeartbeat(idle, &wire.Heartbeat{Usage: usage}, now)
+	if table.IsIdle("other", now) {
+		t.Error("an instance that got a request just now counts as idle")
+	}
+}
+
+// Of two relays' sums those of the one that sends them in each round are used.
+func TestSumsOfStandbyRelayAreSecondChoice(t *testing.T) {
+	table := exchange.New("a")
+	now := clock.Instant(time.Hour)
+	send := func(id fleet.InstanceID, standby bool, running int) {
+		table.HandleHeartbeat(wire.Hello{Instance: id, Incarnation: 1, DataCentre: "a"},
+			&wire.Heartbeat{Scope: wire.ScopeRest, Standby: standby, Loads: []wire.TargetLoad{{Target: "t", Running: running}}}, now)
+	}
+	send("r1", true, 1)
+	send("r2", false, 2)
+	if load := table.PeerLoad("t", now); load.Running != 2 {
+		t.Errorf("load %+v, want that of the relay that sends in each round", load)
+	}
+	now = now.Add(2*time.Second + time.Millisecond)
+	send("r1", true, 1)
+	if load := table.PeerLoad("t", now); load.Running != 1 {
+		t.Errorf("load %+v, want that of the relay that is left", load)
+	}
+}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -190,6 +190,7 @@
 var reasonTexts = map[string]string{
 	"over_share":                "the customer had used its share, and no target had spare capacity",
 	"busy":                      "every target had more work queued than the route's first-byte SLO allows",
+	"instance_busy":             "the instance's own processor was late, so that it took on no more generations",
 	"queue_full":                "the instance's queue was full",
 	"no_target":                 "no target of the service was usable",
 	"keys_unconfirmed":          "the configuration was too old to accept keys",
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -93,3 +93,22 @@
 		}
 	}
 }
+
+// An on-call engineer must see from a refused request's id that the instance's processor held it back,
+// and when the caller was told to return.
+func TestExplainTellsThatProcessorWasLate(t *testing.T) {
+	const line = `{"instance":"front-1","event":"request","id":"r1","status":503,"own":true,"reason":"instance_busy","retry_after_ms":1700,"route":"r","customer":"c","used":5,"reports":1,"reports_age_ms":9,"nominal":4,"effective":6,"processor_delay_ms":23,"time":"2026-06-23T16:20:40Z"}` + "\n"
+	lines, _, err := explain.Read(strings.NewReader(line))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	if err := explain.Explain(&out, lines, "r1"); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"the instance's own processor was late", "work waited 23 ms for the instance's processor", "told to come back after 1700 ms"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing from the output:\n%s", want, out.String())
+		}
+	}
+}
--- a/internal/explain/refusal.go
+++ b/internal/explain/refusal.go
@@ -28,6 +28,8 @@
 	RetriesAllowed  *int64 `json:"retries_allowed"`
 	HeldTargets     int    `json:"held_targets"`
 	HeldForMS       int64  `json:"held_for_ms"`
+	RetryAfterMS    int64  `json:"retry_after_ms"`
+	ProcessorMS     *int64 `json:"processor_delay_ms"`
 }
 
 // refusalTexts describes on what the scheduler's refusal rested, nothing if there was none.
@@ -44,6 +46,12 @@
 		texts = append(texts, fmt.Sprintf("%d targets were held back by a limit on the requests that they take, and the first target was to be free after %d ms",
 			l.HeldTargets, l.HeldForMS))
 	}
+	if l.ProcessorMS != nil {
+		texts = append(texts, fmt.Sprintf("work waited %d ms for the instance's processor", *l.ProcessorMS))
+	}
+	if l.RetryAfterMS > 0 {
+		texts = append(texts, fmt.Sprintf("the caller was told to come back after %d ms", l.RetryAfterMS))
+	}
 	if l.RetriesAllowed != nil {
 		texts = append(texts, fmt.Sprintf("the instance had used %d of its %d retries", l.Retries, *l.RetriesAllowed))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -407,7 +407,11 @@
 // noteLag adds the time between two ticks to lag. When the instance begins to fall behind or no
 // longer does, callers must learn it from the directory.
 func (g *Gateway) noteLag(lag *locate.Lag, elapsed time.Duration) {
-	behind := lag.Add(elapsed, tickInterval)
+	waited := time.Duration(0)
+	if g.options.SchedulingDelay != nil {
+		waited = g.options.SchedulingDelay()
+	}
+	behind := lag.Add(elapsed, tickInterval, waited)
 	g.scheduler.SetProcessor(scheduler.ProcessorState{Delay: lag.Delay(), Behind: behind})
 	if g.behind.Swap(behind) == behind {
 		return
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -104,6 +104,9 @@
 	Listen func(addr string) (net.Listener, error)
 	Now    clock.Source
 	Log    zerolog.Logger
+	// SchedulingDelay returns the mean time that goroutines have waited for the processor since
+	// the last call; nil if it is not measured. One goroutine calls it.
+	SchedulingDelay func() time.Duration
 	// LogDropped returns the number of log lines dropped so far; nil if none can be.
 	LogDropped func() int64
 	// Seed makes random choices repeatable; 0 for a random seed.
--- a/internal/locate/behind.go
+++ b/internal/locate/behind.go
@@ -14,18 +14,18 @@
 	delayWeight = 0.1
 )
 
-// Lag tells from the delays of a periodic timer whether the instance falls behind: whether
-// it gets less processor time than its work needs. The zero value is steady. It must not be
+// Lag tells whether the instance falls behind, that is, gets less processor time than its work
+// needs: from the delays of a periodic timer and the time that goroutines wait for the processor. The zero value is steady. It must not be
 // used concurrently.
 type Lag struct {
 	smoothed, steady time.Duration
 	behind           bool
 }
 
-// Add records that the timer, due after the given interval, fired after elapsed. It returns
-// whether the instance falls behind.
-func (l *Lag) Add(elapsed, interval time.Duration) bool {
-	delay := max(elapsed-interval, 0)
+// Add records that the timer, due after the given interval, fired after elapsed, and that goroutines
+// waited for the processor for a mean time meanwhile. It returns whether the instance falls behind.
+func (l *Lag) Add(elapsed, interval, waited time.Duration) bool {
+	delay := max(elapsed-interval, waited)
 	l.smoothed += time.Duration(delayWeight * float64(delay-l.smoothed))
 	if l.smoothed < steadyBelow {
 		l.steady += elapsed
--- a/internal/locate/locate_test.go
+++ b/internal/locate/locate_test.go
@@ -126,7 +126,7 @@
 func TestLagHasHysteresis(t *testing.T) {
 	const interval = 20 * time.Millisecond
 	var l locate.Lag
-	if l.Add(interval+300*time.Millisecond, interval) {
+	if l.Add(interval+300*time.Millisecond, interval, 0) {
 		t.Error("one late tick: falls behind")
 	}
 	behind, changes := false, 0
@@ -136,7 +136,7 @@
 		if i < 500 && i%3 == 0 {
 			elapsed += 300 * time.Millisecond
 		}
-		if now := l.Add(elapsed, interval); now != behind {
+		if now := l.Add(elapsed, interval, 0); now != behind {
 			behind, changes = now, changes+1
 		}
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -14,13 +14,12 @@
 
 // Constants of the cost estimate.
 const (
-	// PrefillTokensPerMillisecond is the number of prompt tokens that an engine prefills
-	// in a millisecond while it also generates tokens. The published rate is 66 for engines
-	// that do nothing else.
-	PrefillTokensPerMillisecond = 55.0
+	// AssumedSpeed is the number of prompt tokens that an engine prefills in a millisecond, as
+	// long as its own speed is not known.
+	AssumedSpeed = 55.0
 	// recomputeWeight is the cost of prefilling a shared part on another target, as a
-	// multiple of the prefill time: all requests on that target wait for it, and the part
-	// evicts others from the target's memory.
+	// multiple of the prefill time at AssumedSpeed: all requests on that target wait for it,
+	// and the part evicts others from the target's memory.
 	recomputeWeight = 14
 	// rankPenalty is the cost of each step in rank. It keeps routers from spreading a
 	// part over all targets when its home is busy: the second in rank is preferred to the
@@ -82,6 +81,28 @@
 	Distance time.Duration
 	// FailureRate is the fraction of recent requests that failed, from 0 to 1.
 	FailureRate float64
+	// Speed is the number of prompt tokens that the engine prefills in a millisecond, 0 if it
+	// is not known.
+	Speed float64
+}
+
+// Limit limits the load of a target on which a request may start.
+type Limit struct {
+	// Wait is the longest expected wait.
+	Wait time.Duration
+	// Slots is the fraction of the slots of which fewer must be in use, 0 for no limit.
+	Slots float64
+	// Recompute is the number of shared tokens that another target than the one with the
+	// lowest cost may have to prefill in addition, when that one is over the limit; negative
+	// for no limit. A target with an expected wait of up to IdleWait, 0 for none, may prefill any
+	// number: it would idle otherwise.
+	Recompute int
+	IdleWait  time.Duration
+}
+
+// allows reports whether a candidate is within the limit.
+func (l *Limit) allows(c *Candidate, wait time.Duration) bool {
+	return wait <= l.Wait && (l.Slots == 0 || float64(c.Load.Running) < l.Slots*float64(c.Slots))
 }
 
 // Choice is the result of Pick.
@@ -93,12 +114,16 @@
 	Wait, TimeToFirstEvent time.Duration
 	// ShortestWait is the shortest wait at any candidate with room.
 	ShortestWait time.Duration
+	// Within reports whether the candidate is within the limit.
+	Within bool
 }
 
-// Pick returns the candidate with the lowest cost, or false if none has room.
-func Pick(r Request, candidates []Candidate) (Choice, bool) {
-	best := Choice{Index: -1}
-	var lowestCost, shortest time.Duration
+// Pick returns the candidate with the lowest cost, or false if none has room. If that one is
+// over the limit, Pick returns the one with the lowest cost within the limit, if there is any:
+// a request does not wait for its home while another target idles.
+func Pick(r Request, candidates []Candidate, limit Limit) (Choice, bool) {
+	best, lowestCost := Choice{Index: -1}, time.Duration(0)
+	var shortest time.Duration
 	for i := range candidates {
 		c := &candidates[i]
 		if !c.hasRoom(r) {
@@ -108,16 +133,51 @@
 		if best.Index < 0 || wait < shortest {
 			shortest = wait
 		}
-		firstEvent := wait + prefillTime(r.Prompt-c.Cached) + r.ServiceTime + c.Distance
-		cost := firstEvent + recomputeWeight*prefillTime(max(r.Shared-c.Cached, 0)) +
-			time.Duration(min(c.Rank, MaxRank))*rankPenalty +
-			time.Duration(c.FailureRate*float64(failurePenalty))
-		if best.Index < 0 || cost < lowestCost {
-			best, lowestCost = Choice{Index: i, Wait: wait, TimeToFirstEvent: firstEvent}, cost
+		if cost := c.cost(r, wait); best.Index < 0 || cost < lowestCost {
+			best, lowestCost = Choice{Index: i, Wait: wait, TimeToFirstEvent: c.timeToFirstEvent(r, wait)}, cost
 		}
 	}
+	if best.Index < 0 {
+		return best, false
+	}
+	if best.Within = limit.allows(&candidates[best.Index], best.Wait); !best.Within {
+		best = pickWithin(r, candidates, limit, best)
+	}
 	best.ShortestWait = shortest
-	return best, best.Index >= 0
+	return best, true
+}
+
+// pickWithin returns the candidate with the lowest cost within the limit, preferred if there is
+// none.
+func pickWithin(r Request, candidates []Candidate, limit Limit, preferred Choice) Choice {
+	best, lowestCost := preferred, time.Duration(0)
+	for i := range candidates {
+		c := &candidates[i]
+		recompute := min(candidates[preferred.Index].Cached, r.Shared) - c.Cached
+		wait := c.wait(r)
+		switch {
+		case !c.hasRoom(r), !limit.allows(c, wait):
+			continue
+		case limit.Recompute >= 0 && recompute > limit.Recompute && (limit.IdleWait == 0 || wait > limit.IdleWait):
+			continue
+		}
+		if cost := c.cost(r, wait); !best.Within || cost < lowestCost {
+			best, lowestCost = Choice{Index: i, Wait: wait, TimeToFirstEvent: c.timeToFirstEvent(r, wait), Within: true}, cost
+		}
+	}
+	return best
+}
+
+// timeToFirstEvent returns the expected time to the first event after the given wait.
+func (c *Candidate) timeToFirstEvent(r Request, wait time.Duration) time.Duration {
+	return wait + c.prefillTime(r.Prompt-c.Cached) + r.ServiceTime + c.Distance
+}
+
+// cost returns the cost of sending the request to the candidate, as a time.
+func (c *Candidate) cost(r Request, wait time.Duration) time.Duration {
+	return c.timeToFirstEvent(r, wait) + recomputeWeight*prefillTime(max(r.Shared-c.Cached, 0), AssumedSpeed) +
+		time.Duration(min(c.Rank, MaxRank))*rankPenalty +
+		time.Duration(c.FailureRate*float64(failurePenalty))
 }
 
 // hasRoom reports whether the target has a free slot and enough memory for the request.
@@ -133,14 +193,23 @@
 	if r.ServiceTime > 0 {
 		return time.Duration(c.Load.Running) * r.ServiceTime / time.Duration(max(c.Slots, 1))
 	}
-	return prefillTime(c.Load.Unread) + time.Duration(c.Load.Running)*concurrencyPenalty
+	return c.prefillTime(c.Load.Unread) + time.Duration(c.Load.Running)*concurrencyPenalty
 }
 
 // Footprint returns the number of tokens that a request adds to the memory of a target
 // that already holds cached tokens of its prompt.
 func Footprint(r Request, cached int) int { return r.Prompt - cached + r.Output }
 
-// prefillTime returns the time to prefill a number of prompt tokens.
-func prefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / PrefillTokensPerMillisecond * float64(time.Millisecond))
+// prefillTime returns the time in which the candidate prefills a number of prompt tokens.
+func (c *Candidate) prefillTime(tokens int) time.Duration {
+	if c.Speed > 0 {
+		return prefillTime(tokens, c.Speed)
+	}
+	return prefillTime(tokens, AssumedSpeed)
+}
+
+// prefillTime returns the time to prefill a number of prompt tokens at a speed in tokens a
+// millisecond.
+func prefillTime(tokens int, speed float64) time.Duration {
+	return time.Duration(float64(tokens) / speed * float64(time.Millisecond))
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -7,13 +7,15 @@
 	"medlarwind.dev/medlarwind/internal/placement"
 )
 
+var unlimited = placement.Limit{Wait: time.Hour, Recompute: -1}
+
 // longRequest has a long prompt with a long shared part.
 var longRequest = placement.Request{Prompt: 12000, Output: 400, Shared: 5000}
 
 func TestPickPrefersHomeWhileWaitIsShort(t *testing.T) {
 	home := placement.Candidate{Slots: 64, Cached: 5000, Load: placement.Load{Running: 20, Unread: 12000}}
 	idle := placement.Candidate{Slots: 64, Rank: 1}
-	choice, ok := placement.Pick(longRequest, []placement.Candidate{idle, home})
+	choice, ok := placement.Pick(longRequest, []placement.Candidate{idle, home}, unlimited)
 	if !ok || choice.Index != 1 {
 		t.Errorf("Pick = %+v, want the home with 220 ms of work ahead over an idle target that must prefill the part again", choice)
 	}
@@ -23,7 +25,7 @@
 	home := placement.Candidate{Slots: 64, Cached: 5000, Load: placement.Load{Running: 40, Unread: 200000}}
 	second := placement.Candidate{Slots: 64, Rank: 1}
 	third := placement.Candidate{Slots: 64, Rank: 2}
-	choice, ok := placement.Pick(longRequest, []placement.Candidate{home, third, second})
+	choice, ok := placement.Pick(longRequest, []placement.Candidate{home, third, second}, unlimited)
 	if !ok || choice.Index != 2 {
 		t.Errorf("Pick = %+v, want the second in rank when the home has 3.6 s of work ahead", choice)
 	}
@@ -34,11 +36,11 @@
 	busyNear := placement.Candidate{Slots: 64, Load: placement.Load{Running: 50, Unread: 15000}}
 	idleFar := placement.Candidate{Slots: 64, Distance: 45 * time.Millisecond}
 	lightNear := placement.Candidate{Slots: 64, Load: placement.Load{Running: 5}}
-	choice, _ := placement.Pick(query, []placement.Candidate{busyNear, idleFar, lightNear})
+	choice, _ := placement.Pick(query, []placement.Candidate{busyNear, idleFar, lightNear}, unlimited)
 	if choice.Index != 2 {
 		t.Errorf("Pick = %d, want the least busy target nearby", choice.Index)
 	}
-	choice, _ = placement.Pick(query, []placement.Candidate{busyNear, idleFar})
+	choice, _ = placement.Pick(query, []placement.Candidate{busyNear, idleFar}, unlimited)
 	if choice.Index != 1 {
 		t.Errorf("Pick = %d, want the idle target of another region over 270 ms of work nearby", choice.Index)
 	}
@@ -47,7 +49,7 @@
 func TestPickRespectsCapacity(t *testing.T) {
 	noSlots := placement.Candidate{Slots: 4, Load: placement.Load{Running: 4}}
 	noMemory := placement.Candidate{Slots: 64, Memory: 100000, Load: placement.Load{Memory: 95000}}
-	if choice, ok := placement.Pick(longRequest, []placement.Candidate{noSlots, noMemory}); ok {
+	if choice, ok := placement.Pick(longRequest, []placement.Candidate{noSlots, noMemory}, unlimited); ok {
 		t.Errorf("Pick = %+v, want none: slots and memory are used up", choice)
 	}
 }
@@ -56,7 +58,7 @@
 	request := placement.Request{ServiceTime: 15 * time.Millisecond}
 	failing := placement.Candidate{Slots: 12, FailureRate: 0.4}
 	healthy := placement.Candidate{Slots: 12, Distance: 45 * time.Millisecond, Load: placement.Load{Running: 6}}
-	if choice, _ := placement.Pick(request, []placement.Candidate{failing, healthy}); choice.Index != 1 {
+	if choice, _ := placement.Pick(request, []placement.Candidate{failing, healthy}, unlimited); choice.Index != 1 {
 		t.Error("a target that fails 40 % of its requests was preferred to a healthy one in another region")
 	}
 }
@@ -67,7 +69,7 @@
 		candidates[i] = placement.Candidate{Slots: 64, Rank: i, Load: placement.Load{Running: i}}
 	}
 	for b.Loop() {
-		placement.Pick(longRequest, candidates)
+		placement.Pick(longRequest, candidates, unlimited)
 	}
 }
 
@@ -76,8 +78,46 @@
 	home := placement.Candidate{Slots: 64, Cached: 5000, Load: placement.Load{Running: 20, Unread: 12000}}
 	idle := placement.Candidate{Slots: 64, Rank: 1, Load: placement.Load{Running: 2}}
 	full := placement.Candidate{Slots: 1, Rank: 2, Load: placement.Load{Running: 1}}
-	choice, ok := placement.Pick(longRequest, []placement.Candidate{home, full, idle})
+	choice, ok := placement.Pick(longRequest, []placement.Candidate{home, full, idle}, unlimited)
 	if !ok || choice.Index != 0 || choice.ShortestWait != time.Millisecond {
 		t.Errorf("Pick = %+v, want the home and a shortest wait of 1 ms", choice)
 	}
 }
+
+// While the home has more work than the limit allows, another target that idles must get the
+// request, unless it would have to prefill more than is allowed.
+func TestRequestWaitsForBusyHomeWhileOthersIdle(t *testing.T) {
+	home := placement.Candidate{Slots: 64, Cached: 5000, Load: placement.Load{Running: 20, Unread: 40000}}
+	busy := placement.Candidate{Slots: 64, Rank: 1, Load: placement.Load{Running: 20, Unread: 40000}}
+	idle := placement.Candidate{Slots: 64, Rank: 2, Load: placement.Load{Running: 2}}
+	limit := placement.Limit{Wait: 600 * time.Millisecond, Recompute: -1}
+	choice, ok := placement.Pick(longRequest, []placement.Candidate{home, busy, idle}, limit)
+	if !ok || choice.Index != 2 || !choice.Within {
+		t.Errorf("Pick = %+v, want the idle target", choice)
+	}
+	limit.Recompute = 1000
+	choice, ok = placement.Pick(longRequest, []placement.Candidate{home, busy, idle}, limit)
+	if !ok || choice.Index != 0 || choice.Within {
+		t.Errorf("Pick = %+v, want the home, over the limit: the idle target would prefill 5000 tokens again", choice)
+	}
+	limit.IdleWait = 5 * time.Millisecond
+	if choice, ok = placement.Pick(longRequest, []placement.Candidate{home, busy, idle}, limit); !ok || choice.Index != 2 {
+		t.Errorf("Pick = %+v, want the idle target, which would idle otherwise", choice)
+	}
+	limit.IdleWait = 0
+	query := placement.Request{Prompt: 800, Output: 300, Shared: 200}
+	home.Cached = 200
+	if choice, ok = placement.Pick(query, []placement.Candidate{home, busy, idle}, limit); !ok || choice.Index != 2 {
+		t.Errorf("Pick = %+v, want the idle target for a request with a short shared part", choice)
+	}
+}
+
+// A fast engine with more tokens to prefill may start sooner than a slow one with fewer.
+func TestPickKnowsSpeeds(t *testing.T) {
+	request := placement.Request{Prompt: 2000, Output: 100}
+	fast := placement.Candidate{Slots: 64, Speed: 120, Load: placement.Load{Unread: 9000}}
+	slow := placement.Candidate{Slots: 64, Speed: 20, Load: placement.Load{Unread: 3000}}
+	if choice, _ := placement.Pick(request, []placement.Candidate{slow, fast}, unlimited); choice.Index != 1 {
+		t.Errorf("Pick = %+v, want the fast engine", choice)
+	}
+}
--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -20,10 +20,10 @@
 	// The rest holds shared prompt parts and requests that exceed their estimate.
 	memoryFraction = 0.75
 	// nominalShareWaitFactor limits the expected wait at a target for customers within
-	// their nominal share, as a multiple of the route's objective. A request that would
-	// wait longer stays in the scheduler's queue, from which it can still go to another
-	// target.
-	nominalShareWaitFactor = 1.0
+	// their nominal share, as a multiple of the route's objective. The rest of it is for the
+	// request's own prompt and for work that peers have started since their last report. A
+	// request that would wait longer goes to another target or stays in the scheduler's queue.
+	nominalShareWaitFactor = 0.35
 	// defaultNominalShareWait limits the expected wait at a target for customers within
 	// their nominal share on routes without an objective.
 	defaultNominalShareWait = 500 * time.Millisecond
@@ -47,17 +47,23 @@
 	case s.tooLarge(j):
 		return decision{refusal: &Refusal{Reason: ReasonTooLarge, Inputs: s.inputs(j, now)}}
 	}
+	limit := s.loadLimit(j, now)
+	if s.overLimit.has(j, limit, now) {
+		return decision{}
+	}
 	candidates, from := s.candidates(j, s.targetListFor(j, now), now)
-	choice, ok := placement.Pick(j.request(), candidates)
+	choice, ok := placement.Pick(j.request(), candidates, limit)
 	j.considered.record(candidates, from, choice, now)
 	if !ok {
 		return decision{}
 	}
-	limit := s.loadLimit(j, now)
 	if j.Service.Engine != nil {
 		j.considered.limit = limit
 	}
-	if !limit.allows(&candidates[choice.Index], choice.Wait) {
+	if !choice.Within {
+		if choice.ShortestWait > limit.Wait {
+			s.overLimit.add(j, limit, now)
+		}
 		return decision{}
 	}
 	if judgement.Trial {
@@ -74,18 +80,18 @@
 
 // loadLimit returns the load of a target up to which the fair shares allow the job to start
 // there. Within its nominal share a customer may fill the targets. s.mu must be held.
-func (s *Scheduler) loadLimit(j *Job, now clock.Instant) loadLimit {
+func (s *Scheduler) loadLimit(j *Job, now clock.Instant) placement.Limit {
 	if j.Service.Engine == nil {
-		return loadLimit{wait: math.MaxInt64}
+		return placement.Limit{Wait: math.MaxInt64, Recompute: -1}
 	}
 	used, shares := s.meter.Usage(j.Customer, now), s.shares(now)
 	if used >= shares.nominal {
-		return shares.spareLimit(used, j.isLate())
+		return shares.spareLimit(used, j.isLate(), s.meanSpeed(j.Service.ID))
 	}
 	if j.Route.FirstByteSLO == 0 {
-		return loadLimit{wait: defaultNominalShareWait}
+		return placement.Limit{Wait: defaultNominalShareWait, Recompute: -1}
 	}
-	return loadLimit{wait: time.Duration(nominalShareWaitFactor * float64(j.Route.FirstByteSLO))}
+	return placement.Limit{Wait: time.Duration(nominalShareWaitFactor * float64(j.Route.FirstByteSLO)), Recompute: -1}
 }
 
 // start places a job on a target and adds it to the target's load. s.mu must be held.
@@ -104,12 +110,14 @@
 	if j.Prompt > 0 {
 		p.prefilling = true
 		p.load.Unread = max(j.Prompt-c.Cached, 0)
+		p.toPrefill, p.distance = c.Load.Unread+p.load.Unread, target.distance
 		p.load.Memory = placement.Footprint(j.request(), c.Cached)
 		s.cache.AddPrefixes(target.startID, "", j.prefixes)
 		s.meter.AddUsage(j.Customer, j.weight(), now)
 		s.addUsage(j.Customer, 0, j.weight())
 		s.countStart(j.Customer, now)
 	}
+	t.backlog.add(p.load.Unread, now)
 	t.ownLoad = t.ownLoad.Add(p.load)
 	t.starts.Add(now)
 	// After consecutive failures one request probes the target before others follow.
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -169,6 +169,9 @@
 	})
 	misses, done := 0, 0
 	for _, w := range slices.Clone(s.queue) {
+		if !w.retry && s.overLimit.has(w.job, s.loadLimit(w.job, now), now) && now < w.job.Deadline {
+			continue
+		}
 		v := s.place(w.job, w.retry, now)
 		if v.placement == nil && v.refusal == nil {
 			if misses++; misses >= maxQueueMisses {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -93,6 +93,8 @@
 	// within the last second.
 	startCounters map[fleet.CustomerID]*pacing.StartCounter
 	queue         []*waiter
+	// overLimit remembers for which requests no target was within the limit just now.
+	overLimit overLimit
 	// vainPassAt is the time of the last pass over the queue that found no job to start.
 	vainPassAt clock.Instant
 	fairShares fairShares
@@ -109,6 +111,8 @@
 type targetState struct {
 	ownLoad placement.Load
 	starts  pacing.StartCounter
+	// backlog estimates which part of ownLoad.Unread is still to be prefilled.
+	backlog backlog
 	// speed is the estimated speed of an engine in tokens a millisecond, 0 if it is not known.
 	speed float64
 	// failureRate is the smoothed fraction of recent requests that failed.
@@ -137,6 +141,7 @@
 		cache:         affinity.New(),
 		speeds:        speed.New(placement.AssumedSpeed),
 		meanSpeeds:    make(map[fleet.ServiceID]float64),
+		overLimit:     make(overLimit),
 		targets:       make(map[fleet.TargetID]*targetState),
 		exchange:      exchange.New(o.DataCentre),
 		limits:        pacing.NewLimitTable(o.Incarnation),
--- a/internal/scheduler/shed.go
+++ b/internal/scheduler/shed.go
@@ -14,9 +14,9 @@
 // Delays of the instance's own timers from which generations are refused.
 const (
 	// shedSpareFrom applies to customers over their nominal share.
-	shedSpareFrom = 30 * time.Millisecond
+	shedSpareFrom = 8 * time.Millisecond
 	// shedAllFrom applies to all customers.
-	shedAllFrom = 120 * time.Millisecond
+	shedAllFrom = 80 * time.Millisecond
 )
 
 // ProcessorState is how the processor of an instance keeps up with its work.
--- /dev/null
+++ b/internal/scheduler/shed_test.go
@@ -0,0 +1,95 @@
+package scheduler
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// While the processor is late, generations of customers over their nominal share are refused at once,
+// and those of all customers once it is very late. Calls to plain services are not.
+func TestGenerationsAreRefusedWhileProcessorIsLate(t *testing.T) {
+	tests := []struct {
+		delay                time.Duration
+		over, within, plains bool
+	}{
+		{0, true, true, true},
+		{shedSpareFrom - time.Millisecond, true, true, true},
+		{shedSpareFrom, false, true, true},
+		{shedAllFrom, false, false, true},
+	}
+	for _, test := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			ts := newTestScheduler(4)
+			ts.meter.AddDemand("hog", 6000000, ts.now())
+			ts.meter.AddUsage("hog", 2000000, ts.now())
+			ts.meter.AddDemand("other", 6000000, ts.now())
+			ts.SetProcessor(ProcessorState{Delay: test.delay})
+			check := func(name string, j *Job, want bool) {
+				p, err := ts.admit(t.Context(), j)
+				if err == nil {
+					p.End(Completed)
+				}
+				if (err == nil) != want {
+					t.Errorf("delay %v, %s: %v, want it started: %v", test.delay, name, err, want)
+				}
+				if err == nil {
+					return
+				}
+				if r := refusalOf(t, err); r.Reason != ReasonInstanceBusy || r.Waited != 0 || r.RetryAfter <= 0 || r.Inputs.ProcessorDelay != test.delay {
+					t.Errorf("delay %v, %s: refused with %+v", test.delay, name, r)
+				}
+			}
+			check("over its share", ts.job("hog", "part", 1000), test.over)
+			check("within its share", ts.job("small", "part", 1000), test.within)
+			call := ts.job("hog", "part", 0)
+			call.Service, call.Parts = &plain, nil
+			ts.SetTargets(append(engineList(4), plainTarget()), nil)
+			check("plain call", call, test.plains)
+		})
+	}
+}
+
+// A retry of a request that has run is not refused for the processor: the caller would get nothing.
+func TestRetryIsStartedWhileProcessorIsLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ts := newTestScheduler(4)
+		ts.SetProcessor(ProcessorState{Delay: time.Second})
+		j := ts.job("c", "part", 1000)
+		ts.RecordArrival(j)
+		if _, err := ts.Admit(t.Context(), j, true); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// An instance that notices first events late must not take its engines for busy: they prefill at the
+// speed that they have shown.
+func TestBacklogDrainsWhileFirstEventsAreNoticedLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ts := newTestScheduler(1)
+		started := func() bool {
+			_, err := ts.admit(t.Context(), ts.job("c", "part", 12000))
+			return err == nil
+		}
+		// Each prompt takes 220 ms at the assumed speed; none of the first events is noticed.
+		for i := range 20 {
+			if !started() {
+				t.Fatalf("request %d refused: %d tokens unread, backlog %v", i, ts.targets["e0"].ownLoad.Unread, ts.targets["e0"].backlog.tokens)
+			}
+			ts.Tick()
+			time.Sleep(500 * time.Millisecond)
+		}
+		load := ts.targets["e0"].load(ts.exchange.PeerLoad("e0", ts.now()), ts.now())
+		if raw := ts.targets["e0"].ownLoad.Unread; load.Unread >= raw/4 {
+			t.Errorf("load of %d unread tokens of %d sent in 10 s", load.Unread, raw)
+		}
+		// Work that is sent faster than the engine can prefill it still counts.
+		for range 3 {
+			started()
+		}
+		if load := ts.targets["e0"].load(ts.exchange.PeerLoad("e0", ts.now()), ts.now()); load.Unread < 12000 {
+			t.Errorf("load of %d unread tokens right after three prompts", load.Unread)
+		}
+	})
+}
--- a/internal/scheduler/spare.go
+++ b/internal/scheduler/spare.go
@@ -17,23 +17,28 @@
 
 // Limits of a target's load for customers over their nominal share.
 const (
-	// spareWait is the longest expected wait at a target for a customer that used its
-	// effective share. It changes with the power -spareWaitExponent of the usage, up to
-	// maxSpareWait.
-	spareWait         = 30 * time.Millisecond
-	maxSpareWait      = 100 * time.Millisecond
-	spareWaitExponent = 4
+	// spareTokens is the greatest number of tokens that a target may have to prefill before a
+	// request of a customer that used its effective share. It changes with the power
+	// -spareExponent of the usage, up to maxSpareTokens.
+	spareTokens    = 1650
+	maxSpareTokens = 5500
+	spareExponent  = 4
 	// spareSlots is the fraction of a target's slots that requests of a customer within its
 	// effective share may fill. Beyond that share it changes with the power
 	// -spareSlotsExponent of the usage, down to minSpareSlots.
 	spareSlots         = 0.8
 	minSpareSlots      = 0.2
 	spareSlotsExponent = 2
+	// maxSpareRecompute is the number of shared tokens that a target may prefill again for a
+	// customer over its nominal share. For one that is not ahead of a starved customer it may
+	// prefill any number if its expected wait is at most spareIdleWait.
+	maxSpareRecompute = 1024
+	spareIdleWait     = 10 * time.Millisecond
 	// behindSlots replaces spareSlots for customers that are not ahead while one is starved.
 	behindSlots = 0.9
-	// lateWait limits the wait for a request that can no longer meet its objective: while not
+	// lateTokens is that number for a request that can no longer meet its objective: while not
 	// all requests can be served, those that can still meet theirs go first.
-	lateWait = 10 * time.Millisecond
+	lateTokens = 550
 )
 
 // Constants of the shares while a customer is starved.
@@ -59,37 +64,30 @@
 	spareQueueGrowth = 2
 )
 
-// loadLimit limits the load of a target on which a job may start.
-type loadLimit struct {
-	// wait is the longest expected wait.
-	wait time.Duration
-	// slots is the fraction of the slots of which fewer must be in use, 0 for no limit.
-	slots float64
-}
-
-// allows reports whether a target is within the limit.
-func (l loadLimit) allows(c *placement.Candidate, wait time.Duration) bool {
-	return wait <= l.wait && (l.slots == 0 || float64(c.Load.Running) < l.slots*float64(c.Slots))
-}
-
-// spareLimit returns the limit of a customer over its nominal share.
-func (sh *fairShares) spareLimit(used float64, late bool) loadLimit {
+// spareLimit returns the limit of a customer over its nominal share. perMillisecond is the number
+// of tokens that the engines of the service prefill in a millisecond.
+func (sh *fairShares) spareLimit(used float64, late bool, perMillisecond float64) placement.Limit {
 	usage := used / sh.effective
 	if used > sh.lead {
 		usage = max(usage, used/sh.lead)
 	}
-	limit := loadLimit{
-		wait:  maxSpareWait,
-		slots: max(spareSlots*math.Pow(max(usage, 1), -spareSlotsExponent), minSpareSlots),
-	}
+	tokens := float64(maxSpareTokens)
 	if usage > 0 {
-		limit.wait = time.Duration(min(float64(maxSpareWait), float64(spareWait)*math.Pow(usage, -spareWaitExponent)))
+		tokens = min(tokens, spareTokens*math.Pow(usage, -spareExponent))
 	}
 	if late {
-		limit.wait = min(limit.wait, lateWait)
+		tokens = min(tokens, lateTokens)
+	}
+	limit := placement.Limit{
+		Recompute: maxSpareRecompute,
+		Wait:      time.Duration(tokens / perMillisecond * float64(time.Millisecond)),
+		Slots:     max(spareSlots*math.Pow(max(usage, 1), -spareSlotsExponent), minSpareSlots),
 	}
 	if used < sh.finiteLead() {
-		limit.slots = behindSlots
+		limit.Slots = behindSlots
+	}
+	if used < sh.lead {
+		limit.IdleWait = spareIdleWait
 	}
 	return limit
 }
--- a/internal/scheduler/targets.go
+++ b/internal/scheduler/targets.go
@@ -122,6 +122,18 @@
 	return candidates, from
 }
 
+// load returns this instance's load on a target of which peers have a load, too, with its unread
+// tokens as far as they cannot have been prefilled meanwhile.
+func (t *targetState) load(peers placement.Load, now clock.Instant) placement.Load {
+	own := t.ownLoad
+	if own.Unread <= 0 || t.speed == 0 {
+		return own
+	}
+	part := float64(own.Unread) / float64(own.Unread+max(peers.Unread, 0))
+	own.Unread = t.backlog.drain(own.Unread, t.speed, part, now)
+	return own
+}
+
 // allows reports whether a target may get the job at any time.
 func (j *Job) allows(target *usableTarget) bool {
 	return !slices.Contains(j.excluded, target.entry.ID) && (j.AnyRegion || slices.Contains(j.Regions, target.region))
@@ -129,8 +141,9 @@
 
 // candidate returns the description of a target for placement.
 func (s *Scheduler) candidate(j *Job, target *usableTarget, rank int, now clock.Instant) placement.Candidate {
+	peers := s.exchange.PeerLoad(target.entry.ID, now)
 	c := placement.Candidate{
-		Load:        target.state.ownLoad.Add(s.exchange.PeerLoad(target.entry.ID, now)),
+		Load:        target.state.load(peers, now).Add(peers),
 		Slots:       target.entry.Slots,
 		Rank:        rank,
 		Distance:    target.distance,
