--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -92,12 +92,6 @@
 	Wait time.Duration
 	// Slots is the fraction of the slots of which fewer must be in use, 0 for no limit.
 	Slots float64
-	// Recompute is the number of shared tokens that another target than the one with the
-	// lowest cost may have to prefill in addition, when that one is over the limit; negative
-	// for no limit. A target with an expected wait of up to IdleWait, 0 for none, may prefill any
-	// number: it would idle otherwise.
-	Recompute int
-	IdleWait  time.Duration
 }
 
 // allows reports whether a candidate is within the limit.
@@ -118,9 +112,7 @@
 	Within bool
 }
 
-// Pick returns the candidate with the lowest cost, or false if none has room. If that one is
-// over the limit, Pick returns the one with the lowest cost within the limit, if there is any:
-// a request does not wait for its home while another target idles.
+// Pick returns the candidate with the lowest cost, or false if none has room.
 func Pick(r Request, candidates []Candidate, limit Limit) (Choice, bool) {
 	best, lowestCost := Choice{Index: -1}, time.Duration(0)
 	var shortest time.Duration
@@ -140,34 +132,10 @@
 	if best.Index < 0 {
 		return best, false
 	}
-	if best.Within = limit.allows(&candidates[best.Index], best.Wait); !best.Within {
-		best = pickWithin(r, candidates, limit, best)
-	}
-	best.ShortestWait = shortest
+	best.Within, best.ShortestWait = limit.allows(&candidates[best.Index], best.Wait), shortest
 	return best, true
 }
 
-// pickWithin returns the candidate with the lowest cost within the limit, preferred if there is
-// none.
-func pickWithin(r Request, candidates []Candidate, limit Limit, preferred Choice) Choice {
-	best, lowestCost := preferred, time.Duration(0)
-	for i := range candidates {
-		c := &candidates[i]
-		recompute := min(candidates[preferred.Index].Cached, r.Shared) - c.Cached
-		wait := c.wait(r)
-		switch {
-		case !c.hasRoom(r), !limit.allows(c, wait):
-			continue
-		case limit.Recompute >= 0 && recompute > limit.Recompute && (limit.IdleWait == 0 || wait > limit.IdleWait):
-			continue
-		}
-		if cost := c.cost(r, wait); !best.Within || cost < lowestCost {
-			best, lowestCost = Choice{Index: i, Wait: wait, TimeToFirstEvent: c.timeToFirstEvent(r, wait), Within: true}, cost
-		}
-	}
-	return best
-}
-
 // timeToFirstEvent returns the expected time to the first event after the given wait.
 func (c *Candidate) timeToFirstEvent(r Request, wait time.Duration) time.Duration {
 	return wait + c.prefillTime(r.Prompt-c.Cached) + r.ServiceTime + c.Distance
--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -20,10 +20,10 @@
 	// The rest holds shared prompt parts and requests that exceed their estimate.
 	memoryFraction = 0.75
 	// nominalShareWaitFactor limits the expected wait at a target for customers within
-	// their nominal share, as a multiple of the route's objective. The rest of it is for the
-	// request's own prompt and for work that peers have started since their last report. A
-	// request that would wait longer goes to another target or stays in the scheduler's queue.
-	nominalShareWaitFactor = 0.35
+	// their nominal share, as a multiple of the route's objective. A request that would
+	// wait longer stays in the scheduler's queue, from which it can still go to another
+	// target.
+	nominalShareWaitFactor = 1.0
 	// defaultNominalShareWait limits the expected wait at a target for customers within
 	// their nominal share on routes without an objective.
 	defaultNominalShareWait = 500 * time.Millisecond
@@ -82,16 +82,16 @@
 // there. Within its nominal share a customer may fill the targets. s.mu must be held.
 func (s *Scheduler) loadLimit(j *Job, now clock.Instant) placement.Limit {
 	if j.Service.Engine == nil {
-		return placement.Limit{Wait: math.MaxInt64, Recompute: -1}
+		return placement.Limit{Wait: math.MaxInt64}
 	}
 	used, shares := s.meter.Usage(j.Customer, now), s.shares(now)
 	if used >= shares.nominal {
 		return shares.spareLimit(used, j.isLate(), s.meanSpeed(j.Service.ID))
 	}
 	if j.Route.FirstByteSLO == 0 {
-		return placement.Limit{Wait: defaultNominalShareWait, Recompute: -1}
+		return placement.Limit{Wait: defaultNominalShareWait}
 	}
-	return placement.Limit{Wait: time.Duration(nominalShareWaitFactor * float64(j.Route.FirstByteSLO)), Recompute: -1}
+	return placement.Limit{Wait: time.Duration(nominalShareWaitFactor * float64(j.Route.FirstByteSLO))}
 }
 
 // start places a job on a target and adds it to the target's load. s.mu must be held.
--- a/internal/scheduler/spare.go
+++ b/internal/scheduler/spare.go
@@ -29,11 +29,6 @@
 	spareSlots         = 0.8
 	minSpareSlots      = 0.2
 	spareSlotsExponent = 2
-	// maxSpareRecompute is the number of shared tokens that a target may prefill again for a
-	// customer over its nominal share. For one that is not ahead of a starved customer it may
-	// prefill any number if its expected wait is at most spareIdleWait.
-	maxSpareRecompute = 1024
-	spareIdleWait     = 10 * time.Millisecond
 	// behindSlots replaces spareSlots for customers that are not ahead while one is starved.
 	behindSlots = 0.9
 	// lateTokens is that number for a request that can no longer meet its objective: while not
@@ -79,16 +74,12 @@
 		tokens = min(tokens, lateTokens)
 	}
 	limit := placement.Limit{
-		Recompute: maxSpareRecompute,
-		Wait:      time.Duration(tokens / perMillisecond * float64(time.Millisecond)),
-		Slots:     max(spareSlots*math.Pow(max(usage, 1), -spareSlotsExponent), minSpareSlots),
+		Wait:  time.Duration(tokens / perMillisecond * float64(time.Millisecond)),
+		Slots: max(spareSlots*math.Pow(max(usage, 1), -spareSlotsExponent), minSpareSlots),
 	}
 	if used < sh.finiteLead() {
 		limit.Slots = behindSlots
 	}
-	if used < sh.lead {
-		limit.IdleWait = spareIdleWait
-	}
 	return limit
 }
 
