Revert connections turned away; a starved customer is refused later on a late processor

A customer over its nominal share that is not ahead of a starved one is refused from 24 ms of processor delay on instead of 8 ms: all requests of it may come to that one instance.

--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -226,15 +226,13 @@
 type callerListener struct {
 	net.Listener
 	conns *callerConns
-	// turnAway reports whether the next connection is to be closed before a request is read from
-	// it, because the processor is late; nil if none is.
-	turnAway func() bool
 }
 
 // Accept implements net.Listener. Only net/http calls it, for one connection after the
 // other, so that the limit is never exceeded.
 func (l *callerListener) Accept() (net.Conn, error) {
-	conn, err := l.accept()
+	l.conns.awaitSlot()
+	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
@@ -245,18 +243,6 @@
 	return nil, net.ErrClosed
 }
 
-// accept returns the next connection that is not turned away.
-func (l *callerListener) accept() (net.Conn, error) {
-	for {
-		l.conns.awaitSlot()
-		conn, err := l.Listener.Accept()
-		if err != nil || l.turnAway == nil || !l.turnAway() {
-			return conn, err
-		}
-		_ = conn.Close()
-	}
-}
-
 // Close implements net.Listener.
 func (l *callerListener) Close() error {
 	l.conns.stop()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,8 +109,6 @@
 	hasPeers atomic.Bool
 	// behind is set while the instance gets less processor time than its work needs.
 	behind atomic.Bool
-	// processorDelay is by how much the processor is late, in nanoseconds.
-	processorDelay atomic.Int64
 
 	// mu guards roster, peers, round and fetching.
 	mu     sync.Mutex
@@ -338,14 +336,7 @@
 		l.http = append(l.http, opened)
 		g.servers = append(g.servers, newServer(port.handler))
 	}
-	var away locate.TurnAway
-	g.callerListener = &callerListener{Listener: l.http[0], conns: g.callers, turnAway: func() bool {
-		turned := away.Next(time.Duration(g.processorDelay.Load()))
-		if turned {
-			g.metrics.turnedAway.Add(1)
-		}
-		return turned
-	}}
+	g.callerListener = &callerListener{Listener: l.http[0], conns: g.callers}
 	l.http[0] = g.callerListener
 	g.servers[0].ConnState = g.callers.track
 	g.servers[0].ConnContext = withCallerConn
@@ -421,7 +412,6 @@
 		waited = g.options.SchedulingDelay()
 	}
 	behind := lag.Add(elapsed, tickInterval, waited)
-	g.processorDelay.Store(int64(lag.Delay()))
 	g.scheduler.SetProcessor(scheduler.ProcessorState{Delay: lag.Delay(), Behind: behind})
 	if g.behind.Swap(behind) == behind {
 		return
@@ -442,14 +432,12 @@
 	defer ticker.Stop()
 	shareTicker := time.NewTicker(shareLogInterval)
 	defer shareTicker.Stop()
-	turnedAway := int64(0)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-shareTicker.C:
 			g.logShares()
-			turnedAway = g.logTurnedAway(turnedAway)
 		case <-ticker.C:
 			g.upstream.Sweep()
 			g.callers.sweep(g.callerIdleTimeout())
@@ -457,17 +445,6 @@
 	}
 }
 
-// logTurnedAway logs how many connections were turned away since there were before, and returns
-// how many there are now.
-func (g *Gateway) logTurnedAway(before int64) int64 {
-	turned := g.metrics.turnedAway.Value()
-	if turned > before {
-		g.options.Log.Warn().Str("event", "turned_away").Int64("connections", turned-before).
-			Int64("processor_delay_ms", time.Duration(g.processorDelay.Load()).Milliseconds()).Msg("")
-	}
-	return turned
-}
-
 // callerIdleTimeout returns the configured idle timeout of callers' connections, 0 if
 // there is none.
 func (g *Gateway) callerIdleTimeout() time.Duration {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -29,9 +29,7 @@
 	era, eraChanges expvar.Int
 	// behind is 1 while the instance falls behind, timesBehind counts how often it began to.
 	behind, timesBehind expvar.Int
-	// turnedAway counts callers' connections that were closed before a request was read.
-	turnedAway expvar.Int
-	logDropped func() int64
+	logDropped          func() int64
 
 	// mu guards the histograms.
 	mu        sync.Mutex
@@ -185,7 +183,6 @@
 	all.Set("store_era_changes", &m.eraChanges)
 	all.Set("behind", &m.behind)
 	all.Set("times_behind", &m.timesBehind)
-	all.Set("turned_away", &m.turnedAway)
 	all.Set("first_byte_ms", expvar.Func(func() any { return m.summary(m.firstByte) }))
 	all.Set("waited_ms", expvar.Func(func() any { return m.summary(m.waited) }))
 	if m.logDropped != nil {
--- a/internal/scheduler/shed.go
+++ b/internal/scheduler/shed.go
@@ -13,8 +13,10 @@
 
 // Delays of the instance's own timers from which generations are refused.
 const (
-	// shedSpareFrom applies to customers over their nominal share.
-	shedSpareFrom = 8 * time.Millisecond
+	// shedSpareFrom applies to customers over their nominal share, shedBehindFrom to those of them
+	// that are not ahead of a starved customer.
+	shedSpareFrom  = 8 * time.Millisecond
+	shedBehindFrom = 24 * time.Millisecond
 	// shedAllFrom applies to all customers.
 	shedAllFrom = 80 * time.Millisecond
 )
@@ -33,5 +35,12 @@
 	if j.Service.Engine == nil || s.processor.Delay < shedSpareFrom {
 		return false
 	}
-	return s.processor.Delay >= shedAllFrom || s.meter.Usage(j.Customer, now) > s.shares(now).nominal
+	if s.processor.Delay >= shedAllFrom {
+		return true
+	}
+	used, shares := s.meter.Usage(j.Customer, now), s.shares(now)
+	if used < shares.finiteLead() && s.processor.Delay < shedBehindFrom {
+		return false
+	}
+	return used > shares.nominal
 }
--- a/internal/scheduler/shed_test.go
+++ b/internal/scheduler/shed_test.go
@@ -93,3 +93,28 @@
 		}
 	})
 }
+
+// A starved customer whose requests all come to one late instance must not be refused there as early as
+// one that is ahead of it.
+func TestStarvedCustomerIsRefusedLaterOnLateProcessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ts := newTestScheduler(4)
+		now := ts.now()
+		ts.meter.AddDemand("starved", 6000000, now)
+		ts.meter.AddUsage("starved", 900000, now)
+		ts.meter.AddDemand("ahead", 6000000, now)
+		ts.meter.AddUsage("ahead", 5000000, now)
+		for _, test := range []struct {
+			delay          time.Duration
+			starved, ahead bool
+		}{{shedSpareFrom, false, true}, {shedBehindFrom - time.Millisecond, false, true}, {shedBehindFrom, true, true}} {
+			ts.SetProcessor(ProcessorState{Delay: test.delay})
+			ts.mu.Lock()
+			starved, ahead := ts.isShed(ts.job("starved", "part", 1000), now), ts.isShed(ts.job("ahead", "part", 1000), now)
+			ts.mu.Unlock()
+			if starved != test.starved || ahead != test.ahead {
+				t.Errorf("delay %v: starved refused %v, ahead refused %v", test.delay, starved, ahead)
+			}
+		}
+	})
+}
