--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -518,8 +518,3 @@
 		}
 	})
 }
-
-// plainTarget returns a target of the plain service.
-func plainTarget() inventory.Target {
-	return inventory.Target{ID: "p0", StartMillis: 1, Service: "app", Addr: "10.0.1.0:80", DataCentre: "a", Slots: 6, WrittenAt: records.NewPosition(0, 1)}
-}
--- a/internal/scheduler/shed_test.go
+++ b/internal/scheduler/shed_test.go
@@ -4,6 +4,9 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"medlarwind.dev/medlarwind/internal/inventory"
+	"medlarwind.dev/medlarwind/internal/records"
 )
 
 // While the processor is late, generations of customers over their nominal share are refused at once,
@@ -118,3 +121,8 @@
 		}
 	})
 }
+
+// plainTarget returns a target of the plain service.
+func plainTarget() inventory.Target {
+	return inventory.Target{ID: "p0", StartMillis: 1, Service: "app", Addr: "10.0.1.0:80", DataCentre: "a", Slots: 6, WrittenAt: records.NewPosition(0, 1)}
+}
