scheduler: engines' backlogs are estimated only while the processor is late

Cause: a backlog that drains by the estimated speed is below the true one as often as peers' work holds an engine up, and an instance that is in time knows better. Change: the estimate bounds what is known only while goroutines wait for the processor, for which it was made.

--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -23,7 +23,7 @@
 	now := s.options.Now()
 	ownLoad := make(map[fleet.TargetID]placement.Load, len(s.targets))
 	for id, t := range s.targets {
-		ownLoad[id] = t.load(s.exchange.PeerLoad(id, now), now).Add(s.limitLoad(id, t, now))
+		ownLoad[id] = s.ownLoad(t, s.exchange.PeerLoad(id, now), now).Add(s.limitLoad(id, t, now))
 		if t.brokenAt != 0 && now.Sub(t.brokenAt) < wire.BrokenRetention {
 			hb.BrokenTargets = append(hb.BrokenTargets, id)
 		}
--- a/internal/scheduler/speeds.go
+++ b/internal/scheduler/speeds.go
@@ -10,8 +10,8 @@
 const (
 	// speedsInterval is the time between two updates of the speeds of all targets.
 	speedsInterval = 500 * time.Millisecond
-	// maxObservedDelay is the delay of the instance's own processor from which times to first
-	// events say more of that than of the engines.
+	// maxObservedDelay is the delay of the instance's own processor from which the times at which
+	// it notices first events say more of that than of the engines.
 	maxObservedDelay = 3 * time.Millisecond
 	// maxOddTimes bounds the odd times kept until they are taken.
 	maxOddTimes = 64
--- a/internal/scheduler/targets.go
+++ b/internal/scheduler/targets.go
@@ -122,11 +122,12 @@
 	return candidates, from
 }
 
-// load returns this instance's load on a target of which peers have a load, too, with its unread
-// tokens as far as they cannot have been prefilled meanwhile.
-func (t *targetState) load(peers placement.Load, now clock.Instant) placement.Load {
+// ownLoad returns this instance's load on a target on which peers have a load, too. While the
+// processor is late, first events are noticed late: unread tokens then count as far as they cannot
+// have been prefilled meanwhile. s.mu must be held.
+func (s *Scheduler) ownLoad(t *targetState, peers placement.Load, now clock.Instant) placement.Load {
 	own := t.ownLoad
-	if own.Unread <= 0 || t.speed == 0 {
+	if own.Unread <= 0 || t.speed == 0 || s.processor.Delay < maxObservedDelay {
 		return own
 	}
 	part := float64(own.Unread) / float64(own.Unread+max(peers.Unread, 0))
@@ -143,7 +144,7 @@
 func (s *Scheduler) candidate(j *Job, target *usableTarget, rank int, now clock.Instant) placement.Candidate {
 	peers := s.exchange.PeerLoad(target.entry.ID, now)
 	c := placement.Candidate{
-		Load:        target.state.load(peers, now).Add(peers),
+		Load:        s.ownLoad(target.state, peers, now).Add(peers),
 		Slots:       target.entry.Slots,
 		Rank:        rank,
 		Distance:    target.distance,
