Log and count what each send rested on: age of the listing, absent targets

The logs could not tell apart whether a target that leaves got a request because the listing was old, because it was still used after it was no longer listed, or because a later step was slow; nor whether a call to the platform failed by the platform or by this instance's own processor.

Each request line has listing_age_ms (the listing in force, not only copied) at its last send, and target_absent_ms. Each second a line records_age: copied and applied revision with their ages, sends, their oldest listing, sends to absent targets, whether the processor was late. platform_read_failed names the cause (late, timeout, refused); targets and records_from_peer have took_ms. Metrics listing_age_ms and platform_failure_causes. No decision changes.

--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -54,12 +54,17 @@
 	return records.RoleStandby
 }
 
-// recordRead counts a call to the platform and reports a failure to the scheduler.
-func (g *Gateway) recordRead(err error) {
-	g.metrics.recordPlatformCall(err)
-	if err != nil {
-		g.scheduler.NoteOutage()
+// recordRead counts a call to the platform that began at a given time, and reports a failure to
+// the scheduler.
+func (g *Gateway) recordRead(began clock.Instant, err error) {
+	cause := g.readFailureOf(began, err)
+	g.metrics.recordPlatformCall(cause)
+	if err == nil {
+		return
 	}
+	g.options.Log.Info().Str("event", "platform_read_failed").Str("cause", string(cause)).
+		Int64("took_ms", sinceMillis(g.options.Now, began)).Err(err).Msg("")
+	g.scheduler.NoteOutage()
 }
 
 // applyRecords applies the platform's records each time they change, until ctx ends.
@@ -71,9 +76,10 @@
 			return
 		case <-g.copy.Changed():
 		}
-		at, all := g.copy.All()
+		began := g.options.Now()
+		at, confirmedAt, all := g.copy.Snapshot()
 		g.noteEra(had, at)
-		g.applyState(g.options.Interpreter.Interpret(at, all))
+		g.applyState(g.options.Interpreter.Interpret(at, all), began, confirmedAt)
 		had = at
 	}
 }
@@ -89,21 +95,24 @@
 		Uint64("era", at.Era()).Uint64("revision", at.Revision()).Msg("")
 }
 
-// applyState applies the targets and, if its version is newer, the configuration.
-func (g *Gateway) applyState(p PlatformState) {
+// applyState applies the targets and, if its version is newer, the configuration. began is when
+// the state was taken from the copy, confirmedAt when it was last known to be the newest.
+func (g *Gateway) applyState(p PlatformState, began, confirmedAt clock.Instant) {
 	// After a restore the platform may show an older version. A configuration in force never
 	// goes back within one lifetime.
 	if p.Catalog != nil {
 		g.setConfiguration(p.Catalog, p.Configuration, "platform")
 	}
-	if applied := g.appliedAt.Load(); applied != nil && !applied.SharesHistory(p.Position) {
+	if applied, _ := g.applied.State(); !applied.IsZero() && !applied.SharesHistory(p.Position) {
 		g.scheduler.NoteRestore()
 	}
-	g.appliedAt.Store(&p.Position)
 	g.scheduler.SetTargets(p.Targets, p.Evacuated)
+	g.applied.Set(p.Position, confirmedAt)
+	_, listedAt := g.applied.State()
 	outdated, keptEvacuations := g.scheduler.Outdated()
 	g.options.Log.Info().Str("event", "targets").Uint64("era", p.Position.Era()).Uint64("revision", p.Position.Revision()).Int("listed", len(p.Targets)).
-		Int("evacuated", len(p.Evacuated)).Int("outdated", outdated).Int("evacuations_kept", keptEvacuations).Msg("")
+		Int("evacuated", len(p.Evacuated)).Int("outdated", outdated).Int("evacuations_kept", keptEvacuations).
+		Int64("took_ms", sinceMillis(g.options.Now, began)).Int64("age_ms", sinceMillis(g.options.Now, listedAt)).Msg("")
 }
 
 // isReady reports whether the instance accepts requests.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,8 +98,10 @@
 	configMu     sync.Mutex
 	configText   []byte
 	olderVersion uint64
-	// appliedAt is the position of the records that were applied last, nil before the first.
-	appliedAt atomic.Pointer[records.Position]
+	// applied is the content of copy that is in force.
+	applied *records.Applied
+	// lateness is when this instance last waited long for its processor.
+	lateness lateness
 	// leaving is set once a graceful stop has begun.
 	leaving atomic.Bool
 	// relay is set while this instance exchanges heartbeats with other data centres for its
@@ -155,6 +157,8 @@
 		startedAt:   o.Now(),
 		readJitter:  rand.New(rand.NewPCG(o.Seed, 1)).Float64(),
 	}
+	g.applied = records.NewApplied(g.copy)
+	g.lateness.lastTick.Store(int64(g.startedAt))
 	g.build()
 	return g
 }
@@ -181,6 +185,7 @@
 	g.scheduler = scheduler.New(scheduler.Options{
 		Self: self.ID, Incarnation: g.incarnation, DataCentre: s.DataCentre, Regions: s.Regions, Now: o.Now,
 		ShareWindow: s.ShareWindow, RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow,
+		ListingConfirmedAt: g.listingConfirmedAt,
 	})
 	g.scheduler.SetAlive(g.roster.Alive(o.Now()))
 	g.upstream = upstream.NewClient(o.Dial)
@@ -188,7 +193,7 @@
 	g.callers.onUnanswered = g.noteUnanswered
 	g.handler = ingress.New(ingress.Options{
 		Codec: o.Codec, ConfigSource: g, Scheduler: g.scheduler, Upstream: g.upstream, Now: o.Now, Log: o.Log,
-		BodyMemory: s.MemoryLimit / bodyMemoryDivisor, Observe: g.metrics.recordRequest, TooManyConns: g.callers.crowded,
+		BodyMemory: s.MemoryLimit / bodyMemoryDivisor, Observe: g.metrics.recordRequest, ObserveSend: g.metrics.recordSend, TooManyConns: g.callers.crowded,
 	})
 	g.follower = &records.Follower{
 		Copy: g.copy, Reader: o.Reader, Now: o.Now, Log: o.Log,
@@ -411,6 +416,7 @@
 	if g.options.SchedulingDelay != nil {
 		waited = g.options.SchedulingDelay()
 	}
+	g.lateness.note(g.options.Now(), max(elapsed-tickInterval, waited))
 	behind := lag.Add(elapsed, tickInterval, waited)
 	g.scheduler.SetProcessor(scheduler.ProcessorState{Delay: lag.Delay(), Behind: behind})
 	if g.behind.Swap(behind) == behind {
@@ -438,6 +444,7 @@
 			return
 		case <-shareTicker.C:
 			g.logShares()
+			g.logRecordsAge()
 		case <-ticker.C:
 			g.upstream.Sweep()
 			g.callers.sweep(g.callerIdleTimeout())
--- a/internal/gateway/inforce.go
+++ b/internal/gateway/inforce.go
@@ -55,8 +55,8 @@
 		return
 	}
 	// Records that this instance has but has not applied yet may bring the peer's configuration.
-	applied := g.appliedAt.Load()
-	if applied == nil || records.NewPosition(hb.Records.Era, hb.Records.Revision).After(*applied) {
+	applied, _ := g.applied.State()
+	if applied.IsZero() || records.NewPosition(hb.Records.Era, hb.Records.Revision).After(applied) {
 		return
 	}
 	g.newerVersion.Store(hb.ConfigVersion)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -25,6 +25,8 @@
 	shares           atomic.Pointer[scheduler.ShareReport]
 	platformCalls    expvar.Int
 	platformFailures expvar.Int
+	// failureCauses counts the failed calls to the platform by their cause.
+	failureCauses expvar.Map
 	// era is the platform's era that the records are of, eraChanges the number of changes.
 	era, eraChanges expvar.Int
 	// behind is 1 while the instance falls behind, timesBehind counts how often it began to.
@@ -37,6 +39,10 @@
 	waited    *hdrhistogram.Histogram
 	// reportAge is the age of the oldest peer's report in use, once a second.
 	reportAge *hdrhistogram.Histogram
+	// listingAge is the age of the list of targets at each send, sends the sends since the last
+	// line on the records.
+	listingAge *hdrhistogram.Histogram
+	sends      sendSummary
 }
 
 // Range of the latency histograms in milliseconds, and their number of significant digits.
@@ -52,12 +58,14 @@
 		firstByte:  hdrhistogram.New(latencyMin, latencyMax, latencyDigits),
 		waited:     hdrhistogram.New(latencyMin, latencyMax, latencyDigits),
 		reportAge:  hdrhistogram.New(latencyMin, latencyMax, latencyDigits),
+		listingAge: hdrhistogram.New(latencyMin, latencyMax, latencyDigits),
 	}
 	m.requests.Init()
 	m.reasons.Init()
 	m.closedUnanswered.Init()
 	m.retriesRefused.Init()
 	m.gaveUp.Init()
+	m.failureCauses.Init()
 	m.shares.Store(&scheduler.ShareReport{})
 	return m
 }
@@ -123,11 +131,12 @@
 // unanswered.
 func (m *metrics) addUnanswered(by connCloser, n int) { m.closedUnanswered.Add(string(by), int64(n)) }
 
-// recordPlatformCall counts a call to the platform and, if err is not nil, its failure.
-func (m *metrics) recordPlatformCall(err error) {
+// recordPlatformCall counts a call to the platform and its failure, if it has failed.
+func (m *metrics) recordPlatformCall(failure readFailure) {
 	m.platformCalls.Add(1)
-	if err != nil {
+	if failure != readSucceeded {
 		m.platformFailures.Add(1)
+		m.failureCauses.Add(string(failure), 1)
 	}
 }
 
@@ -179,6 +188,8 @@
 	all.Set("report_age_ms", expvar.Func(func() any { return m.summary(m.reportAge) }))
 	all.Set("platform_calls", &m.platformCalls)
 	all.Set("platform_failures", &m.platformFailures)
+	all.Set("platform_failure_causes", &m.failureCauses)
+	all.Set("listing_age_ms", expvar.Func(func() any { return m.summary(m.listingAge) }))
 	all.Set("store_era", &m.era)
 	all.Set("store_era_changes", &m.eraChanges)
 	all.Set("behind", &m.behind)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -185,12 +185,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
 	had, _ := g.copy.State()
+	began := g.options.Now()
 	reply, err := g.transport.FetchConfig(ctx, from, &wire.ConfigRequest{CurrentEra: had.Era(), CurrentVersion: had.Revision()})
 	if err == nil {
 		err = g.applyConfigReply(had, reply)
 	}
 	log := g.options.Log.Info().Str("event", "records_from_peer").Str("peer", string(from)).
-		Uint64("had_era", had.Era()).Uint64("had", had.Revision())
+		Uint64("had_era", had.Era()).Uint64("had", had.Revision()).Int64("took_ms", sinceMillis(g.options.Now, began))
 	if err != nil {
 		log.Err(err).Msg("")
 	} else {
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -154,7 +154,7 @@
 	x.result.Target, x.result.ExpectedWait = p.Target.ID, p.Wait
 	x.result.Cached, x.result.Rank = p.Cached, p.Rank
 	x.runEvents = 0
-	if s == nil && !p.Valid() {
+	if s == nil && !p.Validity().Usable {
 		return x.unsent(p, errTargetLeft)
 	}
 	if callerGone(x.r.Context()) {
@@ -201,17 +201,29 @@
 // sendable returns why a request must not be sent to a placement's target any more, nil if it
 // may be sent. Opening a connection may take long, and more so while the processor is short.
 func (x *exchange) sendable(p *scheduler.Placement) error {
+	v := p.Validity()
 	switch {
-	case !p.Valid():
+	case !v.Usable:
 		return errTargetLeft
 	case callerGone(x.r.Context()):
 		return errCallerGone
 	case x.h.options.Now() >= x.job.Deadline:
 		return errRequestTimeout
 	}
+	x.recordValidity(v)
 	return nil
 }
 
+// recordValidity records what the last send rested on.
+func (x *exchange) recordValidity(v scheduler.Validity) {
+	x.sentMu.Lock()
+	x.validity = v
+	x.sentMu.Unlock()
+	if observe := x.h.options.ObserveSend; observe != nil {
+		observe(v)
+	}
+}
+
 // isUnsendable reports whether err is, or wraps, one that sendable returned.
 func isUnsendable(err error) bool {
 	var failure *upstream.Error
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -67,6 +67,8 @@
 	TooManyConns func() bool
 	// Observe is called with the report of each finished request, if it is not nil.
 	Observe func(Report)
+	// ObserveSend is called for each attempt that is sent, if it is not nil.
+	ObserveSend func(scheduler.Validity)
 }
 
 // Handler serves callers' requests. It is safe for concurrent use.
@@ -135,9 +137,10 @@
 	// may have run there.
 	sends, runs int
 	// sentTo lists the addresses to which attempts were made. A standby adds to it, too; sentMu
-	// guards it.
-	sentMu sync.Mutex
-	sentTo []string
+	// guards it. validity is what the last of them rested on.
+	sentMu   sync.Mutex
+	sentTo   []string
+	validity scheduler.Validity
 	// headerWritten reports whether the status and headers were written to the caller.
 	headerWritten bool
 	// lastEvent is the id of the last event written, runEvents the number of events that the
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -54,6 +54,8 @@
 	// Sends counts the unsuccessful attempts that reached a target, Runs those of them that
 	// may have run, Events the events passed on.
 	Sends, Runs, Events int
+	// Validity is what the last attempt that was sent rested on.
+	Validity scheduler.Validity
 }
 
 // Silence describes a target that sent nothing for too long, and its replacement.
@@ -142,6 +144,9 @@
 	r := &x.result
 	r.Total = o.Now().Sub(x.arrived)
 	r.Sends, r.Runs = x.sends, x.runs
+	x.sentMu.Lock()
+	r.Validity = x.validity
+	x.sentMu.Unlock()
 	if o.Observe != nil {
 		o.Observe(*r)
 	}
@@ -172,6 +177,12 @@
 			Int64("silent_asked_ms", s.Asked.Milliseconds()).Str("replacement", string(s.Replacement)).
 			Str("replacement_result", string(s.Result)).Int64("replacement_ms", s.Took.Milliseconds())
 	}
+	if r.Validity.Usable {
+		line = line.Int64("listing_age_ms", r.Validity.ListingAge.Milliseconds())
+	}
+	if r.Validity.Absent > 0 {
+		line = line.Int64("target_absent_ms", r.Validity.Absent.Milliseconds())
+	}
 	if r.RetryAfter > 0 {
 		line = line.Int64("retry_after_ms", r.RetryAfter.Milliseconds())
 	}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -229,6 +229,14 @@
 	return ok && e.StartMillis == startMillis && v.isUsable(e)
 }
 
+// AbsentFor returns the time since a target is no longer listed, 0 if it is listed or not known.
+func (v *Inventory) AbsentFor(id fleet.TargetID, now clock.Instant) time.Duration {
+	if e, ok := v.targets[id]; ok && e.absentSince != 0 {
+		return now.Sub(e.absentSince)
+	}
+	return 0
+}
+
 // IsServing reports whether a target with this start is listed and not leaving, whatever the
 // state of its data centre.
 func (v *Inventory) IsServing(id fleet.TargetID, startMillis int64) bool {
--- a/internal/records/follower.go
+++ b/internal/records/follower.go
@@ -58,8 +58,9 @@
 	Log    zerolog.Logger
 	// Role returns the current role of this instance in reading the platform.
 	Role func() Role
-	// OnResult is called after each attempt to update the copy, with its error or nil.
-	OnResult func(error)
+	// OnResult is called after each attempt to update the copy, with the time at which the
+	// attempt began and its error or nil.
+	OnResult func(began clock.Instant, err error)
 
 	// failures is the number of failed calls in a row.
 	failures int
@@ -91,7 +92,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		f.OnResult(err)
+		f.OnResult(started, err)
 		f.logOutcome(err)
 		current, _ := f.Copy.State()
 		switch {
--- a/internal/records/history_test.go
+++ b/internal/records/history_test.go
@@ -277,7 +277,7 @@
 		m := &modelInstance{store: store, copy: records.NewCopy(), rand: rand.New(rand.NewPCG(seed, uint64(i)+1))}
 		all = append(all, m)
 		if i < readers {
-			f := &records.Follower{Copy: m.copy, Reader: m, Now: now, Log: zerolog.Nop(), Role: alwaysReader, OnResult: func(error) {}}
+			f := &records.Follower{Copy: m.copy, Reader: m, Now: now, Log: zerolog.Nop(), Role: alwaysReader, OnResult: func(clock.Instant, error) {}}
 			running.Go(func() { f.Run(ctx) })
 		}
 	}
@@ -335,7 +335,7 @@
 				copied.Replace([]records.Change{{Key: "k", Value: []byte("new"), Revision: 3}}, records.NewPosition(2, 3), start)
 				follower := &records.Follower{
 					Copy: copied, Reader: lateReader{era}, Now: clock.Monotonic(), Log: zerolog.Nop(),
-					Role: alwaysReader, OnResult: func(err error) { results = append(results, err) },
+					Role: alwaysReader, OnResult: func(_ clock.Instant, err error) { results = append(results, err) },
 				}
 				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 				defer cancel()
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -81,9 +81,15 @@
 
 // All returns the copy's position and its records sorted by key.
 func (c *Copy) All() (Position, []Change) {
+	at, _, all := c.Snapshot()
+	return at, all
+}
+
+// Snapshot returns State and the records sorted by key.
+func (c *Copy) Snapshot() (at Position, confirmedAt clock.Instant, all []Change) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	return c.position, c.sortedRecords()
+	return c.position, c.confirmedAt, c.sortedRecords()
 }
 
 // sortedRecords returns the records sorted by key. c.mu must be held.
--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -181,7 +181,7 @@
 		now := clock.Monotonic()
 		c := records.NewCopy()
 		follower := &records.Follower{
-			Copy: c, Reader: f, Now: now, Log: zerolog.Nop(), Role: role, OnResult: func(error) {},
+			Copy: c, Reader: f, Now: now, Log: zerolog.Nop(), Role: role, OnResult: func(clock.Instant, error) {},
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -282,7 +282,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := &changingReader{}
 		follower := &records.Follower{
-			Copy: records.NewCopy(), Reader: r, Now: clock.Monotonic(), Log: zerolog.Nop(), Role: alwaysReader, OnResult: func(error) {},
+			Copy: records.NewCopy(), Reader: r, Now: clock.Monotonic(), Log: zerolog.Nop(), Role: alwaysReader, OnResult: func(clock.Instant, error) {},
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
@@ -299,7 +299,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		e := &immediateReader{}
 		follower := &records.Follower{
-			Copy: records.NewCopy(), Reader: e, Now: clock.Monotonic(), Log: zerolog.Nop(), Role: alwaysReader, OnResult: func(error) {},
+			Copy: records.NewCopy(), Reader: e, Now: clock.Monotonic(), Log: zerolog.Nop(), Role: alwaysReader, OnResult: func(clock.Instant, error) {},
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
@@ -337,7 +337,7 @@
 		now := clock.Monotonic()
 		c := records.NewCopy()
 		follower := &records.Follower{
-			Copy: c, Reader: h, Now: now, Log: zerolog.Nop(), Role: alwaysReader, OnResult: func(error) {},
+			Copy: c, Reader: h, Now: now, Log: zerolog.Nop(), Role: alwaysReader, OnResult: func(clock.Instant, error) {},
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -381,7 +381,7 @@
 		var results []error
 		follower := &records.Follower{
 			Copy: records.NewCopy(), Reader: &revertedReader{}, Now: clock.Monotonic(), Log: zerolog.Nop(),
-			Role: alwaysReader, OnResult: func(err error) { results = append(results, err) },
+			Role: alwaysReader, OnResult: func(_ clock.Instant, err error) { results = append(results, err) },
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 		defer cancel()
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -27,13 +27,35 @@
 	unreachableAvoid = 500 * time.Millisecond
 )
 
-// Valid reports whether the target may still get requests. It must be called immediately
+// Validity is whether a target may still get a request, and what that rests on.
+type Validity struct {
+	Usable bool
+	// ListingAge is the time since the list of targets was last known to be the newest.
+	ListingAge time.Duration
+	// Absent is the time since the target is no longer listed, 0 while it is.
+	Absent time.Duration
+}
+
+// Validity reports whether the target may still get requests. It must be called immediately
 // before the request is sent.
-func (p *Placement) Valid() bool {
+func (p *Placement) Validity() Validity {
 	s := p.scheduler
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.inventory.IsUsable(p.Target.ID, p.Target.StartMillis)
+	now := s.options.Now()
+	return Validity{
+		Usable:     s.inventory.IsUsable(p.Target.ID, p.Target.StartMillis),
+		ListingAge: s.listingAge(now),
+		Absent:     s.inventory.AbsentFor(p.Target.ID, now),
+	}
+}
+
+// listingAge returns the time since the list of targets was last known to be the newest.
+func (s *Scheduler) listingAge(now clock.Instant) time.Duration {
+	if s.options.ListingConfirmedAt == nil {
+		return 0
+	}
+	return now.Sub(s.options.ListingConfirmedAt())
 }
 
 // PrefillDone records that the target has processed the prompt. The target's first event
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -49,6 +49,9 @@
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
+	// ListingConfirmedAt returns when the list of targets was last known to be the newest. If it
+	// is nil, the list counts as always current.
+	ListingConfirmedAt func() clock.Instant
 }
 
 // Scheduler places requests on targets and holds the state that this needs. It is safe
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -311,13 +311,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		ts := newTestScheduler(1)
 		p, err := ts.admit(t.Context(), ts.job("c", "s", 1000))
-		if err != nil || !p.Valid() {
+		if err != nil || !p.Validity().Usable {
 			t.Fatal(err)
 		}
 		list := engineList(1)
 		list[0].State = inventory.Leaving
 		ts.SetTargets(list, nil)
-		if p.Valid() {
+		if p.Validity().Usable {
 			t.Error("the placement is still valid after its target was listed as leaving")
 		}
 	})
