A listing that may be out of date places no requests

Cause: the check before each send looks the target up in the listing in force and does not ask how old that is. An instance whose updates wait for its processor goes on with a listing of any age; the age was looked at on arrival only, for revoked keys, and there that of the copy, not of what had been applied. The class: a decision on state that is read from elsewhere, without a bound on its age.

A listing counts from the read that last showed its applied revision to be the newest. A notice acknowledged after that read cannot be overdue before.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -191,6 +191,7 @@
 	"over_share":                "the customer had used its share, and no target had spare capacity",
 	"busy":                      "every target had more work queued than the route's first-byte SLO allows",
 	"instance_busy":             "the instance's own processor was late, so that it took on no more generations",
+	"listing_old":               "the instance's list of targets was too old to show which of them leave",
 	"queue_full":                "the instance's queue was full",
 	"no_target":                 "no target of the service was usable",
 	"keys_unconfirmed":          "the configuration was too old to accept keys",
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -117,7 +117,7 @@
 
 // isReady reports whether the instance accepts requests.
 func (g *Gateway) isReady() bool {
-	return !g.leaving.Load() && g.catalog.Load() != nil && g.Confirmed()
+	return !g.leaving.Load() && g.catalog.Load() != nil && g.Confirmed() && g.scheduler.ListingCurrent()
 }
 
 // locate returns the directory's answer for a caller; false if no instance is known.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,9 @@
 	// revokeMargin is subtracted from Settings.RevokeWithin, because a watch may receive
 	// nothing for a second before it fails, and a request takes time to reach its target.
 	revokeMargin = 1250 * time.Millisecond
+	// changeMargin is subtracted from Settings.ChangeWithin for the time that a request takes from
+	// the last check to its target.
+	changeMargin = 400 * time.Millisecond
 	// headerTimeout bounds the time that a caller takes to send a request's header, and
 	// idleTimeout how long a connection without requests stays open if the configuration
 	// sets no timeout.
@@ -185,7 +188,7 @@
 	g.scheduler = scheduler.New(scheduler.Options{
 		Self: self.ID, Incarnation: g.incarnation, DataCentre: s.DataCentre, Regions: s.Regions, Now: o.Now,
 		ShareWindow: s.ShareWindow, RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow,
-		ListingConfirmedAt: g.listingConfirmedAt,
+		ListingConfirmedAt: g.listingConfirmedAt, ListingMaxAge: listingMaxAge(s.ChangeWithin),
 	})
 	g.scheduler.SetAlive(g.roster.Alive(o.Now()))
 	g.upstream = upstream.NewClient(o.Dial)
@@ -220,10 +223,19 @@
 	if g.mayBeOutdated() {
 		return false
 	}
-	_, at := g.copy.State()
+	_, at := g.applied.State()
 	return bound == 0 || at != 0 && g.options.Now().Sub(at) < bound-revokeMargin
 }
 
+// listingMaxAge returns the age from which the list of targets no longer shows which of them get
+// work, if a change must take effect within a given time; 0 for no bound.
+func listingMaxAge(changeWithin time.Duration) time.Duration {
+	if changeWithin == 0 {
+		return 0
+	}
+	return max(changeWithin-changeMargin, changeWithin/2)
+}
+
 // Ready returns a channel that is closed once the listeners are open.
 func (g *Gateway) Ready() <-chan struct{} { return g.ready }
 
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -43,6 +43,10 @@
 	// RevokeWithin is the time within which a revoked key must stop working; 0 for no
 	// bound.
 	RevokeWithin time.Duration
+	// ChangeWithin is the time within which a change of the platform's records must take effect:
+	// no target gets a request later than this after it has been listed as leaving. 0 for no
+	// bound.
+	ChangeWithin time.Duration
 	// ShareWindow is the time over which customers' shares are accounted.
 	ShareWindow time.Duration
 	// RetryRatio, RetryExtra and RetryWindow bound the retries of the whole fleet for each
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -44,6 +44,27 @@
 	}
 }
 
+// Without an outage a target may have left since the listing was the newest.
+func TestOldListingIsUsedDuringOutageOnly(t *testing.T) {
+	v := inventory.New()
+	const maxAge = 2 * time.Second
+	if !v.IsCurrent(time.Hour, start) {
+		t.Error("a listing is too old without a bound")
+	}
+	v.MaxAge = maxAge
+	now := start
+	if !v.IsCurrent(maxAge-1, now) || v.IsCurrent(maxAge, now) {
+		t.Errorf("the bound is not %v", maxAge)
+	}
+	v.NoteOutage(now)
+	if !v.IsCurrent(time.Hour, now) {
+		t.Error("an old listing is not used during an outage")
+	}
+	if v.IsCurrent(maxAge, now.Add(time.Minute)) {
+		t.Error("an old listing is used long after the last failed read")
+	}
+}
+
 func TestAbsentTargetIsDroppedAtOnceWithoutOutage(t *testing.T) {
 	v := inventory.New()
 	v.Update([]inventory.Target{listed("x", 1, inventory.Ready)}, nil, start)
--- a/internal/records/follower.go
+++ b/internal/records/follower.go
@@ -37,8 +37,9 @@
 	// charges for every call, including those that it refuses.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 300 * time.Millisecond
-	// recoveryWatchWait replaces watchWait after a failed call. A long call that hangs
-	// during an outage would delay the detection of its end.
+	// recoveryWatchWait replaces watchWait after a failed call, since a long call that hangs
+	// during an outage would delay the detection of its end, and for an instance in RoleFallback,
+	// whose copy is too old to wait for changes.
 	recoveryWatchWait = time.Millisecond
 	// changePause is the delay after a watch that returned changes. Targets change one by
 	// one, and without the delay each change would cost a call.
@@ -88,7 +89,7 @@
 		}
 		previous, _ := f.Copy.State()
 		started := f.Now()
-		err := f.poll(ctx)
+		err := f.poll(ctx, role)
 		if ctx.Err() != nil {
 			return
 		}
@@ -111,12 +112,12 @@
 
 // poll watches for changes after the position of the copy. It reads all records instead if
 // the copy is empty or the platform does not hold these changes.
-func (f *Follower) poll(ctx context.Context) error {
+func (f *Follower) poll(ctx context.Context, role Role) error {
 	sentAt := f.Now()
 	had, _ := f.Copy.State()
 	if !had.IsZero() {
 		wait := watchWait
-		if f.failures > 0 {
+		if f.failures > 0 || role == RoleFallback {
 			wait = recoveryWatchWait
 		}
 		changes, to, err := f.Reader.Watch(ctx, had, wait)
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -188,6 +188,7 @@
 	ReasonLeaving        Reason = "leaving"
 	ReasonTargetLimit    Reason = "target_limit"
 	ReasonInstanceBusy   Reason = "instance_busy"
+	ReasonListingOld     Reason = "listing_old"
 )
 
 // Refusal is the error returned for a job that was not started.
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -117,6 +117,8 @@
 	s.remove(w)
 	now := s.options.Now()
 	switch {
+	case reason == ReasonBusy && !s.isListingCurrent(now):
+		reason = ReasonListingOld
 	case len(s.targetListFor(w.job, now).targets) == 0:
 		reason = ReasonNoTarget
 	case reason == ReasonBusy && w.job.isHeldBack():
@@ -150,7 +152,7 @@
 // up for the passes that were left out. s.mu must be held.
 func (s *Scheduler) startQueued() {
 	now := s.options.Now()
-	if len(s.queue) == 0 || now.Sub(s.vainPassAt) < passInterval {
+	if len(s.queue) == 0 || now.Sub(s.vainPassAt) < passInterval || !s.isListingCurrent(now) {
 		return
 	}
 	if s.passQueue(now) == 0 {
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -44,12 +44,25 @@
 	defer s.mu.Unlock()
 	now := s.options.Now()
 	return Validity{
-		Usable:     s.inventory.IsUsable(p.Target.ID, p.Target.StartMillis),
+		Usable:     s.isListingCurrent(now) && s.inventory.IsUsable(p.Target.ID, p.Target.StartMillis),
 		ListingAge: s.listingAge(now),
 		Absent:     s.inventory.AbsentFor(p.Target.ID, now),
 	}
 }
 
+// isListingCurrent reports whether targets may get requests by the list of targets. s.mu must be
+// held.
+func (s *Scheduler) isListingCurrent(now clock.Instant) bool {
+	return s.inventory.IsCurrent(s.listingAge(now), now)
+}
+
+// ListingCurrent reports whether targets may get requests by the list of targets.
+func (s *Scheduler) ListingCurrent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isListingCurrent(s.options.Now())
+}
+
 // listingAge returns the time since the list of targets was last known to be the newest.
 func (s *Scheduler) listingAge(now clock.Instant) time.Duration {
 	if s.options.ListingConfirmedAt == nil {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -52,6 +52,9 @@
 	// ListingConfirmedAt returns when the list of targets was last known to be the newest. If it
 	// is nil, the list counts as always current.
 	ListingConfirmedAt func() clock.Instant
+	// ListingMaxAge is the age from which the list no longer shows which targets get work, 0 for
+	// none.
+	ListingMaxAge time.Duration
 }
 
 // Scheduler places requests on targets and holds the state that this needs. It is safe
@@ -136,7 +139,7 @@
 
 // New returns a Scheduler without configuration and targets.
 func New(o Options) *Scheduler {
-	return &Scheduler{
+	s := &Scheduler{
 		options:       o,
 		inventory:     inventory.New(),
 		meter:         quota.NewMeter(o.ShareWindow),
@@ -157,6 +160,8 @@
 		targetLists:   make(map[fleet.ServiceID]*targetList),
 		generation:    1,
 	}
+	s.inventory.MaxAge = o.ListingMaxAge
+	return s
 }
 
 // SetCatalog replaces the configuration.
@@ -297,7 +302,13 @@
 	s.mu.Lock()
 	now := s.options.Now()
 	j.considered = consideration{}
-	decision := s.place(j, retry, now)
+	var decision decision
+	switch {
+	case s.isListingCurrent(now):
+		decision = s.place(j, retry, now)
+	case !retry:
+		decision.refusal = s.refusal(j, ReasonListingOld, now, now)
+	}
 	if decision.placement != nil || decision.refusal != nil {
 		s.mu.Unlock()
 		if decision.refusal != nil {
@@ -320,7 +331,11 @@
 	j.prepare()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.place(j, true, s.options.Now()).placement
+	now := s.options.Now()
+	if !s.isListingCurrent(now) {
+		return nil
+	}
+	return s.place(j, true, now).placement
 }
 
 // place decides on a job. A retry is refused if the retry budget is used up, and draws on it
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -323,6 +323,47 @@
 	})
 }
 
+// By an old list of targets nothing is sent: new jobs are refused at once, and what has been admitted
+// waits until the list is current.
+func TestOldListingPlacesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ts := newTestScheduler(1)
+		placed, err := ts.admit(t.Context(), ts.job("c", "s", 1000))
+		if err != nil {
+			t.Fatal(err)
+		}
+		age := time.Duration(0)
+		ts.inventory.MaxAge = time.Second
+		ts.options.ListingConfirmedAt = func() clock.Instant { return ts.now().Add(-age) }
+		if !placed.Validity().Usable || !ts.ListingCurrent() {
+			t.Error("a current list is not used")
+		}
+		age = time.Second
+		if v := placed.Validity(); v.Usable || v.ListingAge != age {
+			t.Errorf("a placement by a list of %v is valid: %+v", age, v)
+		}
+		_, err = ts.admit(t.Context(), ts.job("c", "s", 1000))
+		if r := refusalOf(t, err); r.Reason != ReasonListingOld || r.Waited != 0 || r.RetryAfter <= 0 {
+			t.Errorf("a new job: %+v, want listing_old at once with a retry delay", r)
+		}
+		if ts.Replace(ts.job("c", "s", 1000)) != nil {
+			t.Error("a replacement is placed")
+		}
+		go func() {
+			time.Sleep(50 * time.Millisecond)
+			ts.mu.Lock()
+			age = 0
+			ts.mu.Unlock()
+			ts.Tick()
+		}()
+		began := ts.now()
+		p, err := ts.Admit(t.Context(), ts.job("c", "s", 1000), true)
+		if err != nil || ts.now().Sub(began) < 50*time.Millisecond {
+			t.Errorf("a retry got %v, %v after %v, want a placement once the list is current", p, err, ts.now().Sub(began))
+		}
+	})
+}
+
 // Requests with a shared part must go to one target while it has room.
 func TestRequestsWithSharedPartGoToOneTarget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
