roster: an instance's own stall is no silence of its peers

Cause: silence is counted from the last heartbeat that was read, and after a stall the round that judges peers runs before the heartbeats that wait in the sockets are read.

A round of heartbeats that comes 0.1 s late or more is noted as a stall, and the time of stalls since a member was last seen does not count as its silence, up to 3.5 s. What peers are told (the age of the last sighting) does not change.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,12 +115,13 @@
 	// behind is set while the instance gets less processor time than its work needs.
 	behind atomic.Bool
 
-	// mu guards roster, peers, round and fetching.
+	// mu guards roster, peers, round, roundAt and fetching.
 	mu     sync.Mutex
 	roster *roster.Roster
 	peers  map[fleet.InstanceID]*peerState
-	// round counts the rounds of heartbeats sent.
-	round int
+	// round counts the rounds of heartbeats sent, roundAt is the time of the last one.
+	round   int
+	roundAt clock.Instant
 	// startedAt is when the gateway was built. readJitter, from 0 to 1, differs between
 	// instances and scales nonRelayReadJitter.
 	startedAt  clock.Instant
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -70,6 +70,10 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if late := now.Sub(g.roundAt) - heartbeatInterval; g.roundAt != 0 && late >= lateFrom {
+		g.roster.NoteStall(late, now)
+	}
+	g.roundAt = now
 	g.roster.SetSelf(g.leaving.Load(), !g.isReady(), g.behind.Load())
 	alive := g.roster.Alive(now)
 	topology := roster.Plan(fleet.InstanceID(g.options.Settings.PeerAddr), g.options.Settings.DataCentre, alive)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -56,6 +56,8 @@
 	seeds []fleet.InstanceID
 	// members does not include self.
 	members map[fleet.InstanceID]*Member
+	// stalls are the recent times in which this instance did not run, the latest last.
+	stalls []stall
 }
 
 // New returns a Roster with self as its only member and the addresses of the seeds.
@@ -101,8 +103,8 @@
 func (r *Roster) WireMembers(now clock.Instant) []wire.Member {
 	alive := []wire.Member{toWire(&r.self, 0)}
 	for _, m := range r.sortedMembers() {
-		if age := now.Sub(m.LastSeen); age <= r.unreachableAfter() {
-			alive = append(alive, toWire(m, age))
+		if r.isAlive(m, now) {
+			alive = append(alive, toWire(m, now.Sub(m.LastSeen)))
 		}
 	}
 	return alive
@@ -122,7 +124,7 @@
 	self.LastSeen = now
 	alive := []Member{self}
 	for _, m := range r.members {
-		if now.Sub(m.LastSeen) <= r.unreachableAfter() {
+		if r.isAlive(m, now) {
 			alive = append(alive, *m)
 		}
 	}
