Answers share a bound of memory; the one that holds the most is ended

Could it happen here: a single answer is bounded (head 16 KiB, event and buffered body 256 KiB), their sum was not. Cause: a limit for each of many, with nothing for all of them.

What targets have sent and is not passed on yet takes from one budget, a 16th of the memory limit; up to 8 KiB an answer needs none, which is more than ordinary events and bodies take. Once it is used up, the answer that holds the most is ended as broken (retried where the route allows it): one without end comes to that, small ones never. The memory of one long event is not kept for the rest of its stream. A head has at most 128 lines, since a field takes many times its bytes in memory, also while the head has no end.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,8 @@
 	maxHeaderBytes = 64 << 10
 	// bodyMemoryDivisor sets the memory for request bodies: the memory limit divided by it.
 	bodyMemoryDivisor = 4
+	// answerMemoryDivisor sets the memory for what targets have sent in the same way.
+	answerMemoryDivisor = 16
 	// peerSilenceTimeout is how long a connection to a peer may carry no data before it is
 	// closed.
 	peerSilenceTimeout = 1200 * time.Millisecond
@@ -197,7 +199,8 @@
 	g.callers.onUnanswered = g.noteUnanswered
 	g.handler = ingress.New(ingress.Options{
 		Codec: o.Codec, ConfigSource: g, Scheduler: g.scheduler, Upstream: g.upstream, Now: o.Now, Log: o.Log,
-		BodyMemory: s.MemoryLimit / bodyMemoryDivisor, Observe: g.metrics.recordRequest, ObserveSend: g.metrics.recordSend, TooManyConns: g.callers.crowded,
+		BodyMemory: s.MemoryLimit / bodyMemoryDivisor, AnswerMemory: s.MemoryLimit / answerMemoryDivisor,
+		Observe: g.metrics.recordRequest, ObserveSend: g.metrics.recordSend, TooManyConns: g.callers.crowded,
 	})
 	g.follower = &records.Follower{
 		Copy: g.copy, Reader: o.Reader, Now: o.Now, Log: o.Log,
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -173,10 +173,12 @@
 	var attemptCtx context.Context
 	var cancel context.CancelCauseFunc
 	if s != nil {
-		attemptCtx, cancel = s.ctx, s.cancel
+		attemptCtx, cancel, x.memory = s.ctx, s.cancel, s.memory
 	} else {
 		attemptCtx, cancel = context.WithCancelCause(ctx)
+		x.memory = x.h.answers.part(cancel)
 	}
+	defer x.memory.release()
 	defer cancel(nil)
 	x.silence = x.newSilenceWatch(ctx, cancel, p.Target.ID)
 	defer x.endWatch()
--- a/internal/ingress/events.go
+++ b/internal/ingress/events.go
@@ -30,11 +30,15 @@
 type eventReader struct {
 	in  *bufio.Reader
 	raw []byte
+	// memory is the memory of the answer. other is the number of bytes of it that are held
+	// beside raw.
+	memory *answerPart
+	other  int
 }
 
-// newEventReader returns a reader of the events in r.
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{in: bufio.NewReaderSize(r, readBufferBytes)}
+// newEventReader returns a reader of the events in r, which holds them in memory.
+func newEventReader(r io.Reader, memory *answerPart) *eventReader {
+	return &eventReader{in: bufio.NewReaderSize(r, readBufferBytes), memory: memory}
 }
 
 // event is a complete event. Its slices are valid until the next event is read.
@@ -50,9 +54,14 @@
 
 // next returns the next complete event. The error is io.EOF if the stream ended between
 // events, errTruncatedEvent if it ended within one, and an *upstream.LimitError if an event
-// exceeds maxEventBytes. Bytes that cannot belong to an event are an error, too.
+// exceeds maxEventBytes, and errAnswerMemory if there is no memory for it. Bytes that cannot belong to an event are an error, too.
 func (r *eventReader) next() (event, error) {
 	r.raw = r.raw[:0]
+	if cap(r.raw) > freeAnswerBytes && r.other == 0 {
+		// The memory for one long event is not kept for the rest of the stream.
+		r.raw = nil
+		r.memory.release()
+	}
 	var idStart, idEnd, lineStart int
 	hasContent := false
 	for {
@@ -62,6 +71,9 @@
 				Part: "event", Got: fmt.Sprintf("%d bytes", size), Limit: fmt.Sprintf("%d bytes", maxEventBytes),
 			}
 		}
+		if err := r.grow(len(part)); err != nil {
+			return event{}, err
+		}
 		r.raw = append(r.raw, part...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
@@ -91,6 +103,22 @@
 	}
 }
 
+// grow makes room for n more bytes of an event.
+func (r *eventReader) grow(n int) error {
+	need := len(r.raw) + n
+	if need <= cap(r.raw) {
+		return nil
+	}
+	size := min(max(need, 2*cap(r.raw)), need+answerChunk)
+	if err := r.memory.hold(r.other + size); err != nil {
+		return err
+	}
+	grown := make([]byte, len(r.raw), size)
+	copy(grown, r.raw)
+	r.raw = grown
+	return nil
+}
+
 // isEventLine reports whether a line, without its end, can be part of an event: an empty line, a
 // comment or a field. The name of a field is not restricted to the known ones, but it is a word.
 // A target may write the head or the text of an error into its stream.
--- a/internal/ingress/events_test.go
+++ b/internal/ingress/events_test.go
@@ -52,7 +52,7 @@
 		"long lines":             {unit: "data: " + strings.Repeat("x", 5000) + "\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			events := newEventReader(s)
+			events := newEventReader(s, unlimitedMemory())
 			_, err := events.next()
 			var limit *upstream.LimitError
 			if !errors.As(err, &limit) {
@@ -71,7 +71,7 @@
 // Empty lines that end no event are passed on as they come and not accumulated.
 func TestEndlessEmptyLinesAreNotAccumulated(t *testing.T) {
 	for _, unit := range []string{"\n", "\r\n"} {
-		events := newEventReader(&endlessStream{unit: unit})
+		events := newEventReader(&endlessStream{unit: unit}, unlimitedMemory())
 		for passed := 0; passed < 1<<20; {
 			e, err := events.next()
 			if err != nil {
@@ -88,7 +88,7 @@
 // An event of the largest size is passed on whole.
 func TestLargestEventIsRead(t *testing.T) {
 	text := "id: 3\ndata: " + strings.Repeat("x", maxEventBytes-len("id: 3\ndata: \n\n")) + "\n\n"
-	e, err := newEventReader(strings.NewReader(text)).next()
+	e, err := newEventReader(strings.NewReader(text), unlimitedMemory()).next()
 	if err != nil || string(e.id) != "3" || !bytes.Equal(e.raw, []byte(text)) {
 		t.Errorf("got an event of %d bytes with id %q, error %v; want %d bytes and id 3", len(e.raw), e.id, err, len(text))
 	}
@@ -105,7 +105,7 @@
 		"line end of the first": data + "\nid: 7\n\n",
 		"CRLF":                  data + "\r\nid: 7\r\n\r\n",
 	} {
-		e, err := newEventReader(strings.NewReader(text)).next()
+		e, err := newEventReader(strings.NewReader(text), unlimitedMemory()).next()
 		if err != nil || string(e.id) != "7" || string(e.raw) != text {
 			t.Errorf("%s: got an event of %d bytes with id %q, error %v; want %d bytes and id 7", name, len(e.raw), e.id, err, len(text))
 		}
@@ -118,7 +118,7 @@
 		"data: x\n\n", "data\n\n", "id:7\r\ndata: a: b\r\n\r\n", ": comment\n\n", ":\n\n", "weight-versions: 3\nid: 7\n\n", "\nx_1:\n\n",
 		"\ufeffdata: x\n\n", "data: HTTP/1.1 500 Internal Server Error\n\n", "event:error\nretry: 5\nid\n\n",
 	} {
-		if e, err := newEventReader(strings.NewReader(text)).next(); err != nil || string(e.raw) != text {
+		if e, err := newEventReader(strings.NewReader(text), unlimitedMemory()).next(); err != nil || string(e.raw) != text {
 			t.Errorf("event %q: got %q and error %v, want it unchanged", text, e.raw, err)
 		}
 	}
@@ -126,7 +126,7 @@
 		"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", "overloaded\n\n", "error: x\nat line 3\n\n",
 		"{\"error\": \"x\"}\n\n", "<html>: x\n\n", "two words: x\n\n", "\x00: x\n\n", "data: x\nHTTP/1.1 200 OK\n\n", " data: x\n\n",
 	} {
-		if e, err := newEventReader(strings.NewReader(text)).next(); err == nil {
+		if e, err := newEventReader(strings.NewReader(text), unlimitedMemory()).next(); err == nil {
 			t.Errorf("text %q: got event %q, want an error", text, e.raw)
 		}
 	}
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -62,6 +62,8 @@
 	Log          zerolog.Logger
 	// BodyMemory limits the memory for the bodies of all requests being served, in bytes.
 	BodyMemory int64
+	// AnswerMemory limits the memory for what targets have sent and is not passed on yet, in bytes.
+	AnswerMemory int64
 	// TooManyConns reports whether callers hold so many connections that each response
 	// should close its connection. If it is nil, none does.
 	TooManyConns func() bool
@@ -75,6 +77,7 @@
 type Handler struct {
 	options Options
 	bodies  bodyMemory
+	answers *answerMemory
 	drain   drainState
 	// callerTimeouts estimates how long callers wait, to detect their retries.
 	callerTimeouts callerTimeouts
@@ -83,7 +86,7 @@
 
 // New returns a handler with the given options.
 func New(o Options) *Handler {
-	h := &Handler{options: o, bodies: bodyMemory{limit: o.BodyMemory}}
+	h := &Handler{options: o, bodies: bodyMemory{limit: o.BodyMemory}, answers: newAnswerMemory(o.AnswerMemory)}
 	h.drain.ended, h.drain.end = context.WithCancel(context.Background())
 	return h
 }
@@ -155,6 +158,8 @@
 	// silence watches the current attempt. standby is the second run that it began and with
 	// which the request goes on, nil for none.
 	silence *silenceWatch
+	// memory is the memory of the current attempt's response.
+	memory  *answerPart
 	standby *standby
 	result  Report
 }
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -41,8 +41,8 @@
 
 // readBuffered reads up to maxBufferedBytes of a body. length is its declared length, -1 if it is
 // unknown; the error is io.ErrUnexpectedEOF if it ends before.
-func readBuffered(body io.Reader, length int64) ([]byte, error) {
-	buffered, err := io.ReadAll(io.LimitReader(body, maxBufferedBytes))
+func readBuffered(body io.Reader, length int64, memory *answerPart) ([]byte, error) {
+	buffered, err := memory.readAll(body, maxBufferedBytes)
 	if err == nil && length > 0 && length <= maxBufferedBytes && int64(len(buffered)) < length {
 		err = io.ErrUnexpectedEOF
 	}
@@ -53,7 +53,7 @@
 // before it writes the headers.
 func (x *exchange) relayBuffered(ctx context.Context, p *scheduler.Placement, resp *upstream.Response) attemptResult {
 	body := &watchedReader{Reader: resp.Body, silence: x.silence, timeout: x.firstByteTimeout(p)}
-	buffered, err := readBuffered(body, resp.Length)
+	buffered, err := readBuffered(body, resp.Length, x.memory)
 	if err != nil || !x.silence.received() {
 		resp.Finish(false)
 		return x.markBroken(ctx, p, err)
@@ -99,6 +99,8 @@
 func (x *exchange) markBroken(ctx context.Context, p *scheduler.Placement, err error) attemptResult {
 	x.result.Reason = "answer_broken"
 	switch {
+	case x.memory.wasEnded():
+		err = errAnswerMemory
 	case x.silence.gaveUp():
 		err = errTargetSilent
 	case ctx.Err() != nil:
@@ -114,7 +116,7 @@
 
 // relayStream relays complete events as they arrive.
 func (x *exchange) relayStream(ctx context.Context, p *scheduler.Placement, resp *upstream.Response) attemptResult {
-	events := newEventReader(resp.Body)
+	events := newEventReader(resp.Body, x.memory)
 	flusher := http.NewResponseController(x.w)
 	resumed, begun := x.headerWritten, false
 	for first := true; ; first = false {
--- a/internal/ingress/standby.go
+++ b/internal/ingress/standby.go
@@ -23,7 +23,9 @@
 	placement *scheduler.Placement
 	ctx       context.Context
 	cancel    context.CancelCauseFunc
-	body      []byte
+	// memory is the memory of the response.
+	memory *answerPart
+	body   []byte
 	// resumeAfter is the event after which the run resumes the stream, empty to begin it.
 	// resuming is set if the caller has a part of the stream.
 	resumeAfter string
@@ -52,6 +54,7 @@
 		position: x.position, done: make(chan struct{}),
 	}
 	s.ctx, s.cancel = context.WithCancelCause(ctx)
+	s.memory = x.h.answers.part(s.cancel)
 	return s
 }
 
@@ -81,11 +84,11 @@
 	var err error
 	rest := s.resp.Body
 	if isStream {
-		events := newEventReader(s.resp.Body)
+		events := newEventReader(s.resp.Body, s.memory)
 		read, err = s.firstEvent(events)
 		rest = events.in
 	} else {
-		read, err = readBuffered(s.resp.Body, s.resp.Length)
+		read, err = readBuffered(s.resp.Body, s.resp.Length, s.memory)
 	}
 	if err != nil {
 		s.broken, rest = true, failingReader{err}
@@ -101,6 +104,7 @@
 	for {
 		e, err := events.next()
 		read = append(read, events.raw...)
+		events.other = len(read)
 		if err != nil {
 			return read, err
 		}
@@ -164,6 +168,7 @@
 
 // discard releases a run that is not to be passed on, with its outcome. It may block.
 func (s *standby) discard(became ReplacementResult, result attemptResult) {
+	defer s.memory.release()
 	defer s.cancel(nil)
 	x, p := s.x, s.placement
 	if result == notSent {
--- a/internal/ingress/stream_position_test.go
+++ b/internal/ingress/stream_position_test.go
@@ -62,7 +62,7 @@
 		"one event": {"id: 1\ndata: x\n\n", []next{{"id: 3\ndata: x\n\n", false}}, []next{{"id: 1\ndata: x\n\n", false}}},
 	}
 	read := func(text string) event {
-		e, err := newEventReader(strings.NewReader(text)).next()
+		e, err := newEventReader(strings.NewReader(text), unlimitedMemory()).next()
 		if err != nil {
 			t.Fatalf("event %q: %v", text, err)
 		}
@@ -71,7 +71,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			var p streamPosition
-			events := newEventReader(strings.NewReader(test.written))
+			events := newEventReader(strings.NewReader(test.written), unlimitedMemory())
 			for e, err := events.next(); err == nil; e, err = events.next() {
 				p.add(e)
 			}
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -196,3 +196,19 @@
 		t.Errorf("read %d bytes of the body, error %v", len(body), err)
 	}
 }
+
+// A head of many short fields takes many times its size in memory, also where it has no end.
+func TestHeadOfManyLinesIsMalformed(t *testing.T) {
+	for name, c := range map[string]*endlessConn{
+		"first":               {start: "HTTP/1.1 200 OK\r\n", unit: "X-A: b\r\n"},
+		"after informational": {start: "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n", unit: "X-A: b\r\n"},
+		"bare line ends":      {start: "HTTP/1.1 200 OK\n", unit: "A:b\n"},
+	} {
+		client := upstream.NewClient(func(context.Context, string, string) (net.Conn, error) { return c, nil })
+		_, err := client.Send(t.Context(), upstream.Request{Addr: "t", Method: "GET", Target: "/", Host: "h"})
+		var limit *upstream.LimitError
+		if !errors.As(err, &limit) || !strings.Contains(limit.Error(), "lines") {
+			t.Errorf("%s: error %v, want a limit of lines", name, err)
+		}
+	}
+}
--- a/internal/upstream/limit.go
+++ b/internal/upstream/limit.go
@@ -18,6 +18,9 @@
 	// the informational responses before it. Parsed headers take up to 30 times their size
 	// in memory.
 	maxHeadBytes = 16 << 10
+	// maxHeadLines limits the lines of one response's head. A field takes many times the size of
+	// a short line in memory.
+	maxHeadLines = 128
 	// maxInformational limits the number of informational (1xx) responses to a request.
 	maxInformational = 16
 	// maxSkippedBodyBytes limits the body of a skipped response to another request.
@@ -69,6 +72,46 @@
 	part  string
 	limit int64
 	left  int64
+	// head counts the lines of the head that is being read.
+	head headLines
+}
+
+// headLines counts the lines of a response's head as its bytes are read.
+type headLines struct {
+	// open is set up to the empty line that ends the head.
+	open  bool
+	lines int
+	// length is the number of bytes of the current line without line ends.
+	length int
+}
+
+// scan counts the lines in the next bytes. It returns how many of the bytes lie within maxHeadLines
+// lines of the head, or after its end.
+func (h *headLines) scan(p []byte) int {
+	for i := 0; h.open && i < len(p); i++ {
+		switch {
+		case p[i] == '\r':
+		case p[i] != '\n':
+			h.length++
+		case h.length == 0 && h.lines > 0:
+			h.open = false
+		default:
+			if h.lines++; h.lines > maxHeadLines {
+				return i
+			}
+			h.length = 0
+		}
+	}
+	return len(p)
+}
+
+// beginHead limits the lines of the head that comes next. buffered is what has been read of it.
+func (r *limitedReader) beginHead(buffered []byte) error {
+	r.head = headLines{open: true}
+	if r.head.scan(buffered) < len(buffered) {
+		return newCountError("lines of a response head", r.head.lines, maxHeadLines)
+	}
+	return nil
 }
 
 // newLimitedReader returns a reader of in without a limit.
@@ -95,5 +138,8 @@
 	}
 	n, err := r.in.Read(p[:min(int64(len(p)), r.left)])
 	r.left -= int64(n)
+	if within := r.head.scan(p[:n]); within < n {
+		return within, newCountError("lines of a response head", r.head.lines, maxHeadLines)
+	}
 	return n, err
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -308,6 +308,13 @@
 		return nil, err
 	}
 	resp.setReadDeadline(time.Now().Add(headTimeout))
+	buffered, err := resp.conn.reader.Peek(resp.conn.reader.Buffered())
+	if err == nil {
+		err = resp.conn.limit.beginHead(buffered)
+	}
+	if err != nil {
+		return nil, err
+	}
 	response, err := http.ReadResponse(resp.conn.reader, &http.Request{Method: method})
 	return response, asHeadTimeout(partHead, err)
 }
