--- a/internal/ingress/answermemory.go
+++ b/internal/ingress/answermemory.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -36,6 +37,8 @@
 	memory *answerMemory
 	// end interrupts the answer. It is called while memory.mu is held and must not block.
 	end func(error)
+	// head is the size of the answer's head, which is held as long as the answer.
+	head int
 	// held is what is reserved, ended says that the answer was ended for its memory. Both are
 	// guarded by memory.mu.
 	held  int64
@@ -49,9 +52,24 @@
 // part returns the memory of an answer that end interrupts. The caller must release it.
 func (m *answerMemory) part(end func(error)) *answerPart { return &answerPart{memory: m, end: end} }
 
-// hold reserves the memory for an answer of which size bytes are held. It returns errAnswerMemory
-// if the answer must end.
+// fieldBytes is the memory of a field of a head beside its name and value, in bytes.
+const fieldBytes = 128
+
+// holdHead reserves the memory for the head of the answer.
+func (p *answerPart) holdHead(h http.Header) error {
+	p.head = 0
+	for name, values := range h {
+		for _, value := range values {
+			p.head += len(name) + len(value) + fieldBytes
+		}
+	}
+	return p.hold(0)
+}
+
+// hold reserves the memory for an answer of which size bytes are held beside its head. It returns
+// errAnswerMemory if the answer must end.
 func (p *answerPart) hold(size int) error {
+	size += p.head
 	if size <= freeAnswerBytes {
 		return nil
 	}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -254,6 +254,10 @@
 	if err != nil {
 		return x.sendFailed(ctx, p, err)
 	}
+	if err := x.memory.holdHead(resp.Header); err != nil {
+		resp.Finish(false)
+		return x.markBroken(ctx, p, err)
+	}
 	return x.relay(ctx, p, resp)
 }
 
--- a/internal/ingress/events.go
+++ b/internal/ingress/events.go
@@ -61,6 +61,9 @@
 		// The memory for one long event is not kept for the rest of the stream.
 		r.raw = nil
 		r.memory.release()
+		if err := r.memory.hold(0); err != nil {
+			return event{}, err
+		}
 	}
 	var idStart, idEnd, lineStart int
 	hasContent := false
--- a/internal/ingress/standby.go
+++ b/internal/ingress/standby.go
@@ -68,6 +68,10 @@
 	s.unsent = isUnsendable(s.err)
 	if s.err == nil {
 		s.info = o.Codec.DecodeResponse(s.resp.Status, s.resp.Header)
+		if err := s.memory.holdHead(s.resp.Header); err != nil {
+			s.broken = true
+			return
+		}
 		s.delivered = s.awaitDelivery()
 	}
 }
