An outage is judged when it matters, and no failure of a late instance shows one

Shown by a test: TestRequestReachesLeavingTargetFromLateInstance with connections that are rejected failed before (109 of 160 requests late), now none.

TestListingIsUsedOnWhileStoreIsAway/hangs=true was flaky: in 6 of 10 runs before this commit 6 to 11 of 160 requests were refused. Traced: a call that failed when the records were 1.4 s old did not count as an outage, and the next one failed 0.5 s after the bound of 2.1 s.

Only an answer of the platform that it does not serve the call shows an outage whatever this instance's state. Any other failure counts if the instance has not waited long for its processor from a second before the call on. The age of the records is compared when the outage matters, at each check and tick, not when the call fails. 30 of 30 runs pass.

--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -21,9 +21,6 @@
 	relayReadAge       = 1400 * time.Millisecond
 	nonRelayReadAge    = 1800 * time.Millisecond
 	nonRelayReadJitter = 500 * time.Millisecond
-	// outageAge is the age of the records from which a call that fails shows an outage of the
-	// platform. Below it, peers have read the platform.
-	outageAge = nonRelayReadAge
 	// settleTime is how long after its start an instance does not rely on its view of which
 	// instance reads: before it has peers it would plan itself as a relay, and when a whole
 	// fleet restarts, every instance would. It is below 4 s, because the platform's bounds
@@ -57,9 +54,8 @@
 	return records.RoleStandby
 }
 
-// recordRead counts a call to the platform that began at a given time. A failure is an outage of
-// the platform only if nobody confirms the records any more, and if it may not be due to this
-// instance's own processor.
+// recordRead counts a call to the platform that began at a given time, and reports a failure to the
+// scheduler if it cannot be due to this instance's own processor.
 func (g *Gateway) recordRead(began clock.Instant, err error) {
 	cause := g.readFailureOf(began, err)
 	g.metrics.recordPlatformCall(cause)
@@ -68,8 +64,8 @@
 	}
 	g.options.Log.Info().Str("event", "platform_read_failed").Str("cause", string(cause)).
 		Int64("took_ms", sinceMillis(g.options.Now, began)).Err(err).Msg("")
-	if cause != readLate && g.options.Now().Sub(g.listingConfirmedAt()) >= outageAge {
-		g.scheduler.NoteOutage()
+	if cause != readLate {
+		g.scheduler.NoteFailedRead()
 	}
 }
 
--- a/internal/gateway/lateness.go
+++ b/internal/gateway/lateness.go
@@ -8,12 +8,17 @@
 	"github.com/pkg/errors"
 
 	"medlarwind.dev/medlarwind/internal/clock"
+	"medlarwind.dev/medlarwind/internal/records"
 )
 
-// lateFrom is the wait for the processor from which a timeout may be this instance's own doing: a
-// call takes several such waits.
+// lateFrom is the wait for the processor from which a failed call may be this instance's own doing:
+// a call takes several such waits.
 const lateFrom = 100 * time.Millisecond
 
+// lateMemory is how long before a call such a wait counts. What the platform sent meanwhile, or closed
+// for want of an answer, shows only in the call.
+const lateMemory = time.Second
+
 // lateness is when an instance last waited long for its processor. It is safe for concurrent use.
 type lateness struct {
 	// lastTick is the clock.Instant of the last tick, lateAt that of the last one that came late.
@@ -40,12 +45,14 @@
 // Causes of a failed call.
 const (
 	readSucceeded readFailure = ""
-	// readLate: no answer came in time, and this instance waited long for its processor meanwhile.
+	// readRefused: the platform answered that it does not serve the call.
+	readRefused readFailure = "refused"
+	// readLate: there was no answer, and this instance waited long for its processor meanwhile.
 	readLate readFailure = "late"
 	// readTimedOut: no answer came in time.
 	readTimedOut readFailure = "timeout"
-	// readRefused: the call was refused, reset or answered with an error.
-	readRefused readFailure = "refused"
+	// readBroken: the connection failed, or the answer could not be used.
+	readBroken readFailure = "broken"
 )
 
 // readFailureOf returns why a call that began at a given time failed, readSucceeded if err is nil.
@@ -54,10 +61,12 @@
 	switch {
 	case err == nil:
 		return readSucceeded
-	case !errors.As(err, &timeout) || !timeout.Timeout():
+	case errors.Is(err, records.ErrUnavailable):
 		return readRefused
-	case g.lateness.since(began, g.options.Now()):
+	case g.lateness.since(began.Add(-lateMemory), g.options.Now()):
 		return readLate
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return readTimedOut
 	}
-	return readTimedOut
+	return readBroken
 }
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -26,9 +26,6 @@
 	// outageWindow is how long after an outage of the listing an absence is attributed to
 	// the outage.
 	outageWindow = 4 * time.Second
-	// outageKept is how long after a failed read the listing counts as unreachable. It covers the
-	// time between two reads of an instance that does not read for others.
-	outageKept = 2 * time.Second
 	// coldMargin is added to the remaining cold time that a target states, to allow for
 	// the age of that statement.
 	coldMargin = 300 * time.Millisecond
@@ -114,8 +111,8 @@
 // IsCurrent reports whether targets may get work by a listing that was last known to be the newest
 // some time ago. An old one may lack that a target leaves, or that a data centre is evacuated. It
 // is used on only while the listing is unreachable, when nothing newer is to be had.
-func (v *Inventory) IsCurrent(age time.Duration, now clock.Instant) bool {
-	return v.MaxAge == 0 || age < v.MaxAge || v.lastOutage != 0 && now.Sub(v.lastOutage) < outageKept
+func (v *Inventory) IsCurrent(age time.Duration, unreachable bool) bool {
+	return v.MaxAge == 0 || age < v.MaxAge || unreachable
 }
 
 // Update applies a complete listing.
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -48,21 +48,16 @@
 func TestOldListingIsUsedDuringOutageOnly(t *testing.T) {
 	v := inventory.New()
 	const maxAge = 2 * time.Second
-	if !v.IsCurrent(time.Hour, start) {
+	if !v.IsCurrent(time.Hour, false) {
 		t.Error("a listing is too old without a bound")
 	}
 	v.MaxAge = maxAge
-	now := start
-	if !v.IsCurrent(maxAge-1, now) || v.IsCurrent(maxAge, now) {
+	if !v.IsCurrent(maxAge-1, false) || v.IsCurrent(maxAge, false) {
 		t.Errorf("the bound is not %v", maxAge)
 	}
-	v.NoteOutage(now)
-	if !v.IsCurrent(time.Hour, now) {
+	if !v.IsCurrent(time.Hour, true) {
 		t.Error("an old listing is not used during an outage")
 	}
-	if v.IsCurrent(maxAge, now.Add(time.Minute)) {
-		t.Error("an old listing is used long after the last failed read")
-	}
 }
 
 func TestAbsentTargetIsDroppedAtOnceWithoutOutage(t *testing.T) {
--- a/internal/records/follower.go
+++ b/internal/records/follower.go
@@ -14,6 +14,10 @@
 // the requested position.
 var ErrHistoryLost = errors.New("the platform does not hold the changes after this position")
 
+// ErrUnavailable is wrapped by the errors of a Reader to which the platform has answered that it
+// does not serve the call.
+var ErrUnavailable = errors.New("the platform does not serve the call")
+
 // errOlderAnswer is the cause of a failed call whose answer is older than the copy, which
 // keeps its content.
 var errOlderAnswer = errors.New("answer older than the copy")
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -53,7 +53,7 @@
 // isListingCurrent reports whether targets may get requests by the list of targets. s.mu must be
 // held.
 func (s *Scheduler) isListingCurrent(now clock.Instant) bool {
-	return s.inventory.IsCurrent(s.listingAge(now), now)
+	return s.inventory.IsCurrent(s.listingAge(now), s.isListingUnreachable(now))
 }
 
 // ListingCurrent reports whether targets may get requests by the list of targets.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -80,6 +80,8 @@
 	// meanSpeeds are the mean speeds of the services' engines then.
 	meanSpeeds map[fleet.ServiceID]float64
 	oddTimes   []OddTime
+	// failedReadAt is when the target list could last not be read.
+	failedReadAt clock.Instant
 	// processor is how this instance's own processor keeps up.
 	processor    ProcessorState
 	targets      map[fleet.TargetID]*targetState
@@ -204,11 +206,32 @@
 	return listed
 }
 
-// NoteOutage records that the target list is unavailable now.
-func (s *Scheduler) NoteOutage() {
+// Times of an outage of the target list.
+const (
+	// outageAge is the age of the list from which a failed read shows an outage. Below it, other
+	// instances have read the list.
+	outageAge = 1800 * time.Millisecond
+	// failedReadKept is how long a failed read shows an outage. It covers the time between two
+	// reads of an instance that does not read for others.
+	failedReadKept = 2 * time.Second
+)
+
+// NoteFailedRead records that the target list could not be read now.
+func (s *Scheduler) NoteFailedRead() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.inventory.NoteOutage(s.options.Now())
+	s.failedReadAt = s.options.Now()
+	s.isListingUnreachable(s.failedReadAt)
+}
+
+// isListingUnreachable reports whether reads of the target list fail and nobody else confirms it,
+// and notes that as an outage. s.mu must be held.
+func (s *Scheduler) isListingUnreachable(now clock.Instant) bool {
+	if s.failedReadAt == 0 || now.Sub(s.failedReadAt) >= failedReadKept || s.listingAge(now) < outageAge {
+		return false
+	}
+	s.inventory.NoteOutage(now)
+	return true
 }
 
 // NoteRestore records that the next list of targets is of an older copy of the platform's
@@ -264,7 +287,9 @@
 func (s *Scheduler) Tick() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.inventory.Expire(s.options.Now()) {
+	now := s.options.Now()
+	s.isListingUnreachable(now)
+	if s.inventory.Expire(now) {
 		s.invalidateTargetLists()
 	}
 	s.updateSpeeds()
