What a target says of its leaving in an answer binds at once

The header Server-Leaving was read nowhere, so that with the store away, or restored from an older copy, a target that had said that it leaves went on getting requests.

Before, TestTargetThatSaysItLeavesGetsRequests failed in four of five cases (listed as ready, store away, entry written again, entry lost and found); now all pass, and a restart of the target at the same address is used again. Values other than 1 change nothing.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -369,6 +369,7 @@
 func (x *exchange) relay(ctx context.Context, p *scheduler.Placement, resp *upstream.Response) attemptResult {
 	info := x.h.options.Codec.DecodeResponse(resp.Status, resp.Header)
 	x.result.GaveUp = false
+	x.observeLeaving(p, resp.Status, info)
 	x.observeLimit(p, resp.Status, info)
 	switch {
 	case info.NotRun:
@@ -390,6 +391,15 @@
 	return x.relayBuffered(ctx, p, resp)
 }
 
+// observeLeaving records that the target says that it leaves. A response from another target says
+// nothing.
+func (x *exchange) observeLeaving(p *scheduler.Placement, status int, info ResponseInfo) {
+	if info.Leaving && status != http.StatusMisdirectedRequest && p.ObserveLeaving() {
+		x.h.options.Log.Info().Str("event", "target_leaving").Str("id", x.call.ID).Str("target", string(p.Target.ID)).
+			Int64("target_start", p.Target.StartMillis).Msg("")
+	}
+}
+
 // observeLimit records which limit the target names in a response. A response without one
 // ends the limit only if the target ran the request; one from another target says nothing.
 func (x *exchange) observeLimit(p *scheduler.Placement, status int, info ResponseInfo) {
--- a/internal/ingress/codec.go
+++ b/internal/ingress/codec.go
@@ -61,6 +61,8 @@
 	Signed bool
 	// ColdRemaining is how long the target stays cold, 0 if it does not say.
 	ColdRemaining time.Duration
+	// Leaving reports that the target says that it wants no more requests.
+	Leaving bool
 	// LimitNamed reports whether the target names a limit, LimitPerSecond is the number of
 	// requests a second that it takes from all instances. LimitText is the limit as received,
 	// empty if there is none; it is set also for one that cannot be read.
--- a/internal/ingress/standby.go
+++ b/internal/ingress/standby.go
@@ -186,6 +186,7 @@
 	}
 	p.End(standbyOutcomes[became])
 	if s.resp != nil {
+		x.observeLeaving(p, s.resp.Status, s.info)
 		x.observeLimit(p, s.resp.Status, s.info)
 		s.resp.Finish(result == notRun && discardRest(s.resp))
 	}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -74,6 +74,8 @@
 	// is listed.
 	absentSince clock.Instant
 	leaving     bool
+	// saidLeaving is set once the target itself said that it leaves.
+	saidLeaving bool
 }
 
 // IsCold reports whether the target accepts only a low rate of requests.
@@ -151,7 +153,8 @@
 	e := v.targets[t.ID]
 	known := e != nil
 	if e == nil || e.StartMillis != t.StartMillis || e.Addr != t.Addr {
-		e, known = &Entry{}, false
+		said := v.saidLeaving(t)
+		e, known = &Entry{leaving: said, saidLeaving: said}, false
 		v.targets[t.ID] = e
 	}
 	if t.ColdRemaining > 0 && t.WrittenAt != e.WrittenAt && !(restored && known) {
@@ -200,6 +203,17 @@
 	}
 }
 
+// MarkLeaving records that a run of a target says that it leaves, which is final for that run. It
+// reports whether that was not known.
+func (v *Inventory) MarkLeaving(id fleet.TargetID, startMillis int64) bool {
+	e := v.targets[id]
+	if e == nil || e.StartMillis != startMillis || e.saidLeaving {
+		return false
+	}
+	e.leaving, e.saidLeaving = true, true
+	return true
+}
+
 // MarkCold records how much longer a target stays cold by its own statement.
 func (v *Inventory) MarkCold(id fleet.TargetID, remaining time.Duration, now clock.Instant) {
 	if e := v.targets[id]; e != nil && remaining > 0 {
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -63,6 +63,18 @@
 	return s.isListingCurrent(s.options.Now())
 }
 
+// ObserveLeaving records that the target says that it leaves. It reports whether that was not known.
+func (p *Placement) ObserveLeaving() bool {
+	s := p.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.inventory.MarkLeaving(p.Target.ID, p.Target.StartMillis) {
+		return false
+	}
+	s.invalidateTargetLists()
+	return true
+}
+
 // listingAge returns the time since the list of targets was last known to be the newest.
 func (s *Scheduler) listingAge(now clock.Instant) time.Duration {
 	if s.options.ListingConfirmedAt == nil {
