Heads of callers' requests have a bound of lines, and long ones one of memory

The bound of net/http, 64 KiB a head, counts bytes, and a field takes many times its bytes; nothing bounded the sum.

A head has at most 256 lines; what a head has beyond 8 KiB takes from one budget, a 32nd of the memory limit, until the request is read or the connection closed.

--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"medlarwind.dev/medlarwind/internal/clock"
+	"medlarwind.dev/medlarwind/internal/httphead"
 )
 
 // Thresholds for callers' connections; the fractions are of callerConns.limit.
@@ -56,6 +57,10 @@
 	// onUnanswered is called for each connection from which a request was read although sweep
 	// or the shutdown closes it. c.mu is not held.
 	onUnanswered func(unansweredConn)
+	// headMemory bounds the bytes of all heads that have begun, beyond freeHeadBytes each; 0 for no
+	// bound. heads is what they hold.
+	headMemory int64
+	heads      int64
 	// slotFree is signalled when a connection closes and when stopped is set.
 	slotFree *sync.Cond
 	stopped  bool
@@ -85,6 +90,11 @@
 	// used is set once bytes were read since the connection was last idle, closed once conns
 	// has closed the connection.
 	used, closed bool
+
+	// head counts the lines of the head that is being read, headBytes its bytes. headHeld is what it
+	// holds of conns.headMemory. conns.mu guards them.
+	head                httphead.Counter
+	headBytes, headHeld int64
 }
 
 // Read implements net.Conn. It returns nothing from a connection that was closed as idle: the
@@ -96,13 +106,13 @@
 			c.conns.reportUnanswered(c, closedAsIdle)
 			return 0, net.ErrClosed
 		}
-		return n, err
+		return c.limitHead(b, n, err)
 	}
 	n, err := c.readSocket(b)
 	if n > 0 {
 		c.conns.received(c)
 	}
-	return n, err
+	return c.limitHead(b, n, err)
 }
 
 // use records that bytes were read. It returns false if the connection was closed before.
@@ -192,7 +202,8 @@
 	if c.stopped {
 		return nil
 	}
-	conn := &callerConn{Conn: inner, conns: c}
+	conn := &callerConn{Conn: inner, conns: c, head: httphead.Counter{Max: maxHeadLines}}
+	conn.head.Begin()
 	if sc, ok := inner.(syscall.Conn); ok {
 		// Without a socket the connection is closed: Read then returns the error.
 		conn.socket, _ = sc.SyscallConn()
@@ -277,18 +288,22 @@
 	switch state {
 	case http.StateIdle:
 		c.idle[conn] = c.now()
+		c.endHead(conn)
+		conn.head.Begin()
 		conn.mu.Lock()
 		conn.used = false
 		conn.mu.Unlock()
 	case http.StateClosed, http.StateHijacked:
 		delete(c.fresh, conn)
 		delete(c.idle, conn)
+		c.endHead(conn)
 		c.open--
 		c.slotFree.Signal()
 	case http.StateActive:
 		// A pipelined request may have been read together with the one before.
 		delete(c.fresh, conn)
 		delete(c.idle, conn)
+		c.endHead(conn)
 		c.busy[conn] = c.now()
 		if conn.closed {
 			return closedAsIdle
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,8 @@
 	bodyMemoryDivisor = 4
 	// answerMemoryDivisor sets the memory for what targets have sent in the same way.
 	answerMemoryDivisor = 16
+	// headMemoryDivisor sets the memory for long heads of requests in the same way.
+	headMemoryDivisor = 32
 	// peerSilenceTimeout is how long a connection to a peer may carry no data before it is
 	// closed.
 	peerSilenceTimeout = 1200 * time.Millisecond
@@ -197,6 +199,7 @@
 	g.upstream = upstream.NewClient(o.Dial)
 	g.callers = newCallerConns(s.MaxCallerConns, o.Now)
 	g.callers.onUnanswered = g.noteUnanswered
+	g.callers.headMemory = s.MemoryLimit / headMemoryDivisor
 	g.handler = ingress.New(ingress.Options{
 		Codec: o.Codec, ConfigSource: g, Scheduler: g.scheduler, Upstream: g.upstream, Now: o.Now, Log: o.Log,
 		BodyMemory: s.MemoryLimit / bodyMemoryDivisor, AnswerMemory: s.MemoryLimit / answerMemoryDivisor,
--- /dev/null
+++ b/internal/gateway/heads.go
@@ -0,0 +1,55 @@
+package gateway
+
+import "github.com/pkg/errors"
+
+// Limits of the heads of callers' requests.
+const (
+	// maxHeadLines limits the lines of a head. A field takes many times the size of a short line in
+	// memory.
+	maxHeadLines = 256
+	// freeHeadBytes is the part of a head that does not count towards callerConns.headMemory, in
+	// bytes. Ordinary heads are smaller.
+	freeHeadBytes = 8 << 10
+)
+
+// errHeadMemory ends the reading of a long head while others use up the memory for heads.
+var errHeadMemory = errors.New("no memory left for the head of a request")
+
+// limitHead applies the limits of heads to what a read returned: n bytes of b, and err. It returns
+// the bytes that may be used.
+func (c *callerConn) limitHead(b []byte, n int, err error) (int, error) {
+	if n <= 0 {
+		return n, err
+	}
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	if !c.head.IsOpen() {
+		return n, err
+	}
+	within, lineErr := c.head.Scan(b[:n])
+	if lineErr != nil {
+		return within, lineErr
+	}
+	if !c.conns.holdHead(c, int64(n)) {
+		return 0, errHeadMemory
+	}
+	return n, err
+}
+
+// holdHead reserves memory for n more bytes of a head. c.mu must be held.
+func (c *callerConns) holdHead(conn *callerConn, n int64) bool {
+	conn.headBytes += n
+	more := max(conn.headBytes-freeHeadBytes, 0) - conn.headHeld
+	if c.headMemory > 0 && more > 0 && c.heads+more > c.headMemory {
+		return false
+	}
+	c.heads += more
+	conn.headHeld += more
+	return true
+}
+
+// endHead returns the memory for the head of a request that has been read. c.mu must be held.
+func (c *callerConns) endHead(conn *callerConn) {
+	c.heads -= conn.headHeld
+	conn.headBytes, conn.headHeld = 0, 0
+}
--- a/internal/upstream/limit.go
+++ b/internal/upstream/limit.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"medlarwind.dev/medlarwind/internal/httphead"
 )
 
 // Limits of what a target may send before the body of its response. Bodies are not limited
@@ -73,50 +75,27 @@
 	limit int64
 	left  int64
 	// head counts the lines of the head that is being read.
-	head headLines
-}
-
-// headLines counts the lines of a response's head as its bytes are read.
-type headLines struct {
-	// open is set up to the empty line that ends the head.
-	open  bool
-	lines int
-	// length is the number of bytes of the current line without line ends.
-	length int
-}
-
-// scan counts the lines in the next bytes. It returns how many of the bytes lie within maxHeadLines
-// lines of the head, or after its end.
-func (h *headLines) scan(p []byte) int {
-	for i := 0; h.open && i < len(p); i++ {
-		switch {
-		case p[i] == '\r':
-		case p[i] != '\n':
-			h.length++
-		case h.length == 0 && h.lines > 0:
-			h.open = false
-		default:
-			if h.lines++; h.lines > maxHeadLines {
-				return i
-			}
-			h.length = 0
-		}
-	}
-	return len(p)
+	head httphead.Counter
 }
 
 // beginHead limits the lines of the head that comes next. buffered is what has been read of it.
 func (r *limitedReader) beginHead(buffered []byte) error {
-	r.head = headLines{open: true}
-	if r.head.scan(buffered) < len(buffered) {
-		return newCountError("lines of a response head", r.head.lines, maxHeadLines)
+	r.head.Begin()
+	_, err := r.head.Scan(buffered)
+	return asLineLimit(err)
+}
+
+// asLineLimit converts an error of a head with too many lines to a LimitError.
+func asLineLimit(err error) error {
+	if err == nil {
+		return nil
 	}
-	return nil
+	return newCountError("lines of a response head", maxHeadLines+1, maxHeadLines)
 }
 
 // newLimitedReader returns a reader of in without a limit.
 func newLimitedReader(in io.Reader) *limitedReader {
-	r := &limitedReader{in: in}
+	r := &limitedReader{in: in, head: httphead.Counter{Max: maxHeadLines}}
 	r.removeLimit()
 	return r
 }
@@ -138,8 +117,8 @@
 	}
 	n, err := r.in.Read(p[:min(int64(len(p)), r.left)])
 	r.left -= int64(n)
-	if within := r.head.scan(p[:n]); within < n {
-		return within, newCountError("lines of a response head", r.head.lines, maxHeadLines)
+	if within, lineErr := r.head.Scan(p[:n]); lineErr != nil {
+		return within, asLineLimit(lineErr)
 	}
 	return n, err
 }
