--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -303,7 +303,9 @@
 		// A pipelined request may have been read together with the one before.
 		delete(c.fresh, conn)
 		delete(c.idle, conn)
+		// The head may have been read together with the request before.
 		c.endHead(conn)
+		conn.head.End()
 		c.busy[conn] = c.now()
 		if conn.closed {
 			return closedAsIdle
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -18,6 +18,9 @@
 // Begin starts a new head.
 func (c *Counter) Begin() { c.open, c.lines, c.length = true, 0, 0 }
 
+// End ends the head wherever it is.
+func (c *Counter) End() { c.open = false }
+
 // IsOpen reports whether a head has begun and has not ended.
 func (c *Counter) IsOpen() bool { return c.open }
 
