--- /dev/null
+++ b/internal/upstream/unacknowledged_test.go
@@ -0,0 +1,89 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// silentKernel is how long a target's machine acknowledges nothing in these tests.
+const silentKernel = 2500 * time.Millisecond
+
+// dropArrivals makes the kernel drop all packets that arrive at a socket, also acknowledgements and
+// probes, or ends that.
+func dropArrivals(t *testing.T, conn net.Conn, drop bool) {
+	t.Helper()
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	var sockErr error
+	err = raw.Control(func(fd uintptr) {
+		if !drop {
+			sockErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
+			return
+		}
+		filter := []unix.SockFilter{{Code: unix.BPF_RET}}
+		sockErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &filter[0]})
+	})
+	if err != nil || sockErr != nil {
+		t.Errorf("set packet filter: %v, %v", err, sockErr)
+	}
+}
+
+// A target whose machine acknowledges nothing for a while and then goes on lost the runs of
+// requests that nothing could follow.
+func TestRunIsLostWhileTargetAcknowledgesNothing(t *testing.T) {
+	const head, first, last = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n", "first", "-last"
+	for _, test := range []struct {
+		name string
+		// before and after are what the target sends before and after its silence.
+		before, after string
+	}{
+		{"before the answer", "", head + first + last},
+		{"within the answer", head + first, last},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				_, _ = conn.Read(make([]byte, 4096))
+				_, _ = io.WriteString(conn, test.before)
+				time.Sleep(100 * time.Millisecond)
+				dropArrivals(t, conn, true)
+				time.Sleep(silentKernel)
+				dropArrivals(t, conn, false)
+				_, _ = io.WriteString(conn, test.after)
+			}()
+			client := NewClient(NewDialer().DialContext)
+			defer client.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			resp, err := client.Send(ctx, Request{Addr: l.Addr().String(), Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte("b")})
+			if err != nil {
+				t.Fatalf("request to a target that was silent for %s: %v", silentKernel, err)
+			}
+			body, err := io.ReadAll(resp.Body)
+			resp.Finish(err == nil)
+			if err != nil || string(body) != first+last {
+				t.Errorf("answer of a target that was silent for %s: %q, %v, want %q", silentKernel, body, err, first+last)
+			}
+		})
+	}
+}
