A run goes on while its target acknowledges nothing

Callers saw their connection closed within an answer, or 502, although the run was sound: the kernel ended the connection to the target once nothing was acknowledged for 1.5 s (TCP_USER_TIMEOUT), or three probes went unanswered. A target may fall silent and go on, and nothing could follow a run of a request that may run once only. Silence now ends no run by itself: both limits hold for idle connections only, so that no request is sent on a dead one. A run is ended by its request's time, its caller, its target, or a second run that has delivered.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -16,12 +16,15 @@
 	// DialTimeout limits how long opening a connection may take. It allows for several
 	// round trips between regions.
 	DialTimeout = 400 * time.Millisecond
-	// unackedTimeout is how long sent bytes may stay unacknowledged before the kernel
-	// closes the connection, so that an unreachable target is detected while the request
-	// still has time left.
-	unackedTimeout = 1500 * time.Millisecond
-	// keepAliveIdle, keepAliveInterval and keepAliveCount are the TCP keep-alive settings.
-	// They detect an unreachable target while a response is awaited.
+	// idleUnackedTimeout is how long probes may stay unacknowledged before the kernel closes an
+	// idle connection, so that no request is sent to a target that has become unreachable.
+	idleUnackedTimeout = 1500 * time.Millisecond
+	// requestUnackedTimeout is how long sent bytes may stay unacknowledged while a request is on
+	// the connection. A target that is silent may be sound and go on: the run ends with the time of
+	// the request, which is shorter.
+	requestUnackedTimeout = time.Minute
+	// keepAliveIdle, keepAliveInterval and keepAliveCount are the TCP keep-alive settings of idle
+	// connections.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveCount    = 2
@@ -70,22 +73,46 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
-		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw) },
+		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, idleUnackedTimeout) },
 	}
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT, how long sent bytes may stay unacknowledged.
-func setUserTimeout(raw syscall.RawConn) error {
+func setUserTimeout(raw syscall.RawConn, d time.Duration) error {
+	return setOption(raw, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+}
+
+// setOption sets a socket option.
+func setOption(raw syscall.RawConn, level, option, value int) error {
 	var sockErr error
-	err := raw.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
+	err := raw.Control(func(fd uintptr) { sockErr = unix.SetsockoptInt(int(fd), level, option, value) })
 	if err != nil {
 		return err
 	}
 	return sockErr
 }
 
+// watchIdle makes the kernel close the connection soon once the target is unreachable, as it should
+// while the connection is idle; or ends that, before a request is sent.
+func (c *conn) watchIdle(idle bool) error {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	timeout, probes := requestUnackedTimeout, 0
+	if idle {
+		timeout, probes = idleUnackedTimeout, 1
+	}
+	if err := setOption(raw, unix.SOL_SOCKET, unix.SO_KEEPALIVE, probes); err != nil {
+		return err
+	}
+	return setUserTimeout(raw, timeout)
+}
+
 // get returns an idle connection that is still reusable, or opens a new one. It closes
 // the idle connections that it finds no longer reusable.
 func (p *pool) get(ctx context.Context, addr string) (*conn, error) {
@@ -136,8 +163,9 @@
 // put adds a connection to the pool for reuse, or closes it if the pool is closed or holds
 // enough connections to the target.
 func (p *pool) put(c *conn) {
+	usable := c.watchIdle(true) == nil
 	p.mu.Lock()
-	keep := !p.closed && len(p.idle[c.addr]) < maxIdlePerTarget
+	keep := usable && !p.closed && len(p.idle[c.addr]) < maxIdlePerTarget
 	if keep {
 		p.idle[c.addr] = append(p.idle[c.addr], c)
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -197,6 +197,9 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Err: err}
 	}
+	if err := cn.watchIdle(false); err != nil {
+		return nil, &Error{Err: err}
+	}
 	resp := &Response{ctx: ctx, client: c, conn: cn}
 	resp.stopCancel = context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	if err := resp.writeRequest(r); err != nil {
