Probes go on while a request is on a connection

Callers waited until the end of their request's time, where they had an answer of another target or 502 within two seconds before, when a target forgot a connection (restart of its machine, a packet filter that lost its state). The request had been acknowledged, so that nothing was sent and the target's reset never came. TCP_USER_TIMEOUT alone decides how long probes may go unanswered, so that only this one is switched: a silent target is waited for as before, a forgotten connection is reset by the first probe; and each request takes two system calls less. TestRunIsLostWhileTargetAcknowledgesNothing passes, 3 of 3.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -23,8 +23,9 @@
 	// the connection. A target that is silent may be sound and go on: the run ends with the time of
 	// the request, which is shorter.
 	requestUnackedTimeout = time.Minute
-	// keepAliveIdle, keepAliveInterval and keepAliveCount are the TCP keep-alive settings of idle
-	// connections.
+	// keepAliveIdle, keepAliveInterval and keepAliveCount are the TCP keep-alive settings. While a
+	// request is on the connection, probes find out that the target has forgotten it. How many may
+	// go unanswered follows from the timeouts above: TCP_USER_TIMEOUT overrides the count.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveCount    = 2
@@ -79,13 +80,10 @@
 
 // setUserTimeout sets TCP_USER_TIMEOUT, how long sent bytes may stay unacknowledged.
 func setUserTimeout(raw syscall.RawConn, d time.Duration) error {
-	return setOption(raw, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
-}
-
-// setOption sets a socket option.
-func setOption(raw syscall.RawConn, level, option, value int) error {
 	var sockErr error
-	err := raw.Control(func(fd uintptr) { sockErr = unix.SetsockoptInt(int(fd), level, option, value) })
+	err := raw.Control(func(fd uintptr) {
+		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
 	if err != nil {
 		return err
 	}
@@ -93,7 +91,7 @@
 }
 
 // watchIdle makes the kernel close the connection soon once the target is unreachable, as it should
-// while the connection is idle; or ends that, before a request is sent.
+// while the connection is idle; or ends that, before a request is sent. Probes are sent all the while.
 func (c *conn) watchIdle(idle bool) error {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
@@ -103,14 +101,10 @@
 	if err != nil {
 		return err
 	}
-	timeout, probes := requestUnackedTimeout, 0
 	if idle {
-		timeout, probes = idleUnackedTimeout, 1
-	}
-	if err := setOption(raw, unix.SOL_SOCKET, unix.SO_KEEPALIVE, probes); err != nil {
-		return err
+		return setUserTimeout(raw, idleUnackedTimeout)
 	}
-	return setUserTimeout(raw, timeout)
+	return setUserTimeout(raw, requestUnackedTimeout)
 }
 
 // get returns an idle connection that is still reusable, or opens a new one. It closes
--- a/internal/upstream/unacknowledged_test.go
+++ b/internal/upstream/unacknowledged_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -87,3 +88,45 @@
 		})
 	}
 }
+
+// A target that has forgotten a connection, as after a restart of its machine, says so once a packet
+// arrives. A request that awaits its answer must learn of that soon, not at the end of its time.
+func TestForgottenConnectionHoldsRequest(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	dialled := make(chan net.Conn, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, 4096))
+		time.Sleep(100 * time.Millisecond)
+		// The caller's side must not see how the connection ends.
+		caller := <-dialled
+		dropArrivals(t, caller, true)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+		time.Sleep(100 * time.Millisecond)
+		dropArrivals(t, caller, false)
+	}()
+	dialer := NewDialer()
+	client := NewClient(func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, addr)
+		if err == nil {
+			dialled <- conn
+		}
+		return conn, err
+	})
+	defer client.Close()
+	const limit = 10 * time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	_, err = client.Send(ctx, Request{Addr: l.Addr().String(), Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte("b")})
+	if !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("request on a connection that its target has forgotten: %v, want a reset", err)
+	}
+}
