--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -23,12 +23,13 @@
 	// the connection. A target that is silent may be sound and go on: the run ends with the time of
 	// the request, which is shorter.
 	requestUnackedTimeout = time.Minute
-	// keepAliveIdle, keepAliveInterval and keepAliveCount are the TCP keep-alive settings. While a
-	// request is on the connection, probes find out that the target has forgotten it. How many may
-	// go unanswered follows from the timeouts above: TCP_USER_TIMEOUT overrides the count.
+	// keepAliveIdle and keepAliveInterval are the times after which probes are sent. While a request
+	// is on the connection, they find out that the target has forgotten it. How long they may go
+	// unanswered follows from the timeouts above; keepAliveCount is the same limit for a kernel
+	// that counts probes beside TCP_USER_TIMEOUT.
 	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
-	keepAliveCount    = 2
+	keepAliveInterval = time.Second
+	keepAliveCount    = int(requestUnackedTimeout / keepAliveInterval)
 	// defaultIdleTimeout is how long a connection stays idle if the target's response has
 	// no timeout in its Keep-Alive header.
 	defaultIdleTimeout = 4 * time.Second
