A limit that a target no longer names ends where it was unknown, too

What callers saw: an instance, and then all, could hold back requests for a target by a limit that the target had ceased to name, until its next answer without one reached an instance that knew the limit.

Cause: an instance that had never learnt of a target's limit dropped the observation that the target names none. A peer that knew the limit from an earlier answer reported it later, and the instance that had the newest answer took it over.

The table now holds, for targets without a limit, when they last named none. A limit that is reported from before that is contradicted, with an observation of its own that goes into the next reports; one of an earlier start is ignored. Nothing is added to heartbeats otherwise.

--- a/internal/pacing/limits.go
+++ b/internal/pacing/limits.go
@@ -1,6 +1,7 @@
 package pacing
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -60,6 +61,9 @@
 	// origin identifies this instance's observations, seq counts them.
 	origin, seq uint64
 	limits      map[fleet.TargetID]*Limit
+	// unlimited holds when targets without a limit here last named none, since a peer may still
+	// report a limit from before.
+	unlimited map[fleet.TargetID]unlimited
 	// order holds the targets in the order in which reports take turns, turn is the next index.
 	order []fleet.TargetID
 	turn  int
@@ -68,16 +72,27 @@
 	changes []LimitChange
 }
 
+// unlimited is the last answer without a limit from a start of a target.
+type unlimited struct {
+	startMillis int64
+	at          clock.Instant
+}
+
 // NewLimitTable returns an empty table of the incarnation origin.
 func NewLimitTable(origin fleet.Incarnation) *LimitTable {
-	return &LimitTable{origin: uint64(origin), limits: make(map[fleet.TargetID]*Limit)}
+	return &LimitTable{
+		origin: uint64(origin), limits: make(map[fleet.TargetID]*Limit), unlimited: make(map[fleet.TargetID]unlimited),
+	}
 }
 
 // Observe records what an answer of a target said.
 func (t *LimitTable) Observe(id fleet.TargetID, startMillis int64, perSecond float64, named bool, now clock.Instant) {
 	l := t.limits[id]
 	switch {
-	case l == nil && !named, l != nil && l.StartMillis > startMillis:
+	case l == nil && t.unlimited[id].startMillis > startMillis, l != nil && l.StartMillis > startMillis:
+		return
+	case l == nil && !named:
+		t.unlimited[id] = unlimited{startMillis: startMillis, at: now}
 		return
 	case l == nil || l.StartMillis != startMillis:
 		l = t.add(id, startMillis)
@@ -101,6 +116,19 @@
 // merge adds a limit that was observed at the given time.
 func (t *LimitTable) merge(w wire.TargetLimit, at, now clock.Instant) {
 	l := t.limits[w.Target]
+	if u, ok := t.unlimited[w.Target]; ok && l == nil && !w.Ended {
+		if u.startMillis > w.StartMillis {
+			return
+		}
+		if u.startMillis == w.StartMillis && at <= u.at {
+			// The peer does not know that the limit has ended.
+			l = t.add(w.Target, w.StartMillis)
+			t.seq++
+			l.ObservedAt, l.origin, l.seq = u.at, t.origin, t.seq
+			t.noteRecent(w.Target, l, now)
+			return
+		}
+	}
 	switch {
 	case l == nil && w.Ended, l != nil && l.StartMillis > w.StartMillis:
 		return
@@ -158,6 +186,7 @@
 		t.order = append(t.order, id)
 	}
 	t.limits[id] = l
+	delete(t.unlimited, id)
 	return l
 }
 
@@ -208,6 +237,7 @@
 			delete(t.limits, id)
 		}
 	}
+	maps.DeleteFunc(t.unlimited, func(id fleet.TargetID, _ unlimited) bool { return !listed(id) })
 	t.order = slices.DeleteFunc(t.order, func(id fleet.TargetID) bool { return t.limits[id] == nil })
 }
 
--- a/internal/pacing/limits_test.go
+++ b/internal/pacing/limits_test.go
@@ -49,6 +49,33 @@
 	}
 }
 
+// An instance that learnt of no limit must contradict a peer that knows one from before its own answer.
+func TestLimitEndedWhereItWasUnknown(t *testing.T) {
+	a, b := pacing.NewLimitTable(1), pacing.NewLimitTable(2)
+	at := func(ms int) clock.Instant { return limitStart.Add(time.Duration(ms) * time.Millisecond) }
+	exchange := func(now clock.Instant) {
+		b.Merge(a.Report(now), allListed, now)
+		a.Merge(b.Report(now), allListed, now)
+	}
+	a.Observe("t", 1, 5, true, at(0))
+	b.Observe("t", 1, 0, false, at(100))
+	exchange(at(200))
+	if perSecond(a) != -1 || perSecond(b) != -1 {
+		t.Errorf("limits %v and %v after the target named none", perSecond(a), perSecond(b))
+	}
+	a.Observe("t", 1, 3, true, at(300))
+	exchange(at(400))
+	if perSecond(a) != 3 || perSecond(b) != 3 {
+		t.Errorf("limits %v and %v after the target named one again", perSecond(a), perSecond(b))
+	}
+	b.Observe("u", 2, 0, false, at(500))
+	a.Observe("u", 1, 5, true, at(600))
+	exchange(at(700))
+	if _, ok := b.Get("u", 1); ok {
+		t.Error("the limit of an earlier start is taken over")
+	}
+}
+
 // A report that comes back late must not look later than an observation made meanwhile.
 func TestEchoedLimitDoesNotReplaceLaterOne(t *testing.T) {
 	a, b := pacing.NewLimitTable(1), pacing.NewLimitTable(2)
@@ -178,3 +205,19 @@
 		})
 	}
 }
+
+// BenchmarkUnlimited records the answers of targets that name no limit.
+func BenchmarkUnlimited(b *testing.B) {
+	const targets = 12_000
+	ids := make([]fleet.TargetID, targets)
+	for i := range ids {
+		ids[i] = fleet.TargetID(fmt.Sprint("i-1021bfbd", i))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		table := pacing.NewLimitTable(1)
+		for _, id := range ids {
+			table.Observe(id, 1, 0, false, limitStart)
+		}
+	}
+}
