Peers learn with the heartbeats that a target says it leaves

What callers saw: a target that had said in an answer that it leaves (Server-Leaving) went on getting requests from every other instance, until each had read such an answer itself or the listing showed it.

Cause: the observation was kept on the entry of the instance that read it, and nothing passed it on.

The inventory now keeps which runs of targets (id and start) said so, in one table in place of the marks on entries and departures. They are passed on, so that relays and instances that start later hear of it.

--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -74,8 +74,6 @@
 	// is listed.
 	absentSince clock.Instant
 	leaving     bool
-	// saidLeaving is set once the target itself said that it leaves.
-	saidLeaving bool
 }
 
 // IsCold reports whether the target accepts only a low rate of requests.
@@ -95,6 +93,7 @@
 	// departed holds the last known runs of targets that have gone recently.
 	departed map[fleet.TargetID]departure
 	restore  restore
+	leavings leavings
 }
 
 // New returns an empty inventory.
@@ -104,6 +103,7 @@
 		evacuated:  make(map[fleet.DataCentreID]bool),
 		restoredAt: make(map[fleet.DataCentreID]clock.Instant),
 		departed:   make(map[fleet.TargetID]departure),
+		leavings:   leavings{runs: make(map[fleet.TargetID]leavingRun)},
 	}
 }
 
@@ -153,8 +153,7 @@
 	e := v.targets[t.ID]
 	known := e != nil
 	if e == nil || e.StartMillis != t.StartMillis || e.Addr != t.Addr {
-		said := v.saidLeaving(t)
-		e, known = &Entry{leaving: said, saidLeaving: said}, false
+		e, known = &Entry{leaving: v.saidLeaving(t.ID, t.StartMillis)}, false
 		v.targets[t.ID] = e
 	}
 	if t.ColdRemaining > 0 && t.WrittenAt != e.WrittenAt && !(restored && known) {
@@ -172,6 +171,7 @@
 // be listed again.
 func (v *Inventory) Expire(now clock.Instant) bool {
 	v.forgetDepartures(now)
+	v.forgetLeavings(now)
 	changed := v.expireRestore(now)
 	for id, e := range v.targets {
 		if e.absentSince == 0 {
@@ -203,17 +203,6 @@
 	}
 }
 
-// MarkLeaving records that a run of a target says that it leaves, which is final for that run. It
-// reports whether that was not known.
-func (v *Inventory) MarkLeaving(id fleet.TargetID, startMillis int64) bool {
-	e := v.targets[id]
-	if e == nil || e.StartMillis != startMillis || e.saidLeaving {
-		return false
-	}
-	e.leaving, e.saidLeaving = true, true
-	return true
-}
-
 // MarkCold records how much longer a target stays cold by its own statement.
 func (v *Inventory) MarkCold(id fleet.TargetID, remaining time.Duration, now clock.Instant) {
 	if e := v.targets[id]; e != nil && remaining > 0 {
--- a/internal/inventory/restore.go
+++ b/internal/inventory/restore.go
@@ -22,9 +22,6 @@
 // departure is the last known run of a target that has gone.
 type departure struct {
 	startMillis int64
-	addr        string
-	// saidLeaving is set if the target itself said that it leaves.
-	saidLeaving bool
 	at          clock.Instant
 }
 
@@ -131,14 +128,7 @@
 
 // noteDeparture records that a run of a target has ended.
 func (v *Inventory) noteDeparture(e *Entry, now clock.Instant) {
-	v.departed[e.ID] = departure{startMillis: e.StartMillis, addr: e.Addr, saidLeaving: e.saidLeaving, at: now}
-}
-
-// saidLeaving reports whether an entry is of a run that said that it leaves before it was no longer
-// listed.
-func (v *Inventory) saidLeaving(t Target) bool {
-	d, ok := v.departed[t.ID]
-	return ok && d.saidLeaving && d.startMillis == t.StartMillis && d.addr == t.Addr
+	v.departed[e.ID] = departure{startMillis: e.StartMillis, at: now}
 }
 
 // forgetDepartures drops the departures that are older than departureKept.
--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -288,6 +288,24 @@
 			})
 		})
 	}
+	for _, leaving := range []int{0, 1, 8, 72} {
+		b.Run(fmt.Sprintf("heartbeat/leaving=%d", leaving), func(b *testing.B) {
+			rnd := rand.New(rand.NewPCG(1, 2))
+			hb := wire.Heartbeat{Incarnation: fleet.Incarnation(rnd.Uint64())}
+			for range leaving {
+				hb.LeavingTargets = append(hb.LeavingTargets, wire.LeavingTarget{
+					Target: fleet.TargetID(fmt.Sprintf("i-%010x", rnd.Uint32())), StartMillis: 1771061591031 + rnd.Int64N(5000), AgeMillis: rnd.Int64N(2000),
+				})
+			}
+			frameBytes(b, wire.MethodHeartbeat, func() any {
+				hb.Seq++
+				for i := range hb.LeavingTargets {
+					hb.LeavingTargets[i].AgeMillis += 200
+				}
+				return hb
+			})
+		})
+	}
 	b.Run("grant", func(b *testing.B) {
 		rnd := rand.New(rand.NewPCG(1, 2))
 		g := wire.Grant{Incarnation: fleet.Incarnation(rnd.Uint64()), EchoIncarnation: fleet.Incarnation(rnd.Uint64()), Workload: fleet.Workload{Model: "appraise"}, BootID: "e00417-1"}
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -15,8 +15,8 @@
 const peerBrokenAvoid = 500 * time.Millisecond
 
 // FillHeartbeat fills a heartbeat to a peer with the loads and usage counters of the
-// given scope, the broken targets, the evidence against requests that crash targets, and the
-// limits that targets name.
+// given scope, the broken targets, the evidence against requests that crash targets, the
+// limits that targets name, and the targets that said that they leave.
 func (s *Scheduler) FillHeartbeat(hb *wire.Heartbeat, peer fleet.InstanceID, scope wire.Scope) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -32,6 +32,7 @@
 	s.exchange.FillHeartbeat(hb, peer, scope, ownLoad, s.usageTotals)
 	hb.Evidence = s.evidence.Report(now)
 	hb.Limits = s.limits.Report(now)
+	hb.LeavingTargets = s.inventory.ReportLeaving(now, s.random)
 }
 
 // IsIdle reports whether a peer has had no load, and no request, for a time.
@@ -54,6 +55,9 @@
 	s.avoidBrokenTargets(hb.BrokenTargets, now)
 	s.evidence.Merge(hb.Evidence, now)
 	s.limits.Merge(hb.Limits, s.isListed, now)
+	if s.inventory.MergeLeaving(hb.LeavingTargets, now) {
+		s.invalidateTargetLists()
+	}
 	s.startQueued()
 	return s.exchange.TakeChanges()
 }
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -68,7 +68,7 @@
 	s := p.scheduler
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.inventory.MarkLeaving(p.Target.ID, p.Target.StartMillis) {
+	if !s.inventory.MarkLeaving(p.Target.ID, p.Target.StartMillis, s.options.Now()) {
 		return false
 	}
 	s.invalidateTargetLists()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -86,6 +87,7 @@
 	processor    ProcessorState
 	targets      map[fleet.TargetID]*targetState
 	exchange     *exchange.Table
+	random       *rand.Rand
 	retryBudgets map[fleet.ServiceID]*pacing.RetryBudget
 	// limits holds the limits that targets name.
 	limits   *pacing.LimitTable
@@ -152,6 +154,7 @@
 		overLimit:     make(overLimit),
 		targets:       make(map[fleet.TargetID]*targetState),
 		exchange:      exchange.New(o.DataCentre),
+		random:        rand.New(rand.NewPCG(uint64(o.Incarnation), 0)),
 		limits:        pacing.NewLimitTable(o.Incarnation),
 		retryBudgets:  make(map[fleet.ServiceID]*pacing.RetryBudget),
 		evidence:      quarantine.NewEvidence(),
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -92,6 +92,9 @@
 	Evidence []Evidence `json:"ev,omitempty"`
 	// Limits holds limits that targets name: those that changed, and some of the others.
 	Limits []TargetLimit `json:"tl,omitempty"`
+	// LeavingTargets holds targets that said that they leave: those of which the sender has just
+	// learnt it, and some of the others.
+	LeavingTargets []LeavingTarget `json:"lt,omitempty"`
 	// Members, Loads, Usage and Records hold the whole state of the instances that serve
 	// HTTP callers directly. Scope states which instances Loads and Usage cover.
 	Scope   Scope    `json:"sc,omitempty"`
@@ -330,6 +333,14 @@
 	AgeMillis int64 `json:"a"`
 }
 
+// LeavingTarget is a run of a target that said in an answer to some instance that it leaves.
+type LeavingTarget struct {
+	Target      fleet.TargetID `json:"t"`
+	StartMillis int64          `json:"b"`
+	// AgeMillis is the time since the answer, in milliseconds.
+	AgeMillis int64 `json:"a"`
+}
+
 // CustomerUsage counts one customer's tokens at the instances of the heartbeat's Scope
 // since their start. The counters only grow.
 type CustomerUsage struct {
