A target's Retry-After on a 503 keeps this instance's requests away

What callers saw: a target that had turned a request away with 503 and Retry-After went on getting requests from the same instance, which the target turned away one by one.

Cause: nothing read the header of a target's answer.

A 503 with Retry-After now starts a pause of that run of the target at this instance: no placement before its end, and none that was made before is sent. Seconds, whole or decimal, and HTTP dates (from the answer's own Date, if it has one) count; more than an hour counts as an hour, a past date and 0 as none; all else changes nothing and is logged once for each target and value, up to 256. A shorter time named later ends no longer one, a later start of the target is not bound, and what a second run beside a silent one is answered counts, too. Whether a 503 proves that the request did not run is decided as before. A request that nothing else can take is refused at once (target_limit) with the time to come back.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -206,7 +206,7 @@
 	"leaving":                   "the instance was shutting down",
 	"too_large":                 "no engine can hold the prompt and its output",
 	"crashes_targets":           "several targets crashed while they ran this request or others with a part of its prompt",
-	"target_limit":              "every target that could take it had got as many requests as it takes from all instances, by its own word or because it is cold",
+	"target_limit":              "every target that could take it had got as many requests as it takes from all instances, by its own word or because it is cold, or wanted none for a time",
 	"retry_budget":              "the retry budget was exhausted",
 	"target_refused":            "the target refused the request without running it",
 	"target_unreachable":        "no connection to the target could be established",
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -374,6 +374,7 @@
 	x.result.GaveUp = false
 	x.observeLeaving(p, resp.Status, info)
 	x.observeLimit(p, resp.Status, info)
+	x.observePause(p, info)
 	switch {
 	case info.NotRun:
 		resp.Finish(discardRest(resp))
@@ -416,6 +417,19 @@
 	}
 }
 
+// observePause records how long the target wants no requests from this instance.
+func (x *exchange) observePause(p *scheduler.Placement, info ResponseInfo) {
+	odd := info.PauseText[:min(len(info.PauseText), maxOddText)]
+	if odd != "" && x.h.oddPauses.add(string(p.Target.ID)+" "+odd) {
+		x.h.options.Log.Warn().Str("event", "target_pause_invalid").Str("id", x.call.ID).
+			Str("target", string(p.Target.ID)).Str("value", odd).Msg("")
+	}
+	if info.Pause > 0 && p.ObservePause(info.Pause) {
+		x.h.options.Log.Info().Str("event", "target_pause").Str("id", x.call.ID).Str("target", string(p.Target.ID)).
+			Int64("target_start", p.Target.StartMillis).Int64("pause_ms", info.Pause.Milliseconds()).Msg("")
+	}
+}
+
 // isAcceptable reports whether a response can be passed on as the target's own. It rejects
 // statuses that would tell the caller that the request did not run: relay has already
 // handled the responses in which the target itself reports that. A response with a status
--- a/internal/ingress/codec.go
+++ b/internal/ingress/codec.go
@@ -69,6 +69,10 @@
 	LimitNamed     bool
 	LimitPerSecond float64
 	LimitText      string
+	// Pause is how long the target wants no requests from this instance, 0 if it does not say.
+	// PauseText is what it said if that cannot be read.
+	Pause     time.Duration
+	PauseText string
 }
 
 // Codec translates between the headers of callers and targets and the types Call,
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -82,6 +82,8 @@
 	// callerTimeouts estimates how long callers wait, to detect their retries.
 	callerTimeouts callerTimeouts
 	unanswered     unansweredRequests
+	// oddPauses are what targets said of pauses that cannot be read, and is logged.
+	oddPauses loggedOnce
 }
 
 // New returns a handler with the given options.
--- a/internal/ingress/standby.go
+++ b/internal/ingress/standby.go
@@ -68,6 +68,7 @@
 	s.unsent = isUnsendable(s.err)
 	if s.err == nil {
 		s.info = o.Codec.DecodeResponse(s.resp.Status, s.resp.Header)
+		s.x.observePause(s.placement, s.info)
 		if err := s.memory.holdHead(s.resp.Header); err != nil {
 			s.broken = true
 			return
--- a/internal/scheduler/limits.go
+++ b/internal/scheduler/limits.go
@@ -38,13 +38,14 @@
 )
 
 // nextStart returns the earliest time from now on at which this instance may start a request
-// of a service on a target, as far as the bounds on the starts of the whole fleet allow.
+// of a service on a target, as far as the bounds on the starts of the whole fleet and the target's
+// pause allow.
 // s.mu must be held.
 func (s *Scheduler) nextStart(j *Job, target *usableTarget, now clock.Instant) clock.Instant {
-	next := now
+	next := max(now, target.state.pause.end(target.entry.StartMillis))
 	if j.Service.ColdRate > 0 && target.entry.IsCold(now) {
 		starts := &target.state.starts
-		next = starts.Next(s.coldShare(target, j.Service.ColdRate), starts.Count(coldWindow, now), coldWindow, now)
+		next = max(next, starts.Next(s.coldShare(target, j.Service.ColdRate), starts.Count(coldWindow, now), coldWindow, now))
 	}
 	if s.limits.IsEmpty() {
 		return next
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -44,7 +44,7 @@
 	defer s.mu.Unlock()
 	now := s.options.Now()
 	return Validity{
-		Usable:     s.isListingCurrent(now) && s.inventory.IsUsable(p.Target.ID, p.Target.StartMillis),
+		Usable:     s.isListingCurrent(now) && s.inventory.IsUsable(p.Target.ID, p.Target.StartMillis) && !p.isPausing(now),
 		ListingAge: s.listingAge(now),
 		Absent:     s.inventory.AbsentFor(p.Target.ID, now),
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -134,6 +134,7 @@
 	// reported to peers.
 	brokenAt  clock.Instant
 	suspicion suspicion
+	pause     pause
 	// heldBackAt is when a limit that the target names last held a request back, waitingSince
 	// when it began to.
 	heldBackAt, waitingSince clock.Instant
@@ -191,14 +192,15 @@
 // dropUnlistedTargets drops the state of targets that are no longer listed and run no
 // request of this instance. The state would otherwise grow without bound, because a
 // restarted target can be listed under a new id. Targets to which requests were sent
-// recently are kept, because a target whose registry entry lapsed may come back cold.
+// recently are kept, because a target whose registry entry lapsed may come back cold, and so are
+// those that want none for a time.
 // s.mu must be held.
 func (s *Scheduler) dropUnlistedTargets() {
 	now := s.options.Now()
 	s.limits.Expire(s.isListed, now)
 	s.speeds.Keep(s.isListed)
 	for id, t := range s.targets {
-		if _, listed := s.inventory.Get(id); !listed && t.ownLoad == (placement.Load{}) && t.starts.Count(time.Second, now) == 0 {
+		if _, listed := s.inventory.Get(id); !listed && t.ownLoad == (placement.Load{}) && t.starts.Count(time.Second, now) == 0 && now >= t.pause.until {
 			delete(s.targets, id)
 		}
 	}
