Read a second run's Retry-After where its other headers are read

The answer to a second run that does not take over is read in discard; one that takes over is read in relay. Reading the pause in begin, too, read the latter twice.

--- a/internal/ingress/standby.go
+++ b/internal/ingress/standby.go
@@ -68,7 +68,6 @@
 	s.unsent = isUnsendable(s.err)
 	if s.err == nil {
 		s.info = o.Codec.DecodeResponse(s.resp.Status, s.resp.Header)
-		s.x.observePause(s.placement, s.info)
 		if err := s.memory.holdHead(s.resp.Header); err != nil {
 			s.broken = true
 			return
@@ -189,6 +188,7 @@
 	if s.resp != nil {
 		x.observeLeaving(p, s.resp.Status, s.info)
 		x.observeLimit(p, s.resp.Status, s.info)
+		x.observePause(p, s.info)
 		s.resp.Finish(result == notRun && discardRest(s.resp))
 	}
 	if became == replacementBroken {
