--- a/internal/ingress/standby.go
+++ b/internal/ingress/standby.go
@@ -188,6 +188,7 @@
 	if s.resp != nil {
 		x.observeLeaving(p, s.resp.Status, s.info)
 		x.observeLimit(p, s.resp.Status, s.info)
+		x.observePause(p, s.info)
 		s.resp.Finish(result == notRun && discardRest(s.resp))
 	}
 	if became == replacementBroken {
