--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -2,9 +2,7 @@
 
 import (
 	"cmp"
-	"context"
 	"io"
-	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -20,21 +18,9 @@
 	"medlarwind.dev/medlarwind/internal/httphead"
 )
 
-// Thresholds for callers' connections; the fractions are of callerConns.limit.
-const (
-	// crowdedFraction is the fraction above which each response closes its connection.
-	crowdedFraction = 0.5
-	// trimAboveFraction is the fraction above which idle connections are closed early, until
-	// trimToFraction is left.
-	trimAboveFraction = 0.75
-	trimToFraction    = 0.6
-	// idleMargin is added to the configured idle timeout, because callers may reuse a
-	// connection until shortly before that timeout.
-	idleMargin = time.Second
-)
-
-// drainPollInterval is how often drain closes the connections that have become idle.
-const drainPollInterval = 20 * time.Millisecond
+// crowdedFraction is the fraction of callerConns.limit above which each response closes its
+// connection.
+const crowdedFraction = 0.5
 
 // callerConns tracks the open connections of callers, which of them are idle and which
 // carry a request. It is safe for concurrent use.
@@ -381,126 +367,3 @@
 	defer c.mu.Unlock()
 	return c.limit > 0 && float64(c.open) > crowdedFraction*float64(c.limit)
 }
-
-// sweep closes connections that have been idle for longer than idleFor (0 for no limit)
-// and, if too many connections are open, those that have been idle longest.
-func (c *callerConns) sweep(idleFor time.Duration) {
-	if idleFor > 0 {
-		for _, conn := range c.idleSince(c.now().Add(-idleFor - idleMargin)) {
-			c.closeIdle(conn)
-		}
-	}
-	surplus := c.surplus()
-	if surplus <= 0 {
-		return
-	}
-	for _, conn := range c.idleSince(c.now()) {
-		if surplus <= 0 {
-			return
-		}
-		if c.closeIdle(conn) {
-			surplus--
-		}
-	}
-}
-
-// surplus returns how many connections are to be closed because too many are open.
-func (c *callerConns) surplus() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.limit == 0 || float64(c.open) <= trimAboveFraction*float64(c.limit) {
-		return 0
-	}
-	return c.open - int(trimToFraction*float64(c.limit))
-}
-
-// idleSince returns the connections that have been idle since before the given time, the longest
-// first.
-func (c *callerConns) idleSince(before clock.Instant) []*callerConn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var conns []*callerConn
-	for conn, since := range c.idle {
-		if since < before {
-			conns = append(conns, conn)
-		}
-	}
-	slices.SortFunc(conns, func(a, b *callerConn) int { return cmp.Compare(c.idle[a], c.idle[b]) })
-	return conns
-}
-
-// drain closes connections as they become idle, until none is open. It returns the error of
-// ctx if ctx ends before.
-func (c *callerConns) drain(ctx context.Context) error {
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	for c.closeAllIdle() > 0 {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
-	return nil
-}
-
-// closeAllIdle closes all connections without a request. It returns the number of
-// connections that were open.
-func (c *callerConns) closeAllIdle() int {
-	c.mu.Lock()
-	open := c.open
-	conns := slices.AppendSeq(slices.Collect(maps.Keys(c.idle)), maps.Keys(c.fresh))
-	c.mu.Unlock()
-	for _, conn := range conns {
-		c.closeIdle(conn)
-	}
-	return open
-}
-
-// closeIdle closes a connection without a request, unless bytes of one have arrived. It reports
-// whether it closed the connection. c.mu must not be held: others need it for each request, and
-// closing many connections takes long.
-func (c *callerConns) closeIdle(conn *callerConn) bool {
-	if !c.forgetIdle(conn) {
-		return false
-	}
-	// Close waits until no Read uses the socket, and such a Read may wait for conn.mu.
-	_ = conn.Close()
-	return true
-}
-
-// forgetIdle marks a connection without a request as closed, unless bytes of one have arrived. It
-// reports whether it has marked it.
-func (c *callerConns) forgetIdle(conn *callerConn) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	_, isIdle := c.idle[conn]
-	_, isFresh := c.fresh[conn]
-	if !isIdle && !isFresh {
-		return false
-	}
-	conn.mu.Lock()
-	defer conn.mu.Unlock()
-	if conn.used || conn.hasUnread() {
-		return false
-	}
-	conn.closed = true
-	delete(c.fresh, conn)
-	delete(c.idle, conn)
-	return true
-}
-
-// hasUnread reports whether bytes wait to be read in the socket's buffer.
-func (c *callerConn) hasUnread() bool {
-	if c.socket == nil {
-		return false
-	}
-	unread := false
-	// Control, unlike Read, does not wait for the Read that is pending on an idle connection.
-	_ = c.socket.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		unread = n > 0 && err == nil
-	})
-	return unread
-}
