A lowered idle timeout spares connections that are idle already

Callers saw kept connections closed beside a change that lowers idle_timeout_ms, although they reused them within four fifths of the timeout by which they last got an answer; what crossed the close got no answer. Each now keeps the timeout in force when it became idle, if that is longer; its next response begins anew. A raised timeout counts at once, as before.

Announcing the timeout with Keep-Alive was weighed and left out: it says nothing to callers that already wait by the older one.

--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -31,15 +31,17 @@
 
 	mu   sync.Mutex
 	open int
-	// fresh holds the connections on which nothing has arrived yet. idle maps each
-	// connection between two requests to the time at which the first of them ended.
+	// fresh holds the connections on which nothing has arrived yet, idle those between two
+	// requests.
 	fresh map[*callerConn]struct{}
-	idle  map[*callerConn]clock.Instant
+	idle  map[*callerConn]idleState
 	// busy maps each connection with an unanswered request to the time at which its header
 	// was read.
 	busy map[*callerConn]clock.Instant
 	// closing is set when the server is about to close all connections.
 	closing bool
+	// idleTimeout returns the idle timeout in force, 0 for none. It must not block.
+	idleTimeout func() time.Duration
 	// onUnanswered is called for each connection from which a request was read although sweep
 	// or the shutdown closes it. c.mu is not held.
 	onUnanswered func(unansweredConn)
@@ -55,7 +57,8 @@
 func newCallerConns(limit int, now clock.Source) *callerConns {
 	c := &callerConns{
 		limit: limit, now: now, fresh: make(map[*callerConn]struct{}),
-		idle: make(map[*callerConn]clock.Instant), busy: make(map[*callerConn]clock.Instant),
+		idle: make(map[*callerConn]idleState), busy: make(map[*callerConn]clock.Instant),
+		idleTimeout: func() time.Duration { return 0 },
 	}
 	c.slotFree = sync.NewCond(&c.mu)
 	return c
@@ -273,7 +276,7 @@
 	delete(c.busy, conn)
 	switch state {
 	case http.StateIdle:
-		c.idle[conn] = c.now()
+		c.idle[conn] = idleState{since: c.now(), timeout: c.idleTimeout()}
 		c.endHead(conn)
 		conn.head.Begin()
 		conn.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -198,7 +198,7 @@
 	g.scheduler.SetAlive(g.roster.Alive(o.Now()))
 	g.upstream = upstream.NewClient(o.Dial)
 	g.callers = newCallerConns(s.MaxCallerConns, o.Now)
-	g.callers.onUnanswered = g.noteUnanswered
+	g.callers.onUnanswered, g.callers.idleTimeout = g.noteUnanswered, g.callerIdleTimeout
 	g.callers.headMemory = s.MemoryLimit / headMemoryDivisor
 	g.handler = ingress.New(ingress.Options{
 		Codec: o.Codec, ConfigSource: g, Scheduler: g.scheduler, Upstream: g.upstream, Now: o.Now, Log: o.Log,
--- a/internal/gateway/idle.go
+++ b/internal/gateway/idle.go
@@ -26,11 +26,27 @@
 // drainPollInterval is how often drain closes the connections that have become idle.
 const drainPollInterval = 20 * time.Millisecond
 
-// sweep closes connections that have been idle for longer than idleFor (0 for no limit)
-// and, if too many connections are open, those that have been idle longest.
+// idleState describes a connection between two requests: since when it is idle and the idle
+// timeout in force at that time, 0 for none.
+type idleState struct {
+	since   clock.Instant
+	timeout time.Duration
+}
+
+// limit returns how long the connection may stay idle while the timeout in force is current. A
+// timeout that was lowered since does not apply: the caller may know only the one before.
+func (s idleState) limit(current time.Duration) time.Duration {
+	return max(s.timeout, current) + idleMargin
+}
+
+// sweep closes connections that have been idle for longer than idleFor (0 for no limit), or
+// than the longer timeout in force when they became idle, and, if too many connections are open,
+// those that have been idle longest.
 func (c *callerConns) sweep(idleFor time.Duration) {
+	now := c.now()
 	if idleFor > 0 {
-		for _, conn := range c.idleSince(c.now().Add(-idleFor - idleMargin)) {
+		overdue := func(s idleState) bool { return now.Sub(s.since) > s.limit(idleFor) }
+		for _, conn := range c.idleWhere(overdue) {
 			c.closeIdle(conn)
 		}
 	}
@@ -38,7 +54,7 @@
 	if surplus <= 0 {
 		return
 	}
-	for _, conn := range c.idleSince(c.now()) {
+	for _, conn := range c.idleWhere(func(s idleState) bool { return s.since < now }) {
 		if surplus <= 0 {
 			return
 		}
@@ -58,18 +74,17 @@
 	return c.open - int(trimToFraction*float64(c.limit))
 }
 
-// idleSince returns the connections that have been idle since before the given time, the longest
-// first.
-func (c *callerConns) idleSince(before clock.Instant) []*callerConn {
+// idleWhere returns the idle connections with a property, the longest idle first.
+func (c *callerConns) idleWhere(has func(idleState) bool) []*callerConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var conns []*callerConn
-	for conn, since := range c.idle {
-		if since < before {
+	for conn, state := range c.idle {
+		if has(state) {
 			conns = append(conns, conn)
 		}
 	}
-	slices.SortFunc(conns, func(a, b *callerConn) int { return cmp.Compare(c.idle[a], c.idle[b]) })
+	slices.SortFunc(conns, func(a, b *callerConn) int { return cmp.Compare(c.idle[a].since, c.idle[b].since) })
 	return conns
 }
 
