A refusal reaches callers that send the whole body before they read

Callers that were refused (401, 404, 503) while much of the body was unread, and that read only after they had sent it, got a reset instead: net/http closes half a second after the refusal, and the bytes that still arrive reset the connection. Now the refusal is passed on at once, and the rest of the body is read and dropped, up to the limit for bodies, while the caller may wait, and not beyond the end of a graceful stop.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -96,6 +96,7 @@
 	h.drain.active.Add(1)
 	defer h.drain.active.Add(-1)
 	x := &exchange{h: h, w: w, r: r, arrived: h.options.Now()}
+	defer x.discardBody()
 	defer x.report()
 	if h.drain.started() || h.options.TooManyConns != nil && h.options.TooManyConns() {
 		w.Header().Set("Connection", "close")
@@ -135,6 +136,8 @@
 	customer fleet.CustomerID
 	job      *scheduler.Job
 	body     *body
+	// bodyUnread is set if the request was refused while much of its body had not been read.
+	bodyUnread bool
 
 	// sends counts the unsuccessful attempts that reached a target, runs those of them that
 	// may have run there.
@@ -262,11 +265,7 @@
 // cannot, it refuses the request and returns false, or aborts the connection if the body is
 // incomplete.
 func (x *exchange) readBody() bool {
-	limit := x.h.options.ConfigSource.Current().Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	body, err := x.h.bodies.read(x.r, limit)
+	body, err := x.h.bodies.read(x.r, x.h.maxBody())
 	switch {
 	case errors.Is(err, errBodyTooLarge):
 		// Without this header, net/http would wait for a part of the body before it responds.
@@ -285,6 +284,14 @@
 	return true
 }
 
+// maxBody returns the largest request body in bytes.
+func (h *Handler) maxBody() int64 {
+	if c := h.options.ConfigSource.Current(); c != nil && c.Limits.MaxBodyBytes > 0 {
+		return c.Limits.MaxBodyBytes
+	}
+	return defaultMaxBody
+}
+
 // fingerprint returns a hash of the request's customer and content. It identifies a request
 // that a caller repeats, since each repetition has a new id.
 func (x *exchange) fingerprint() uint64 {
@@ -306,5 +313,9 @@
 	x.h.options.Codec.SetRefusalHeader(header, x.call, retryAfter)
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	x.result.Status, x.result.Reason, x.result.OwnAnswer, x.result.RetryAfter = status, reason, true, retryAfter
+	unread := x.answerBeforeBody()
 	http.Error(x.w, reason, status)
+	if unread {
+		_ = http.NewResponseController(x.w).Flush()
+	}
 }
