A configured idle timeout of over two minutes holds

Callers that reused a connection after more than two minutes, within four fifths of a longer idle_timeout_ms, found it closed: net/http's own idle timeout was fixed. Found by reading; no configuration seen has such a timeout.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,9 +53,9 @@
 	// changeMargin is subtracted from Settings.ChangeWithin for the time that a request takes from
 	// the last check to its target.
 	changeMargin = 400 * time.Millisecond
-	// headerTimeout bounds the time that a caller takes to send a request's header, and
-	// idleTimeout how long a connection without requests stays open if the configuration
-	// sets no timeout.
+	// headerTimeout bounds the time that a caller takes to send a request's header.
+	// idleTimeout is how long a caller's connection without requests stays open if the
+	// configuration sets no timeout, and any other connection.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
 	// maxHeaderBytes bounds the size of a request's header.
@@ -363,6 +363,8 @@
 	g.callerListener = &callerListener{Listener: l.http[0], conns: g.callers}
 	l.http[0] = g.callerListener
 	g.servers[0].ConnState = g.callers.track
+	// Sweeps close idle connections of callers.
+	g.servers[0].IdleTimeout = 0
 	g.servers[0].ConnContext = withCallerConn
 	return l, nil
 }
@@ -471,14 +473,12 @@
 	}
 }
 
-// callerIdleTimeout returns the configured idle timeout of callers' connections, 0 if
-// there is none.
+// callerIdleTimeout returns the idle timeout of callers' connections.
 func (g *Gateway) callerIdleTimeout() time.Duration {
-	c := g.catalog.Load()
-	if c == nil {
-		return 0
+	if c := g.catalog.Load(); c != nil && c.Limits.IdleTimeout > 0 {
+		return c.Limits.IdleTimeout
 	}
-	return c.Limits.IdleTimeout
+	return idleTimeout
 }
 
 // Reload applies the seeds of s. All other settings need a restart to change.
