The time for a request's head is the configured one

Callers within a header_timeout_ms of over 10 s were cut without an answer, and shorter ones had no effect: the time was fixed. Without a configured one it stays 10 s.

A shorter time makes it likelier that an instance which reads late finds the deadline in the past: what has arrived of a head by then is read, not cut.

--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -40,8 +40,9 @@
 	busy map[*callerConn]clock.Instant
 	// closing is set when the server is about to close all connections.
 	closing bool
-	// idleTimeout returns the idle timeout in force, 0 for none. It must not block.
-	idleTimeout func() time.Duration
+	// idleTimeout and headTimeout return the timeouts in force for idle connections and heads,
+	// 0 for none. They must not block.
+	idleTimeout, headTimeout func() time.Duration
 	// onUnanswered is called for each connection from which a request was read although sweep
 	// or the shutdown closes it. c.mu is not held.
 	onUnanswered func(unansweredConn)
@@ -58,12 +59,14 @@
 	c := &callerConns{
 		limit: limit, now: now, fresh: make(map[*callerConn]struct{}),
 		idle: make(map[*callerConn]idleState), busy: make(map[*callerConn]clock.Instant),
-		idleTimeout: func() time.Duration { return 0 },
+		idleTimeout: noTimeout, headTimeout: noTimeout,
 	}
 	c.slotFree = sync.NewCond(&c.mu)
 	return c
 }
 
+func noTimeout() time.Duration { return 0 }
+
 // callerConn is a connection of a caller. net/http reports a request only once its header
 // is complete; callerConn reports its first byte, so that the connection does not count as
 // idle while a request arrives.
@@ -118,7 +121,7 @@
 func (c *callerConn) readSocket(b []byte) (int, error) {
 	var n int
 	var readErr error
-	err := c.socket.Read(func(fd uintptr) bool {
+	receive := func(fd uintptr) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if c.closed {
@@ -132,7 +135,15 @@
 		}
 		c.used = c.used || n > 0
 		return readErr != unix.EAGAIN
-	})
+	}
+	err := c.socket.Read(receive)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.awaitsHead() {
+		// An instance that is late itself must not cut a head that has arrived.
+		received := false
+		if c.socket.Control(func(fd uintptr) { received = receive(fd) }) == nil && received {
+			err = nil
+		}
+	}
 	switch {
 	case err != nil:
 		return 0, c.readError(err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,7 +53,8 @@
 	// changeMargin is subtracted from Settings.ChangeWithin for the time that a request takes from
 	// the last check to its target.
 	changeMargin = 400 * time.Millisecond
-	// headerTimeout bounds the time that a caller takes to send a request's header.
+	// headerTimeout bounds the time that a caller takes to send a request's header if the
+	// configuration sets no timeout.
 	// idleTimeout is how long a caller's connection without requests stays open if the
 	// configuration sets no timeout, and any other connection.
 	headerTimeout = 10 * time.Second
@@ -198,7 +199,8 @@
 	g.scheduler.SetAlive(g.roster.Alive(o.Now()))
 	g.upstream = upstream.NewClient(o.Dial)
 	g.callers = newCallerConns(s.MaxCallerConns, o.Now)
-	g.callers.onUnanswered, g.callers.idleTimeout = g.noteUnanswered, g.callerIdleTimeout
+	g.callers.onUnanswered = g.noteUnanswered
+	g.callers.idleTimeout, g.callers.headTimeout = g.callerIdleTimeout, g.callerHeadTimeout
 	g.callers.headMemory = s.MemoryLimit / headMemoryDivisor
 	g.handler = ingress.New(ingress.Options{
 		Codec: o.Codec, ConfigSource: g, Scheduler: g.scheduler, Upstream: g.upstream, Now: o.Now, Log: o.Log,
@@ -473,14 +475,6 @@
 	}
 }
 
-// callerIdleTimeout returns the idle timeout of callers' connections.
-func (g *Gateway) callerIdleTimeout() time.Duration {
-	if c := g.catalog.Load(); c != nil && c.Limits.IdleTimeout > 0 {
-		return c.Limits.IdleTimeout
-	}
-	return idleTimeout
-}
-
 // Reload applies the seeds of s. All other settings need a restart to change.
 func (g *Gateway) Reload(s Settings) {
 	g.mu.Lock()
--- a/internal/gateway/heads_test.go
+++ b/internal/gateway/heads_test.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -52,3 +55,35 @@
 		t.Errorf("the next head: %v, %d bytes held, want 1", err, conns.heads)
 	}
 }
+
+// An instance that reads late finds the deadline of a head in the past. A head that has arrived is
+// read nevertheless, one that has not ends.
+func TestHeadThatHasArrivedIsReadAfterDeadline(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &callerListener{Listener: inner, conns: newCallerConns(8, clock.Monotonic())}
+	defer l.Close()
+	caller, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer caller.Close()
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	const head = "GET / HTTP/1.1\r\n\r\n"
+	_, _ = io.WriteString(caller, head)
+	awaitUnread(t, conn)
+	_ = conn.SetReadDeadline(time.Now().Add(-time.Second))
+	b := make([]byte, 64)
+	if n, err := conn.Read(b); string(b[:n]) != head || err != nil {
+		t.Errorf("read %q and error %v, want the head", b[:n], err)
+	}
+	if n, err := conn.Read(b); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("read %d bytes and error %v, want a timeout", n, err)
+	}
+}
