Log and count connections of callers that are closed as idle

The log did not say which connections a change of the idle timeout closed, and closed_unanswered by idle had neither the time of idleness nor the timeout.

--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -35,6 +35,8 @@
 	// requests.
 	fresh map[*callerConn]struct{}
 	idle  map[*callerConn]idleState
+	// closedIdle counts the connections without a request that were closed.
+	closedIdle map[idleReason]int
 	// busy maps each connection with an unanswered request to the time at which its header
 	// was read.
 	busy map[*callerConn]clock.Instant
@@ -59,7 +61,7 @@
 	c := &callerConns{
 		limit: limit, now: now, fresh: make(map[*callerConn]struct{}),
 		idle: make(map[*callerConn]idleState), busy: make(map[*callerConn]clock.Instant),
-		idleTimeout: noTimeout, headTimeout: noTimeout,
+		closedIdle: make(map[idleReason]int), idleTimeout: noTimeout, headTimeout: noTimeout,
 	}
 	c.slotFree = sync.NewCond(&c.mu)
 	return c
@@ -82,6 +84,8 @@
 	// used is set once bytes were read since the connection was last idle, closed once conns
 	// has closed the connection.
 	used, closed bool
+	// lastIdle is the state in which the connection was closed as idle. conns.mu guards it.
+	lastIdle idleState
 
 	// head counts the lines of the head that is being read, headBytes its bytes. headHeld is what it
 	// holds of conns.headMemory. conns.mu guards them.
@@ -274,9 +278,16 @@
 // reportUnanswered reports a request that was read from a connection which is being closed.
 // c.mu must not be held.
 func (c *callerConns) reportUnanswered(conn *callerConn, closer connCloser) {
-	if c.onUnanswered != nil {
-		c.onUnanswered(unansweredConn{caller: remoteAddr(conn), closer: closer})
+	if c.onUnanswered == nil {
+		return
+	}
+	u := unansweredConn{caller: remoteAddr(conn), closer: closer}
+	c.mu.Lock()
+	if state := conn.lastIdle; state != (idleState{}) {
+		u.idle, u.idleTimeout = c.now().Sub(state.since), state.timeout
 	}
+	c.mu.Unlock()
+	c.onUnanswered(u)
 }
 
 // record records the state of a connection. If a request was read from it although this
@@ -338,6 +349,9 @@
 	closer connCloser
 	// since is the time since the request was read.
 	since time.Duration
+	// idle is the time since a connection that was closed as idle became so, idleTimeout the timeout
+	// in force then.
+	idle, idleTimeout time.Duration
 }
 
 // remoteAddr returns the address of a connection's other end.
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -167,6 +167,7 @@
 		g.handler.EndAll()
 		err = g.drainCallers(max(limit-g.options.Now().Sub(start), 0))
 	}
+	g.logClosedIdle()
 	conns := g.callers.counts()
 	g.options.Log.Info().Str("event", "stop_done").Int64("active", g.handler.Active()).
 		Int("conns_open", conns.open).Int("conns_idle", conns.idle).Int("conns_busy", conns.busy).
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -311,23 +311,6 @@
 	return conns
 }
 
-// maxUnansweredLines limits the lines on connections that are closed at shutdown.
-const maxUnansweredLines = 64
-
-// noteUnanswered counts and logs a connection on which a request was read although it is
-// being closed.
-func (g *Gateway) noteUnanswered(c unansweredConn) {
-	g.metrics.addUnanswered(c.closer, 1)
-	g.logUnanswered(c, "")
-}
-
-// logUnanswered logs a connection that is closed while a request on it is unanswered. id
-// is the request's, empty if no handler has it: it has not begun or has just ended.
-func (g *Gateway) logUnanswered(c unansweredConn, id string) {
-	g.options.Log.Warn().Str("event", "closed_unanswered").Str("by", string(c.closer)).Str("caller", c.caller).
-		Str("id", id).Int64("since_ms", c.since.Milliseconds()).Msg("")
-}
-
 // listeners are the open listeners: http in the order of Gateway.servers, callers first.
 type listeners struct {
 	http  []net.Listener
@@ -468,6 +451,7 @@
 		case <-shareTicker.C:
 			g.logShares()
 			g.logRecordsAge()
+			g.logClosedIdle()
 		case <-ticker.C:
 			g.upstream.Sweep()
 			g.callers.sweep(g.callerIdleTimeout())
--- a/internal/gateway/idle.go
+++ b/internal/gateway/idle.go
@@ -39,6 +39,27 @@
 	return max(s.timeout, current) + idleMargin
 }
 
+// idleReason is why a connection without a request was closed.
+type idleReason string
+
+// Reasons for closing a connection without a request.
+const (
+	idleTooLong idleReason = "limit"
+	// idleSurplus is that too many connections are open.
+	idleSurplus idleReason = "surplus"
+	idleAtStop  idleReason = "stop"
+)
+
+// takeClosedIdle returns how many connections without a request were closed since the last call,
+// by reason.
+func (c *callerConns) takeClosedIdle() map[idleReason]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	taken := c.closedIdle
+	c.closedIdle = make(map[idleReason]int)
+	return taken
+}
+
 // sweep closes connections that have been idle for longer than idleFor (0 for no limit), or
 // than the longer timeout in force when they became idle, and, if too many connections are open,
 // those that have been idle longest.
@@ -47,7 +68,7 @@
 	if idleFor > 0 {
 		overdue := func(s idleState) bool { return now.Sub(s.since) > s.limit(idleFor) }
 		for _, conn := range c.idleWhere(overdue) {
-			c.closeIdle(conn)
+			c.closeIdle(conn, idleTooLong)
 		}
 	}
 	surplus := c.surplus()
@@ -58,7 +79,7 @@
 		if surplus <= 0 {
 			return
 		}
-		if c.closeIdle(conn) {
+		if c.closeIdle(conn, idleSurplus) {
 			surplus--
 		}
 	}
@@ -111,7 +132,7 @@
 	conns := slices.AppendSeq(slices.Collect(maps.Keys(c.idle)), maps.Keys(c.fresh))
 	c.mu.Unlock()
 	for _, conn := range conns {
-		c.closeIdle(conn)
+		c.closeIdle(conn, idleAtStop)
 	}
 	return open
 }
@@ -119,12 +140,15 @@
 // closeIdle closes a connection without a request, unless bytes of one have arrived. It reports
 // whether it closed the connection. c.mu must not be held: others need it for each request, and
 // closing many connections takes long.
-func (c *callerConns) closeIdle(conn *callerConn) bool {
+func (c *callerConns) closeIdle(conn *callerConn, why idleReason) bool {
 	if !c.forgetIdle(conn) {
 		return false
 	}
 	// Close waits until no Read uses the socket, and such a Read may wait for conn.mu.
 	_ = conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closedIdle[why]++
 	return true
 }
 
@@ -133,7 +157,7 @@
 func (c *callerConns) forgetIdle(conn *callerConn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_, isIdle := c.idle[conn]
+	state, isIdle := c.idle[conn]
 	_, isFresh := c.fresh[conn]
 	if !isIdle && !isFresh {
 		return false
@@ -143,7 +167,7 @@
 	if conn.used || conn.hasUnread() {
 		return false
 	}
-	conn.closed = true
+	conn.closed, conn.lastIdle = true, state
 	delete(c.fresh, conn)
 	delete(c.idle, conn)
 	return true
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,8 @@
 	requests         expvar.Map
 	reasons          expvar.Map
 	closedUnanswered expvar.Map
+	// closedIdle counts the connections without a request that were closed, by reason.
+	closedIdle expvar.Map
 	// endedBy counts the requests without a complete answer or a refusal by who ended them.
 	endedBy expvar.Map
 	// retriesRefused counts the refusals of retries, and gaveUp those that followed an
@@ -65,6 +67,7 @@
 	m.requests.Init()
 	m.reasons.Init()
 	m.closedUnanswered.Init()
+	m.closedIdle.Init()
 	m.endedBy.Init()
 	m.retriesRefused.Init()
 	m.gaveUp.Init()
@@ -188,6 +191,7 @@
 	all.Set("requests", &m.requests)
 	all.Set("reasons", &m.reasons)
 	all.Set("closed_unanswered", &m.closedUnanswered)
+	all.Set("closed_idle", &m.closedIdle)
 	all.Set("ended_by", &m.endedBy)
 	all.Set("retries_refused", &m.retriesRefused)
 	all.Set("gave_up_unreplaced", &m.gaveUp)
