An answer is not ended for what was passed on

Callers saw the connection closed in the middle of sound answers of over 256 KiB while other large answers arrived: an answer kept its reservation of 256 KiB while the rest was copied, though the instance no longer held the bytes, and was the largest one when the memory for answers was used up. The reservation is returned once the buffered part is written.

Sound answers below 256 KiB that arrive slowly can still end each other, before anything was passed on.

--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -69,6 +69,8 @@
 	x.writeHeader(resp.Status)
 	_, err = x.w.Write(buffered)
 	if err == nil && len(buffered) == maxBufferedBytes {
+		// What was passed on takes no memory, for which the answer could be ended.
+		x.memory.release()
 		_, err = io.Copy(x.w, resp.Body)
 	}
 	if err != nil {
