An answer that ends for want of memory is not its target's failure

Callers were refused (503) at a sound target after this instance had ended three large answers of it because the memory for answers was used up: each counted as broken off by the target, three in a row as its restart, and the parts of their prompts as suspect of crashing it. Such a run is now Abandoned, like one whose caller left. Targets whose answers exceed a limit of their own, or fall silent, count as before.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -360,7 +360,7 @@
 func (x *exchange) brokenOutcome(ctx context.Context) scheduler.Outcome {
 	x.silence.stop()
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, x.memory.wasEnded():
 		return scheduler.Abandoned
 	case x.silence.gaveUp():
 		return scheduler.Silent
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -230,7 +230,8 @@
 	Silent
 	// Unsent means that nothing was sent, for reasons unrelated to the target.
 	Unsent
-	// Abandoned means that the caller disconnected or its deadline passed.
+	// Abandoned means that the caller disconnected, its deadline passed, or this instance had no
+	// memory left for the answer.
 	Abandoned
 )
 
