--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -2,9 +2,7 @@
 
 import (
 	"cmp"
-	"context"
 	"io"
-	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -20,21 +18,9 @@
 	"medlarwind.dev/medlarwind/internal/httphead"
 )
 
-// Thresholds for callers' connections; the fractions are of callerConns.limit.
-const (
-	// crowdedFraction is the fraction above which each response closes its connection.
-	crowdedFraction = 0.5
-	// trimAboveFraction is the fraction above which idle connections are closed early, until
-	// trimToFraction is left.
-	trimAboveFraction = 0.75
-	trimToFraction    = 0.6
-	// idleMargin is added to the configured idle timeout, because callers may reuse a
-	// connection until shortly before that timeout.
-	idleMargin = time.Second
-)
-
-// drainPollInterval is how often drain closes the connections that have become idle.
-const drainPollInterval = 20 * time.Millisecond
+// crowdedFraction is the fraction of callerConns.limit above which each response closes its
+// connection.
+const crowdedFraction = 0.5
 
 // callerConns tracks the open connections of callers, which of them are idle and which
 // carry a request. It is safe for concurrent use.
@@ -45,15 +31,20 @@
 
 	mu   sync.Mutex
 	open int
-	// fresh holds the connections on which nothing has arrived yet. idle maps each
-	// connection between two requests to the time at which the first of them ended.
+	// fresh holds the connections on which nothing has arrived yet, idle those between two
+	// requests.
 	fresh map[*callerConn]struct{}
-	idle  map[*callerConn]clock.Instant
+	idle  map[*callerConn]idleState
+	// closedIdle counts the connections without a request that were closed.
+	closedIdle map[idleReason]int
 	// busy maps each connection with an unanswered request to the time at which its header
 	// was read.
 	busy map[*callerConn]clock.Instant
 	// closing is set when the server is about to close all connections.
 	closing bool
+	// idleTimeout and headTimeout return the timeouts in force for idle connections and heads,
+	// 0 for none. They must not block.
+	idleTimeout, headTimeout func() time.Duration
 	// onUnanswered is called for each connection from which a request was read although sweep
 	// or the shutdown closes it. c.mu is not held.
 	onUnanswered func(unansweredConn)
@@ -69,12 +60,15 @@
 func newCallerConns(limit int, now clock.Source) *callerConns {
 	c := &callerConns{
 		limit: limit, now: now, fresh: make(map[*callerConn]struct{}),
-		idle: make(map[*callerConn]clock.Instant), busy: make(map[*callerConn]clock.Instant),
+		idle: make(map[*callerConn]idleState), busy: make(map[*callerConn]clock.Instant),
+		closedIdle: make(map[idleReason]int), idleTimeout: noTimeout, headTimeout: noTimeout,
 	}
 	c.slotFree = sync.NewCond(&c.mu)
 	return c
 }
 
+func noTimeout() time.Duration { return 0 }
+
 // callerConn is a connection of a caller. net/http reports a request only once its header
 // is complete; callerConn reports its first byte, so that the connection does not count as
 // idle while a request arrives.
@@ -90,6 +84,8 @@
 	// used is set once bytes were read since the connection was last idle, closed once conns
 	// has closed the connection.
 	used, closed bool
+	// lastIdle is the state in which the connection was closed as idle. conns.mu guards it.
+	lastIdle idleState
 
 	// head counts the lines of the head that is being read, headBytes its bytes. headHeld is what it
 	// holds of conns.headMemory. conns.mu guards them.
@@ -129,7 +125,7 @@
 func (c *callerConn) readSocket(b []byte) (int, error) {
 	var n int
 	var readErr error
-	err := c.socket.Read(func(fd uintptr) bool {
+	receive := func(fd uintptr) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if c.closed {
@@ -143,7 +139,15 @@
 		}
 		c.used = c.used || n > 0
 		return readErr != unix.EAGAIN
-	})
+	}
+	err := c.socket.Read(receive)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.awaitsHead() {
+		// An instance that is late itself must not cut a head that has arrived.
+		received := false
+		if c.socket.Control(func(fd uintptr) { received = receive(fd) }) == nil && received {
+			err = nil
+		}
+	}
 	switch {
 	case err != nil:
 		return 0, c.readError(err)
@@ -274,9 +278,16 @@
 // reportUnanswered reports a request that was read from a connection which is being closed.
 // c.mu must not be held.
 func (c *callerConns) reportUnanswered(conn *callerConn, closer connCloser) {
-	if c.onUnanswered != nil {
-		c.onUnanswered(unansweredConn{caller: remoteAddr(conn), closer: closer})
+	if c.onUnanswered == nil {
+		return
 	}
+	u := unansweredConn{caller: remoteAddr(conn), closer: closer}
+	c.mu.Lock()
+	if state := conn.lastIdle; state != (idleState{}) {
+		u.idle, u.idleTimeout = c.now().Sub(state.since), state.timeout
+	}
+	c.mu.Unlock()
+	c.onUnanswered(u)
 }
 
 // record records the state of a connection. If a request was read from it although this
@@ -287,7 +298,7 @@
 	delete(c.busy, conn)
 	switch state {
 	case http.StateIdle:
-		c.idle[conn] = c.now()
+		c.idle[conn] = idleState{since: c.now(), timeout: c.idleTimeout()}
 		c.endHead(conn)
 		conn.head.Begin()
 		conn.mu.Lock()
@@ -338,6 +349,9 @@
 	closer connCloser
 	// since is the time since the request was read.
 	since time.Duration
+	// idle is the time since a connection that was closed as idle became so, idleTimeout the timeout
+	// in force then.
+	idle, idleTimeout time.Duration
 }
 
 // remoteAddr returns the address of a connection's other end.
@@ -381,126 +395,3 @@
 	defer c.mu.Unlock()
 	return c.limit > 0 && float64(c.open) > crowdedFraction*float64(c.limit)
 }
-
-// sweep closes connections that have been idle for longer than idleFor (0 for no limit)
-// and, if too many connections are open, those that have been idle longest.
-func (c *callerConns) sweep(idleFor time.Duration) {
-	if idleFor > 0 {
-		for _, conn := range c.idleSince(c.now().Add(-idleFor - idleMargin)) {
-			c.closeIdle(conn)
-		}
-	}
-	surplus := c.surplus()
-	if surplus <= 0 {
-		return
-	}
-	for _, conn := range c.idleSince(c.now()) {
-		if surplus <= 0 {
-			return
-		}
-		if c.closeIdle(conn) {
-			surplus--
-		}
-	}
-}
-
-// surplus returns how many connections are to be closed because too many are open.
-func (c *callerConns) surplus() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.limit == 0 || float64(c.open) <= trimAboveFraction*float64(c.limit) {
-		return 0
-	}
-	return c.open - int(trimToFraction*float64(c.limit))
-}
-
-// idleSince returns the connections that have been idle since before the given time, the longest
-// first.
-func (c *callerConns) idleSince(before clock.Instant) []*callerConn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var conns []*callerConn
-	for conn, since := range c.idle {
-		if since < before {
-			conns = append(conns, conn)
-		}
-	}
-	slices.SortFunc(conns, func(a, b *callerConn) int { return cmp.Compare(c.idle[a], c.idle[b]) })
-	return conns
-}
-
-// drain closes connections as they become idle, until none is open. It returns the error of
-// ctx if ctx ends before.
-func (c *callerConns) drain(ctx context.Context) error {
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	for c.closeAllIdle() > 0 {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
-	return nil
-}
-
-// closeAllIdle closes all connections without a request. It returns the number of
-// connections that were open.
-func (c *callerConns) closeAllIdle() int {
-	c.mu.Lock()
-	open := c.open
-	conns := slices.AppendSeq(slices.Collect(maps.Keys(c.idle)), maps.Keys(c.fresh))
-	c.mu.Unlock()
-	for _, conn := range conns {
-		c.closeIdle(conn)
-	}
-	return open
-}
-
-// closeIdle closes a connection without a request, unless bytes of one have arrived. It reports
-// whether it closed the connection. c.mu must not be held: others need it for each request, and
-// closing many connections takes long.
-func (c *callerConns) closeIdle(conn *callerConn) bool {
-	if !c.forgetIdle(conn) {
-		return false
-	}
-	// Close waits until no Read uses the socket, and such a Read may wait for conn.mu.
-	_ = conn.Close()
-	return true
-}
-
-// forgetIdle marks a connection without a request as closed, unless bytes of one have arrived. It
-// reports whether it has marked it.
-func (c *callerConns) forgetIdle(conn *callerConn) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	_, isIdle := c.idle[conn]
-	_, isFresh := c.fresh[conn]
-	if !isIdle && !isFresh {
-		return false
-	}
-	conn.mu.Lock()
-	defer conn.mu.Unlock()
-	if conn.used || conn.hasUnread() {
-		return false
-	}
-	conn.closed = true
-	delete(c.fresh, conn)
-	delete(c.idle, conn)
-	return true
-}
-
-// hasUnread reports whether bytes wait to be read in the socket's buffer.
-func (c *callerConn) hasUnread() bool {
-	if c.socket == nil {
-		return false
-	}
-	unread := false
-	// Control, unlike Read, does not wait for the Read that is pending on an idle connection.
-	_ = c.socket.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		unread = n > 0 && err == nil
-	})
-	return unread
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,9 +53,10 @@
 	// changeMargin is subtracted from Settings.ChangeWithin for the time that a request takes from
 	// the last check to its target.
 	changeMargin = 400 * time.Millisecond
-	// headerTimeout bounds the time that a caller takes to send a request's header, and
-	// idleTimeout how long a connection without requests stays open if the configuration
-	// sets no timeout.
+	// headerTimeout bounds the time that a caller takes to send a request's header if the
+	// configuration sets no timeout.
+	// idleTimeout is how long a caller's connection without requests stays open if the
+	// configuration sets no timeout, and any other connection.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
 	// maxHeaderBytes bounds the size of a request's header.
@@ -199,6 +200,7 @@
 	g.upstream = upstream.NewClient(o.Dial)
 	g.callers = newCallerConns(s.MaxCallerConns, o.Now)
 	g.callers.onUnanswered = g.noteUnanswered
+	g.callers.idleTimeout, g.callers.headTimeout = g.callerIdleTimeout, g.callerHeadTimeout
 	g.callers.headMemory = s.MemoryLimit / headMemoryDivisor
 	g.handler = ingress.New(ingress.Options{
 		Codec: o.Codec, ConfigSource: g, Scheduler: g.scheduler, Upstream: g.upstream, Now: o.Now, Log: o.Log,
@@ -309,23 +311,6 @@
 	return conns
 }
 
-// maxUnansweredLines limits the lines on connections that are closed at shutdown.
-const maxUnansweredLines = 64
-
-// noteUnanswered counts and logs a connection on which a request was read although it is
-// being closed.
-func (g *Gateway) noteUnanswered(c unansweredConn) {
-	g.metrics.addUnanswered(c.closer, 1)
-	g.logUnanswered(c, "")
-}
-
-// logUnanswered logs a connection that is closed while a request on it is unanswered. id
-// is the request's, empty if no handler has it: it has not begun or has just ended.
-func (g *Gateway) logUnanswered(c unansweredConn, id string) {
-	g.options.Log.Warn().Str("event", "closed_unanswered").Str("by", string(c.closer)).Str("caller", c.caller).
-		Str("id", id).Int64("since_ms", c.since.Milliseconds()).Msg("")
-}
-
 // listeners are the open listeners: http in the order of Gateway.servers, callers first.
 type listeners struct {
 	http  []net.Listener
@@ -363,6 +348,8 @@
 	g.callerListener = &callerListener{Listener: l.http[0], conns: g.callers}
 	l.http[0] = g.callerListener
 	g.servers[0].ConnState = g.callers.track
+	// Sweeps close idle connections of callers.
+	g.servers[0].IdleTimeout = 0
 	g.servers[0].ConnContext = withCallerConn
 	return l, nil
 }
@@ -464,6 +451,7 @@
 		case <-shareTicker.C:
 			g.logShares()
 			g.logRecordsAge()
+			g.logClosedIdle()
 		case <-ticker.C:
 			g.upstream.Sweep()
 			g.callers.sweep(g.callerIdleTimeout())
@@ -471,16 +459,6 @@
 	}
 }
 
-// callerIdleTimeout returns the configured idle timeout of callers' connections, 0 if
-// there is none.
-func (g *Gateway) callerIdleTimeout() time.Duration {
-	c := g.catalog.Load()
-	if c == nil {
-		return 0
-	}
-	return c.Limits.IdleTimeout
-}
-
 // Reload applies the seeds of s. All other settings need a restart to change.
 func (g *Gateway) Reload(s Settings) {
 	g.mu.Lock()
