A pause of a sound target does not make it cold for the whole fleet

A target that falls silent for a second has all its runs overtaken at once. Three of them at one instance marked it as down: all instances avoided it for up to 2.5 s and then held starts back as after a restart, also those of other customers, and the instance itself kept requests away for up to 3 s. Callers whose parts are kept there waited or were sent elsewhere. Cause: the outcome Silent counted as a sign that the target has ended. It only says that another run delivered first; and runs that fall silent together were counted one by one though they show one pause. A silent run marks no target as down any more, and runs that began before the last pause add nothing beyond the threshold of probing: new requests are kept away for 300 ms, then one probes the target. A target that has crashed without a word is marked by the first dial that times out after that.

--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -18,9 +18,10 @@
 	probeThreshold = 2
 	minAvoid       = 300 * time.Millisecond
 	maxAvoid       = 3 * time.Second
-	// downThreshold is the number of consecutive failures after which a broken or silent
-	// connection, or one that was not opened in time, marks the target as down. A single one
-	// shows only that an answer or a packet was lost.
+	// downThreshold is the number of consecutive failures after which a broken connection, or one
+	// that was not opened in time, marks the target as down. A single one shows only that an answer
+	// or a packet was lost. A silent run counts as a failure, but marks no target as down: the target
+	// may be sound and go on.
 	downThreshold = 3
 	// unreachableAvoid is the minimum time for which a target is avoided after a
 	// connection to it could not be opened.
@@ -158,7 +159,7 @@
 		s.evidence.RecordCompleted(p.job.traits, now)
 	case Failed, Rejected, Unreachable, DialTimedOut, Broken, Silent:
 		t.failureRate += failureWeight * (1 - t.failureRate)
-		t.consecutiveFailures++
+		t.countFailure(p, o, now)
 		s.avoid(t, o, now)
 	case Abandoned, Unsent:
 	}
@@ -176,6 +177,19 @@
 	}
 }
 
+// countFailure counts a consecutive failure. Runs that fell silent together show one pause, however
+// many they are: the target is then avoided for minAvoid and probed.
+func (t *targetState) countFailure(p *Placement, o Outcome, now clock.Instant) {
+	samePause := o == Silent && p.started < t.silentAt
+	if o == Silent && !samePause {
+		t.silentAt = now
+	}
+	if samePause && t.consecutiveFailures >= probeThreshold {
+		return
+	}
+	t.consecutiveFailures++
+}
+
 // isDown reports whether a failure shows that the target has ended. An instance that falls behind
 // misses answers to its own packets. s.mu must be held.
 func (s *Scheduler) isDown(t *targetState, o Outcome) bool {
@@ -184,9 +198,9 @@
 		return true
 	case DialTimedOut:
 		return t.consecutiveFailures >= downThreshold && !s.processor.Behind
-	case Broken, Silent:
+	case Broken:
 		return t.consecutiveFailures >= downThreshold
-	case Completed, Failed, Rejected, Unsent, Abandoned:
+	case Completed, Failed, Rejected, Silent, Unsent, Abandoned:
 	}
 	return false
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -128,6 +128,8 @@
 	// avoidUntil is the time until which the target gets no requests after failures.
 	avoidUntil          clock.Instant
 	consecutiveFailures int
+	// silentAt is when a run that began after the last pause ended as silent.
+	silentAt clock.Instant
 	// brokenAt is when a failed connection last marked the target as down, which is
 	// reported to peers.
 	brokenAt  clock.Instant
