An answer that is ended for its memory is no crash of its target

Three answers in a row that this instance ended because the memory for answers was used up made it report their target to all instances as broken: they avoided it and held starts back as after a restart; and the parts of those prompts counted as evidence of crashes. Cause: the connection is closed by us, and the outcome of the attempt was Broken. It is Failed now, which keeps requests away after two in a row and says nothing of a crash. TestRunEndedByUsCountsAsCrash: 2 of 18 cases failed before in 2 of 2 runs (memory; once and stream), none after in 2 of 2. Time that is up and callers who leave were told from crashes before, too. Package ingress passes.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -364,6 +364,9 @@
 		return scheduler.Abandoned
 	case x.silence.gaveUp():
 		return scheduler.Silent
+	case x.memory.wasEnded():
+		// This instance ended the connection, so that the target has not crashed.
+		return scheduler.Failed
 	}
 	return scheduler.Broken
 }
