Requests follow the probe of a target that paused once it answers

After a pause a target gets one request as a probe, and the next one only once that has ended. A stream lasts for seconds: others were refused or sent elsewhere meanwhile though the target was sound and had answered. If the target has only been silent, the first event of a run that began after that ends the probing and the count of failures. After broken runs and failed dials nothing changes: a deadly part may crash a target after its first event.

--- a/internal/scheduler/pause_test.go
+++ b/internal/scheduler/pause_test.go
@@ -129,3 +129,25 @@
 		}
 	})
 }
+
+// After a pause one request probes the target. Once it has got its first event the target answers
+// again: others must not wait until the whole stream has ended.
+func TestLongProbeHoldsOthersBackAfterPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ts := newTestScheduler(1)
+		ts.tick(t)
+		ts.pause(t, 10)
+		for i := range 10 {
+			began := time.Now()
+			p, err := ts.admit(t.Context(), ts.job("c", "s", 1000))
+			if err != nil {
+				t.Fatalf("request %d does not start beside the probe: %v", i, err)
+			}
+			if took := time.Since(began); took > time.Second {
+				t.Errorf("request %d starts after %s, want at most 1s", i, took)
+			}
+			time.AfterFunc(100*time.Millisecond, p.PrefillDone)
+			time.AfterFunc(8*time.Second, func() { p.End(Completed) })
+		}
+	})
+}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -97,6 +97,7 @@
 	t := s.target(p.Target.ID)
 	t.ownLoad.Unread -= p.load.Unread
 	p.load.Unread = 0
+	t.endPause(p)
 	s.observeSpeed(p, t, s.options.Now())
 	s.startQueued()
 }
@@ -188,6 +189,15 @@
 		return
 	}
 	t.consecutiveFailures++
+	t.paused = o == Silent
+}
+
+// endPause records that the target has begun to answer a run. If it was only silent, and the run began
+// after that, it has gone on: others need not wait until the run has ended.
+func (t *targetState) endPause(p *Placement) {
+	if t.paused && p.started > t.silentAt {
+		t.paused, t.probing, t.consecutiveFailures = false, false, 0
+	}
 }
 
 // isDown reports whether a failure shows that the target has ended. An instance that falls behind
