A target whose answer cannot be passed on has not crashed

Three answers in a row that were not passed on (a status that promises that nothing ran, without saying so; no signature; a second run that does not continue the stream) made an instance report the target to all others as broken, which avoided it and held starts back as after a restart; the requests counted as evidence of crashes. Cause: these attempts ended as Broken, as if the connection had been lost. They are Failed now, as a resumed run that is refused by its events was before: requests are kept away after two in a row. TestUnsoundAnswerCountsAsCrash failed before, 2 of 2, and passes, 2 of 2; internal/ingress passes.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -385,7 +385,8 @@
 		return notRun
 	case !x.isAcceptable(resp, info):
 		resp.Finish(false)
-		p.End(scheduler.Broken)
+		// A target that answers has not crashed.
+		p.End(scheduler.Failed)
 		x.result.Reason, x.failure = "answer_unsound", nil
 		return mayHaveRun
 	case x.headerWritten && !x.continuesStream(resp):
--- a/internal/ingress/endedrun_test.go
+++ b/internal/ingress/endedrun_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"medlarwind.dev/medlarwind/internal/inventory"
+	"medlarwind.dev/medlarwind/internal/scheduler"
 	"medlarwind.dev/medlarwind/internal/wire"
 )
 
@@ -74,3 +75,25 @@
 		}
 	}
 }
+
+// A target whose answers cannot be passed on has not crashed: it must not count as restarted for all
+// instances. That holds for a second run, too.
+func TestUnsoundAnswerCountsAsCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestIngress(t, 100)
+		e.addTarget("t1", inventory.Ready, func(_ context.Context, w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusTooManyRequests)
+		})
+		for range 5 {
+			_, _, _ = e.call("safe")
+		}
+		var hb wire.Heartbeat
+		e.scheduler.FillHeartbeat(&hb, "r1", wire.ScopeOwn)
+		if len(hb.BrokenTargets) > 0 {
+			t.Errorf("%v is reported to peers as broken: %+v", hb.BrokenTargets, e.lastReport())
+		}
+	})
+	if got := standbyOutcomes[replacementUnsound]; got != scheduler.Failed {
+		t.Errorf("an unsound second run ends as %v, want %v", got, scheduler.Failed)
+	}
+}
--- a/internal/ingress/standby.go
+++ b/internal/ingress/standby.go
@@ -166,7 +166,7 @@
 	replacementUnreachable: scheduler.Unreachable,
 	replacementRefused:     scheduler.Rejected,
 	replacementBroken:      scheduler.Broken,
-	replacementUnsound:     scheduler.Broken,
+	replacementUnsound:     scheduler.Failed,
 	replacementFailed:      scheduler.Failed,
 }
 
