--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -364,6 +364,9 @@
 		return scheduler.Abandoned
 	case x.silence.gaveUp():
 		return scheduler.Silent
+	case x.memory.wasEnded():
+		// This instance ended the connection, so that the target has not crashed.
+		return scheduler.Failed
 	}
 	return scheduler.Broken
 }
@@ -383,7 +386,8 @@
 		return notRun
 	case !x.isAcceptable(resp, info):
 		resp.Finish(false)
-		p.End(scheduler.Broken)
+		// A target that answers has not crashed.
+		p.End(scheduler.Failed)
 		x.result.Reason, x.failure = "answer_unsound", nil
 		return mayHaveRun
 	case x.headerWritten && !x.continuesStream(resp):
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -18,9 +18,10 @@
 	probeThreshold = 2
 	minAvoid       = 300 * time.Millisecond
 	maxAvoid       = 3 * time.Second
-	// downThreshold is the number of consecutive failures after which a broken or silent
-	// connection, or one that was not opened in time, marks the target as down. A single one
-	// shows only that an answer or a packet was lost.
+	// downThreshold is the number of consecutive failures after which a broken connection, or one
+	// that was not opened in time, marks the target as down. A single one shows only that an answer
+	// or a packet was lost. A silent run counts as a failure, but marks no target as down: the target
+	// may be sound and go on.
 	downThreshold = 3
 	// unreachableAvoid is the minimum time for which a target is avoided after a
 	// connection to it could not be opened.
@@ -96,6 +97,7 @@
 	t := s.target(p.Target.ID)
 	t.ownLoad.Unread -= p.load.Unread
 	p.load.Unread = 0
+	t.endPause(p)
 	s.observeSpeed(p, t, s.options.Now())
 	s.startQueued()
 }
@@ -158,7 +160,7 @@
 		s.evidence.RecordCompleted(p.job.traits, now)
 	case Failed, Rejected, Unreachable, DialTimedOut, Broken, Silent:
 		t.failureRate += failureWeight * (1 - t.failureRate)
-		t.consecutiveFailures++
+		t.countFailure(p, o, now)
 		s.avoid(t, o, now)
 	case Abandoned, Unsent:
 	}
@@ -176,6 +178,28 @@
 	}
 }
 
+// countFailure counts a consecutive failure. Runs that fell silent together show one pause, however
+// many they are: the target is then avoided for minAvoid and probed.
+func (t *targetState) countFailure(p *Placement, o Outcome, now clock.Instant) {
+	samePause := o == Silent && p.started < t.silentAt
+	if o == Silent && !samePause {
+		t.silentAt = now
+	}
+	if samePause && t.consecutiveFailures >= probeThreshold {
+		return
+	}
+	t.consecutiveFailures++
+	t.paused = o == Silent
+}
+
+// endPause records that the target has begun to answer a run. If it was only silent, and the run began
+// after that, it has gone on: others need not wait until the run has ended.
+func (t *targetState) endPause(p *Placement) {
+	if t.paused && p.started > t.silentAt {
+		t.paused, t.probing, t.consecutiveFailures = false, false, 0
+	}
+}
+
 // isDown reports whether a failure shows that the target has ended. An instance that falls behind
 // misses answers to its own packets. s.mu must be held.
 func (s *Scheduler) isDown(t *targetState, o Outcome) bool {
@@ -184,9 +208,9 @@
 		return true
 	case DialTimedOut:
 		return t.consecutiveFailures >= downThreshold && !s.processor.Behind
-	case Broken, Silent:
+	case Broken:
 		return t.consecutiveFailures >= downThreshold
-	case Completed, Failed, Rejected, Unsent, Abandoned:
+	case Completed, Failed, Rejected, Silent, Unsent, Abandoned:
 	}
 	return false
 }
