A body of unknown length beyond the limit is refused at once again

Since refusals are passed on before the body is read, a 413 to a body in chunks waited for 256 KiB more of it. Where the connection closes after the refusal anyway, nothing is read before it.

--- a/internal/ingress/refusedbody.go
+++ b/internal/ingress/refusedbody.go
@@ -19,12 +19,15 @@
 	if x.body != nil || x.r.ContentLength == 0 || x.r.Header.Get("Expect") != "" {
 		return false
 	}
-	if x.r.ContentLength < 0 {
+	// A connection that closes after the refusal anyway need not wait for the body.
+	closes := x.w.Header().Get("Connection") == "close"
+	switch {
+	case x.r.ContentLength >= 0 && x.r.ContentLength <= maxBodyBeforeRefusal:
+		return false
+	case x.r.ContentLength < 0 && !closes:
 		if _, err := io.CopyN(io.Discard, x.r.Body, maxBodyBeforeRefusal); err != nil {
 			return false
 		}
-	} else if x.r.ContentLength <= maxBodyBeforeRefusal {
-		return false
 	}
 	if http.NewResponseController(x.w).EnableFullDuplex() != nil {
 		return false
