A connection that the kernel ends as unreachable is not logged as ended by the target

The line of a request whose connection the kernel gave up named the target as the one that ended it where a router on the way had said that it is unreachable: the kernel then returns that error in place of a timeout.

--- a/internal/ingress/ender.go
+++ b/internal/ingress/ender.go
@@ -44,7 +44,8 @@
 		return endedByRouteTimeout
 	case errors.Is(x.failure, errAnswerMemory):
 		return endedByMemory
-	case errors.Is(x.failure, syscall.ETIMEDOUT):
+	case errors.Is(x.failure, syscall.ETIMEDOUT), errors.Is(x.failure, syscall.EHOSTUNREACH), errors.Is(x.failure, syscall.ENETUNREACH):
+		// The kernel gives the last error of the way to the target in place of a timeout.
 		return endedByNetwork
 	}
 	return endedByTarget
--- a/internal/ingress/ender_test.go
+++ b/internal/ingress/ender_test.go
@@ -34,6 +34,8 @@
 		{"unsound answer", open, open, 0, nil, endedByTarget},
 		{"target resets", open, open, 0, &upstream.Error{Sent: true, Err: syscall.ECONNRESET}, endedByTarget},
 		{"target acknowledges nothing", open, open, 0, &upstream.Error{Sent: true, Err: errors.Wrap(syscall.ETIMEDOUT, "read")}, endedByNetwork},
+		{"target is unreachable", open, open, 0, &upstream.Error{Sent: true, Err: errors.Wrap(syscall.EHOSTUNREACH, "read")}, endedByNetwork},
+		{"network is unreachable", open, open, 0, &upstream.Error{Sent: true, Err: errors.Wrap(syscall.ENETUNREACH, "read")}, endedByNetwork},
 		{"memory used up", open, open, 0, errAnswerMemory, endedByMemory},
 		{"caller closes", ended(nil), ended(nil), 0, io.ErrUnexpectedEOF, endedByCaller},
 		{"write to caller fails", open, open, 0, errCallerGone, endedByCaller},
