Silent runs neither hide a target's broken runs nor add to them

Callers were refused or sent elsewhere by all instances after a pause of a sound target and one lost answer: the two silent runs and the broken one marked the target as down. And a target that broke off its runs after their first event was never marked as down if some of its runs fell silent between: the first event of the next run ended the count of the broken ones, too. Cause: silent and broken runs shared one count, which a pause's end set to 0. Silent ones are now counted apart: they do not count towards broken runs, the end of a pause takes back only them, and those of a pause that has ended add nothing. Dials that time out count after silent runs as before.

--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -152,7 +152,7 @@
 	switch o {
 	case Completed:
 		t.failureRate *= 1 - failureWeight
-		t.consecutiveFailures = 0
+		t.consecutiveFailures, t.silentFailures = 0, 0
 		s.clearSuspicion(p, t, now)
 		if !p.answering {
 			s.evidence.RecordAnswering(p.job.traits, now)
@@ -179,25 +179,34 @@
 }
 
 // countFailure counts a consecutive failure. Runs that fell silent together show one pause, however
-// many they are: the target is then avoided for minAvoid and probed.
+// many they are: the target is then avoided for minAvoid and probed. Those of a pause that has ended
+// show nothing more.
 func (t *targetState) countFailure(p *Placement, o Outcome, now clock.Instant) {
-	samePause := o == Silent && p.started < t.silentAt
-	if o == Silent && !samePause {
-		t.silentAt = now
+	if o != Silent {
+		t.consecutiveFailures++
+		return
+	}
+	samePause := p.started < t.silentAt
+	if !samePause {
+		t.silentAt, t.pauseEnded = now, false
 	}
-	if samePause && t.consecutiveFailures >= probeThreshold {
+	if samePause && (t.pauseEnded || t.consecutiveFailures >= probeThreshold) {
 		return
 	}
 	t.consecutiveFailures++
-	t.paused = o == Silent
+	t.silentFailures++
 }
 
-// endPause records that the target has begun to answer a run. If it was only silent, and the run began
-// after that, it has gone on: others need not wait until the run has ended.
+// endPause records that the target has begun to answer a run. If that began after the target was
+// silent, the target has gone on, and its silent runs do not count any more: unless others failed, too,
+// requests need not wait until the run has ended.
 func (t *targetState) endPause(p *Placement) {
-	if t.paused && p.started > t.silentAt {
-		t.paused, t.probing, t.consecutiveFailures = false, false, 0
+	if t.silentFailures == 0 || p.started <= t.silentAt {
+		return
 	}
+	t.consecutiveFailures -= t.silentFailures
+	t.silentFailures, t.pauseEnded = 0, true
+	t.probing = t.probing && t.consecutiveFailures >= probeThreshold
 }
 
 // isDown reports whether a failure shows that the target has ended. An instance that falls behind
@@ -209,7 +218,7 @@
 	case DialTimedOut:
 		return t.consecutiveFailures >= downThreshold && !s.processor.Behind
 	case Broken:
-		return t.consecutiveFailures >= downThreshold
+		return t.consecutiveFailures-t.silentFailures >= downThreshold
 	case Completed, Failed, Rejected, Silent, Unsent, Abandoned:
 	}
 	return false
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -132,8 +132,10 @@
 	consecutiveFailures int
 	// silentAt is when a run that began after the last pause ended as silent.
 	silentAt clock.Instant
-	// paused says that the last failure was a silent run.
-	paused bool
+	// pauseEnded says that a run that began after silentAt was answered. silentFailures is how many of
+	// consecutiveFailures are silent runs.
+	pauseEnded     bool
+	silentFailures int
 	// brokenAt is when a failed connection last marked the target as down, which is
 	// reported to peers.
 	brokenAt  clock.Instant
