A refusal before its body is complete at once

Callers that read a refusal while they sent their body, and stopped sending, got its end only once the instance stopped waiting for the rest of the body, at the end of their own time (5 s in the test). Refusals now have a length.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -12,7 +12,9 @@
 import (
 	"context"
 	"hash/fnv"
+	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -316,7 +318,12 @@
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	x.result.Status, x.result.Reason, x.result.OwnAnswer, x.result.RetryAfter = status, reason, true, retryAfter
 	unread := x.answerBeforeBody()
-	http.Error(x.w, reason, status)
+	text := reason + "\n"
+	header.Set("X-Content-Type-Options", "nosniff")
+	// With a length the refusal is complete for its caller before the handler returns.
+	header.Set("Content-Length", strconv.Itoa(len(text)))
+	x.w.WriteHeader(status)
+	_, _ = io.WriteString(x.w, text)
 	if unread {
 		_ = http.NewResponseController(x.w).Flush()
 	}
