Drop a case of an attempt's outcome that no run reaches

An answer that is ended for its memory is Abandoned by the case before; the second case was left by a merge.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -361,12 +361,10 @@
 	x.silence.stop()
 	switch {
 	case ctx.Err() != nil, x.memory.wasEnded():
+		// This instance ended the connection, which says nothing about the target.
 		return scheduler.Abandoned
 	case x.silence.gaveUp():
 		return scheduler.Silent
-	case x.memory.wasEnded():
-		// This instance ended the connection, so that the target has not crashed.
-		return scheduler.Failed
 	}
 	return scheduler.Broken
 }
