Test that an unreachable target gets no request on an idle connection

The time limit that a request sets on its connection must not stay once the connection is idle again; no test held that on real sockets.

--- a/internal/upstream/unacknowledged_test.go
+++ b/internal/upstream/unacknowledged_test.go
@@ -130,3 +130,60 @@
 		t.Errorf("request on a connection that its target has forgotten: %v, want a reset", err)
 	}
 }
+
+// A target that has become unreachable takes no request on a connection that was idle meanwhile: the
+// time limit of a request must not stay on a connection that is idle again.
+func TestUnreachableTargetGetsRequestOnIdleConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	accepted := make(chan net.Conn, 4)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+			go func() {
+				for {
+					if n, err := conn.Read(make([]byte, 4096)); n == 0 || err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=30\r\nContent-Length: 2\r\n\r\nok")
+				}
+			}()
+		}
+	}()
+	client := NewClient(NewDialer().DialContext)
+	defer client.Close()
+	send := func() {
+		t.Helper()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		resp, err := client.Send(ctx, Request{Addr: l.Addr().String(), Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte("b")})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = io.ReadAll(resp.Body)
+		resp.Finish(err == nil)
+	}
+	// The second request makes the connection busy and idle once more.
+	send()
+	send()
+	conn := <-accepted
+	defer func() { _ = conn.Close() }()
+	// The last answer has to be acknowledged first: its repetition would show that the target is reachable.
+	time.Sleep(100 * time.Millisecond)
+	dropArrivals(t, conn, true)
+	time.Sleep(idleUnackedTimeout + 2*keepAliveInterval + keepAliveIdle)
+	send()
+	if len(accepted) != 1 {
+		t.Errorf("%d new connections, want 1: the request was sent on one whose target has become unreachable", len(accepted))
+	}
+	for len(accepted) > 0 {
+		_ = (<-accepted).Close()
+	}
+}
