--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -97,7 +97,7 @@
 	t := s.target(p.Target.ID)
 	t.ownLoad.Unread -= p.load.Unread
 	p.load.Unread = 0
-	t.endPause(p)
+	t.endSilence(p)
 	s.observeSpeed(p, t, s.options.Now())
 	s.startQueued()
 }
@@ -178,34 +178,34 @@
 	}
 }
 
-// countFailure counts a consecutive failure. Runs that fell silent together show one pause, however
-// many they are: the target is then avoided for minAvoid and probed. Those of a pause that has ended
-// show nothing more.
+// countFailure counts a consecutive failure. Runs that fell silent together show one silence, however
+// many they are: the target is then avoided for minAvoid and probed. Those of a silence that has
+// ended show nothing more.
 func (t *targetState) countFailure(p *Placement, o Outcome, now clock.Instant) {
 	if o != Silent {
 		t.consecutiveFailures++
 		return
 	}
-	samePause := p.started < t.silentAt
-	if !samePause {
-		t.silentAt, t.pauseEnded = now, false
+	sameSilence := p.started < t.silentAt
+	if !sameSilence {
+		t.silentAt, t.silenceEnded = now, false
 	}
-	if samePause && (t.pauseEnded || t.consecutiveFailures >= probeThreshold) {
+	if sameSilence && (t.silenceEnded || t.consecutiveFailures >= probeThreshold) {
 		return
 	}
 	t.consecutiveFailures++
 	t.silentFailures++
 }
 
-// endPause records that the target has begun to answer a run. If that began after the target was
+// endSilence records that the target has begun to answer a run. If that began after the target was
 // silent, the target has gone on, and its silent runs do not count any more: unless others failed, too,
 // requests need not wait until the run has ended.
-func (t *targetState) endPause(p *Placement) {
+func (t *targetState) endSilence(p *Placement) {
 	if t.silentFailures == 0 || p.started <= t.silentAt {
 		return
 	}
 	t.consecutiveFailures -= t.silentFailures
-	t.silentFailures, t.pauseEnded = 0, true
+	t.silentFailures, t.silenceEnded = 0, true
 	t.probing = t.probing && t.consecutiveFailures >= probeThreshold
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -130,11 +130,11 @@
 	// avoidUntil is the time until which the target gets no requests after failures.
 	avoidUntil          clock.Instant
 	consecutiveFailures int
-	// silentAt is when a run that began after the last pause ended as silent.
+	// silentAt is when a run that began after the last silence ended as silent.
 	silentAt clock.Instant
-	// pauseEnded says that a run that began after silentAt was answered. silentFailures is how many of
+	// silenceEnded says that a run that began after silentAt was answered. silentFailures is how many of
 	// consecutiveFailures are silent runs.
-	pauseEnded     bool
+	silenceEnded   bool
 	silentFailures int
 	// brokenAt is when a failed connection last marked the target as down, which is
 	// reported to peers.
