--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -31,7 +31,7 @@
 	// time.
 	retryFraction = 0.3
 	// baseRetryDelay is the advised retry delay for a customer within its nominal share.
-	// For a customer over it, or one that asks for more than that of a late instance, the delay is overShareRetryFraction of the caller's timeout,
+	// For a customer over it, the delay is overShareRetryFraction of the caller's timeout,
 	// but at least minOverShareRetryDelay.
 	baseRetryDelay         = 200 * time.Millisecond
 	minOverShareRetryDelay = 500 * time.Millisecond
@@ -79,10 +79,7 @@
 func (s *Scheduler) refusal(j *Job, reason Reason, enqueuedAt, now clock.Instant) *Refusal {
 	remaining := j.Deadline.Sub(now)
 	pause := baseRetryDelay
-	// A late instance that refuses all requests of a customer leaves it below its nominal share. Early retries
-	// would make the instance later still.
-	starved := reason == ReasonInstanceBusy && s.asksForMore(j, now)
-	if starved || j.Prompt > 0 && s.meter.Usage(j.Customer, now) > s.shares(now).nominal {
+	if j.Prompt > 0 && s.meter.Usage(j.Customer, now) > s.shares(now).nominal {
 		// A retry is recognized by its shorter remaining timeout, so the delay is longer
 		// than the variation between the timeouts of first attempts.
 		pause = max(minOverShareRetryDelay, time.Duration(overShareRetryFraction*float64(j.CallerTimeout)))
@@ -97,12 +94,6 @@
 	return &Refusal{Reason: reason, RetryAfter: max(pause, 0), Waited: now.Sub(enqueuedAt), Inputs: s.inputs(j, now)}
 }
 
-// asksForMore reports whether a job's customer asks for more than its nominal share, whatever it gets.
-// s.mu must be held.
-func (s *Scheduler) asksForMore(j *Job, now clock.Instant) bool {
-	return j.Prompt > 0 && s.meter.Demand(j.Customer, now) > s.shares(now).nominal
-}
-
 // await waits for the decision on a queued job, until the job's wait limit passes or ctx
 // is done.
 func (s *Scheduler) await(ctx context.Context, w *waiter) (*Placement, error) {
