Review case 2: a revoked key runs again at restarted machines after a restore

The store returns from a copy of before the revocation while two of three machines start again; the third runs all the while with the newer configuration. The two take each other's first heartbeat for the comparison that they wait for (gateway.noteConfigVersion), and run requests with the key 7 s after the revocation's acknowledgement (revoke_ms is 5,000), until they hear from the third.

--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -50,7 +50,9 @@
 
 // breach records that a rule is broken.
 func (r *run) breach(format string, args ...any) {
+	r.mu.Lock()
 	r.broken = true
+	r.mu.Unlock()
 	r.logf("BROKEN  "+format, args...)
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,6 +16,7 @@
 // cases holds the script of each case by the number of its folder.
 var cases = map[string]func(*run){
 	"1": lastKeysRevoked,
+	"2": keyBackAfterRestore,
 }
 
 func main() { os.Exit(play()) }
