Review case 3: a deadly part of a route split between two services crashes too many servers

One part of prompts crashes each server that begins to answer with it; the route is split half and half between two services. Records of a part are kept for each service, so that each has trials of its own: 4 requests with the part reach servers later than contact_ms after the fifth crash, three are allowed.

--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -92,7 +92,7 @@
 	portCount = 10000
 )
 
-var nextPort = firstPort + os.Getpid()%portCount
+var nextPort = firstPort + os.Getpid()*41%portCount
 
 // freeAddr returns a free address that is listened on later.
 func freeAddr(ip string) string {
@@ -300,6 +300,8 @@
 	method, path, key string
 	body              []byte
 	deadline          time.Duration
+	// extra holds further headers.
+	extra map[string]string
 }
 
 // answer is what a requester got. err is set if the channel ended without a complete answer.
@@ -339,6 +341,9 @@
 	if q.key != "" {
 		req.Header.Set(hdrKey, q.key)
 	}
+	for name, value := range q.extra {
+		req.Header.Set(name, value)
+	}
 	transport := &http.Transport{
 		DisableCompression: true, DisableKeepAlives: true,
 		Dial: func(string, string) (net.Conn, error) { return conn, nil },
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(*run){
 	"1": lastKeysRevoked,
 	"2": keyBackAfterRestore,
+	"3": deadlyPartOfSplitRoute,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standin/names.go
+++ b/review/standin/names.go
@@ -15,6 +15,9 @@
 	hdrInstance  = prefix + "Instance-Id"
 	hdrSignature = prefix + "Response-Signature"
 	hdrNotRun    = prefix + "Not-Executed"
+	hdrParts     = prefix + "Prompt-Prefix"
+	hdrUsage     = prefix + "Token-Usage"
+	hdrModel     = prefix + "Model"
 	hdrLastEvent = "Last-Event-Id"
 	hdrEra       = "Store-Era"
 
