Review case 4: a part that turns deadly crashes every server twice

A part of prompts that servers have answered with begins to crash each server that begins to answer with it. Crashes within two seconds after the last good answer count as cleared, so that the first wave counts for nothing, and five more are needed: later than contact_ms after the fifth crash 4 to 10 requests with the part reach servers, three are allowed.

--- a/review/standin/deadly.go
+++ b/review/standin/deadly.go
@@ -162,4 +162,3 @@
 		r.breach("BUDGET: %d requests with the part reached servers later than contact_ms after the fifth crash", late)
 	}
 }
-
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,6 +18,7 @@
 	"1": lastKeysRevoked,
 	"2": keyBackAfterRestore,
 	"3": deadlyPartOfSplitRoute,
+	"4": partTurnsDeadly,
 }
 
 func main() { os.Exit(play()) }
