Review case 5: a machine that stood still across a restore runs a revoked key

The key is taken away while one of three machines stands still for 5 s, and the store returns from a copy of before that. The machine reads the older configuration before it hears from a peer and runs requests with the key for 30 to 250 ms, later than revoke_ms after the acknowledgement. It compares with its peers only after the start of its process.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 	"2": keyBackAfterRestore,
 	"3": deadlyPartOfSplitRoute,
 	"4": partTurnsDeadly,
+	"5": keyBackAfterFreeze,
 }
 
 func main() { os.Exit(play()) }
