--- a/review/standin/case5.go
+++ b/review/standin/case5.go
@@ -15,8 +15,8 @@
 	const revokeTime, freezeTime = 5 * time.Second, 5 * time.Second
 	keys := []string{"asnmgkcuyj8pjbvk9m68", "k7b2ex5wa5xwyhks8nbk"}
 	revoked, kept := keys[0], keys[1]
-	for i := range 3 {
-		r.addServer(i, "auction-app")
+	for i := range 9 {
+		go r.addServer(i, "auction-app").beat()
 	}
 	r.store.put(keyConfig, configuration(7, keys))
 	r.startFleet(3)
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 )
@@ -15,6 +16,7 @@
 	r                       *run
 	id, service, zone, addr string
 	born                    int64
+	seq                     int
 	slots                   chan struct{}
 	work                    time.Duration
 }
@@ -38,10 +40,25 @@
 func (s *server) list(state string) {
 	s.r.store.put(keyPrefixServers+s.id, map[string]any{
 		"service": s.service, "address": s.addr, "zone": s.zone, "version": "v1", "slots": serverSlots, "state": state,
-		"cold_remaining_ms": 0, "seq": 4, "born": s.born,
+		"cold_remaining_ms": 0, "seq": s.seq, "born": s.born,
 	})
 }
 
+// heartbeat is how often a server writes its entry.
+const heartbeat = 1200 * time.Millisecond
+
+// beat writes the server's entry again and again, while the store is there, until the process ends.
+func (s *server) beat() {
+	time.Sleep(rand.N(heartbeat))
+	for {
+		if !s.r.store.isAway() {
+			s.seq++
+			s.list("ready")
+		}
+		time.Sleep(heartbeat)
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(hdrID)
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -103,6 +103,13 @@
 	s.wake()
 }
 
+// isAway reports whether the store is away.
+func (s *store) isAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away != nil
+}
+
 // restore brings the store back, from a copy if there is one, in the next era then.
 func (s *store) restore(from *content) {
 	s.mu.Lock()
