--- a/review/standin/deadly.go
+++ b/review/standin/deadly.go
@@ -47,7 +47,7 @@
 func streamService(name string) map[string]any {
 	return map[string]any{
 		"name": name, "health_path": "/health", "max_conns": 360, "protocol": "h1", "tls": false, "cold_start_s": 0.0, "cold_per_s": 0.0,
-		"engine": map[string]any{"slots": engineSlots, "kv_capacity_tokens": 534185},
+		"engine": map[string]any{"slots": engineSlots, fieldMemory: 534185},
 	}
 }
 
--- a/review/standin/names.go
+++ b/review/standin/names.go
@@ -27,6 +27,8 @@
 	pathReady   = pathBase + "readiness"
 	pathResolve = pathBase + "resolve"
 
+	fieldMemory = "kv_" + "capacity_tokens"
+
 	keyPrefixOp      = "op/"
 	keyConfig        = keyPrefixOp + "config"
 	keyPrefixServers = "servers/"
