--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -2,8 +2,8 @@
 
 // Command standin plays the script of a review case. It holds the stand-ins of the platform's store,
 // of servers and of requesters, starts the project's processes and ends them. It exits with 1 if the
-// rule was broken, 0 if it held, and 2 if the case could not run. With TROUBLE=0 in the environment
-// it leaves out the disruption.
+// rule was broken, 0 if it held, and 2 if the case could not run. Its second argument says whether the
+// disruption takes place ("trouble") or is left out ("calm"); run.sh takes it from TROUBLE.
 package main
 
 import (
@@ -25,8 +25,8 @@
 func main() { os.Exit(play()) }
 
 func play() (code int) {
-	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE")
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil || os.Args[2] != "trouble" && os.Args[2] != "calm" {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE trouble|calm")
 		return 2
 	}
 	name := os.Args[1]
@@ -43,7 +43,7 @@
 	}
 	keep := os.Getenv("KEEP") != ""
 	r := &run{
-		dir: dir, trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), store: newStore(), record: record,
+		dir: dir, trouble: os.Args[2] == "trouble", began: time.Now(), store: newStore(), record: record,
 		runs: make(map[string][]execution), servers: make(map[string]*server),
 	}
 	defer func() {
