Keys stay required when the last one is revoked

Cause: catalog.HasCustomers took "no key exists" for "no customers", so an empty set of keys meant that nobody is asked for one. The same held for an empty list of tenants, for keys that are null or left out, and for a missing list; a tenant with an empty key let in whoever sent none.

The line "configuration" now gives the numbers of customers and keys and whether keys are required.

Change: whether a key is required follows from the presence of the list, and stays so for the fleet once a version had one (heartbeats carry it).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -118,7 +118,8 @@
 
 // Customer is a tenant with its API keys.
 type Customer struct {
-	ID   fleet.CustomerID
+	ID fleet.CustomerID
+	// Keys may be empty, for a customer whose keys were all revoked. An empty key is no key.
 	Keys []string
 	// Regions lists the regions that may serve the customer; empty means all.
 	Regions []fleet.RegionID
@@ -142,27 +143,33 @@
 	Routes    []Route
 	Services  []Service
 	Customers []Customer
-	Limits    Limits
+	// RequiresKey is set if the configuration lists customers, even if the list is empty.
+	RequiresKey bool
+	Limits      Limits
 }
 
 // Catalog is an indexed version of the configuration.
 type Catalog struct {
-	Version  uint64
-	Limits   Limits
-	hosts    map[string]map[string]*Route
-	services map[fleet.ServiceID]*Service
-	keys     map[string]*Customer
+	Version     uint64
+	Limits      Limits
+	requiresKey bool
+	hosts       map[string]map[string]*Route
+	services    map[fleet.ServiceID]*Service
+	customers   []Customer
+	keys        map[string]*Customer
 }
 
 // New builds the catalog of a configuration. It keeps references to the slices of c,
 // which must not be changed afterwards.
 func New(c Config) *Catalog {
 	catalog := &Catalog{
-		Version:  c.Version,
-		Limits:   c.Limits,
-		hosts:    make(map[string]map[string]*Route),
-		services: make(map[fleet.ServiceID]*Service, len(c.Services)),
-		keys:     make(map[string]*Customer),
+		Version:     c.Version,
+		Limits:      c.Limits,
+		requiresKey: c.RequiresKey || len(c.Customers) > 0,
+		hosts:       make(map[string]map[string]*Route),
+		services:    make(map[fleet.ServiceID]*Service, len(c.Services)),
+		customers:   c.Customers,
+		keys:        make(map[string]*Customer),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -177,7 +184,9 @@
 	}
 	for i := range c.Customers {
 		for _, key := range c.Customers[i].Keys {
-			catalog.keys[key] = &c.Customers[i]
+			if key != "" {
+				catalog.keys[key] = &c.Customers[i]
+			}
 		}
 	}
 	return catalog
@@ -198,9 +207,12 @@
 	return nil, false
 }
 
-// HasCustomers reports whether any customer has a key. Without one, requests need no
-// key.
-func (c *Catalog) HasCustomers() bool { return len(c.keys) > 0 }
+// RequiresKey reports whether requests on routes that are not anonymous need a key. That does
+// not depend on whether any key is left.
+func (c *Catalog) RequiresKey() bool { return c.requiresKey }
+
+// Keys returns the numbers of customers and of their keys.
+func (c *Catalog) Keys() (customers, keys int) { return len(c.customers), len(c.keys) }
 
 // Customer returns the customer that owns a key.
 func (c *Catalog) Customer(key string) (*Customer, bool) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,6 +101,10 @@
 	comparedConfig atomic.Bool
 	newerVersion   atomic.Uint64
 	outdatedUntil  atomic.Int64
+	// keysRequired is set once a configuration that lists customers has been in force, here or at
+	// a peer. It is never reset: a later one that lists none revokes all keys, but does not let in
+	// whoever leaves the key out.
+	keysRequired atomic.Bool
 	// configMu guards changes of catalog, configText, its undecoded content, and olderVersion, the
 	// last older version that the platform showed.
 	configMu     sync.Mutex
@@ -236,6 +240,10 @@
 	return bound == 0 || at != 0 && g.options.Now().Sub(at) < bound-revokeMargin
 }
 
+// KeysRequired implements ingress.ConfigSource. An instance that has just started cannot know what
+// was in force before and requires keys until it has heard from a peer.
+func (g *Gateway) KeysRequired() bool { return g.keysRequired.Load() || g.isUncompared() }
+
 // listingMaxAge returns the age from which the list of targets no longer shows which of them get
 // work, if a change must take effect within a given time; 0 for no bound.
 func listingMaxAge(changeWithin time.Duration) time.Duration {
--- a/internal/gateway/inforce.go
+++ b/internal/gateway/inforce.go
@@ -24,10 +24,16 @@
 	current := g.catalog.Load()
 	switch {
 	case current == nil || c.Version > current.Version:
+		if c.RequiresKey() {
+			g.keysRequired.Store(true)
+		}
 		g.scheduler.SetCatalog(c)
 		g.catalog.Store(c)
 		g.configText = text
-		g.options.Log.Info().Str("event", "configuration").Uint64("version", c.Version).Str("source", source).Msg("")
+		customers, keys := c.Keys()
+		g.options.Log.Info().Str("event", "configuration").Uint64("version", c.Version).Str("source", source).
+			Bool("lists_customers", c.RequiresKey()).Int("customers", customers).Int("keys", keys).
+			Bool("keys_required", g.keysRequired.Load()).Msg("")
 	case c.Version < current.Version && c.Version != g.olderVersion:
 		g.olderVersion = c.Version
 		g.options.Log.Warn().Str("event", "configuration_older").Uint64("version", c.Version).
@@ -47,6 +53,9 @@
 // no newer records but a newer configuration has it from before a restore of the platform, after
 // which this instance started. g.mu must be held.
 func (g *Gateway) noteConfigVersion(from fleet.InstanceID, hb *wire.Heartbeat, now clock.Instant) {
+	if hb.KeysRequired {
+		g.keysRequired.Store(true)
+	}
 	if hb.ConfigVersion == 0 || hb.Records == nil {
 		return
 	}
@@ -71,9 +80,14 @@
 // mayBeOutdated reports whether a peer has a newer configuration in force that the platform's
 // records lack, or whether this instance has just started and has not heard from a peer.
 func (g *Gateway) mayBeOutdated() bool {
-	now := g.options.Now()
-	return now < clock.Instant(g.outdatedUntil.Load()) && g.configVersion() < g.newerVersion.Load() ||
-		!g.comparedConfig.Load() && now.Sub(g.startedAt) < aloneSettleTime
+	return g.options.Now() < clock.Instant(g.outdatedUntil.Load()) && g.configVersion() < g.newerVersion.Load() ||
+		g.isUncompared()
+}
+
+// isUncompared reports whether this instance has just started and has not heard from a peer which
+// configuration is in force there.
+func (g *Gateway) isUncompared() bool {
+	return !g.comparedConfig.Load() && g.options.Now().Sub(g.startedAt) < aloneSettleTime
 }
 
 // fetchConfiguration takes the configuration in force at a peer.
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -52,6 +52,9 @@
 	// Confirmed reports whether the configuration is known to be recent enough to rely on
 	// its keys.
 	Confirmed() bool
+	// KeysRequired reports whether requests on routes that are not anonymous need a key,
+	// whatever the current configuration says.
+	KeysRequired() bool
 }
 
 // Options are the dependencies and settings of a Handler.
@@ -201,18 +204,32 @@
 		return false
 	}
 	var customer *catalog.Customer
-	if c.HasCustomers() && !route.Anonymous {
-		if customer, ok = c.Customer(call.Key); !ok {
-			return x.refuseUnknown(http.StatusUnauthorized, "unknown_key")
-		}
-		if !o.ConfigSource.Confirmed() {
-			x.refuse(http.StatusServiceUnavailable, "keys_unconfirmed", staleRetryAfter)
+	if !route.Anonymous {
+		if customer, ok = x.authenticate(c); !ok {
 			return false
 		}
 	}
 	return x.buildJob(c, customer)
 }
 
+// authenticate returns the customer that holds the request's key, nil if the request has none and
+// none is needed. Otherwise it refuses the request and returns false: a key that no customer
+// holds may have been revoked, even if the configuration lists no customers.
+func (x *exchange) authenticate(c *catalog.Catalog) (*catalog.Customer, bool) {
+	source := x.h.options.ConfigSource
+	customer, known := c.Customer(x.call.Key)
+	switch {
+	case known && source.Confirmed():
+		return customer, true
+	case known:
+		x.refuse(http.StatusServiceUnavailable, "keys_unconfirmed", staleRetryAfter)
+		return nil, false
+	case x.call.Key == "" && !c.RequiresKey() && !source.KeysRequired():
+		return nil, true
+	}
+	return nil, x.refuseUnknown(http.StatusUnauthorized, "unknown_key")
+}
+
 // refuseUnknown refuses a request for which the configuration has no route or key. While
 // the configuration may be out of date, the request is refused for that reason instead. It
 // always returns false.
--- a/internal/ingress/silence_test.go
+++ b/internal/ingress/silence_test.go
@@ -89,6 +89,8 @@
 
 func (*testConfig) Confirmed() bool { return true }
 
+func (*testConfig) KeysRequired() bool { return false }
+
 // testIngress is a handler that serves callers on a network in memory.
 type testIngress struct {
 	t         *testing.T
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -65,6 +65,9 @@
 	// ConfigVersion and ConfigDigest identify the configuration in force at the sender.
 	ConfigVersion uint64 `json:"cv,omitempty"`
 	ConfigDigest  string `json:"cd,omitempty"`
+	// KeysRequired reports whether a configuration that lists customers has been in force at the
+	// sender or, as far as the sender knows, at another instance.
+	KeysRequired bool `json:"kr,omitempty"`
 	// Running is the work that the sender runs, or holds permits for, on the targets that
 	// the receiver owns in the sender's view.
 	Running []Running `json:"r,omitempty"`
