Instances that start together compare with one that has been running

Cause: a started instance took the first heartbeat of any peer for the comparison of configurations, also that of one that had started at the same moment, and a second without any for an answer, while peers that have been running dial again after up to three.

Change: heartbeats say whether the sender knows of every configuration that was in force; only such a peer counts, and the wait is three seconds, one in a fleet that starts for the first time (bootstrap).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,12 +95,12 @@
 	metrics     *metrics
 	callers     *callerConns
 	catalog     atomic.Pointer[catalog.Catalog]
-	// comparedConfig is set once a peer has reported its configuration. newerVersion is a version
+	// comparison is what this instance knows of its peers' configuration. newerVersion is a version
 	// that a peer has in force and that the platform's records lack, outdatedUntil the
 	// clock.Instant until which that counts.
-	comparedConfig atomic.Bool
-	newerVersion   atomic.Uint64
-	outdatedUntil  atomic.Int64
+	comparison    *comparison
+	newerVersion  atomic.Uint64
+	outdatedUntil atomic.Int64
 	// keysRequired is set once a configuration that lists customers has been in force, here or at
 	// a peer. It is never reset: a later one that lists none revokes all keys, but does not let in
 	// whoever leaves the key out.
@@ -171,6 +171,7 @@
 		readJitter:  rand.New(rand.NewPCG(o.Seed, 1)).Float64(),
 	}
 	g.applied = records.NewApplied(g.copy)
+	g.comparison = newComparison(g.startedAt, o.Settings.FirstStart)
 	g.lateness.lastTick.Store(int64(g.startedAt))
 	g.build()
 	return g
@@ -242,7 +243,9 @@
 
 // KeysRequired implements ingress.ConfigSource. An instance that has just started cannot know what
 // was in force before and requires keys until it has heard from a peer.
-func (g *Gateway) KeysRequired() bool { return g.keysRequired.Load() || g.isUncompared() }
+func (g *Gateway) KeysRequired() bool {
+	return g.keysRequired.Load() || g.comparison.isNeeded(g.options.Now())
+}
 
 // listingMaxAge returns the age from which the list of targets no longer shows which of them get
 // work, if a change must take effect within a given time; 0 for no bound.
--- a/internal/gateway/inforce.go
+++ b/internal/gateway/inforce.go
@@ -60,7 +60,10 @@
 		return
 	}
 	if hb.ConfigVersion <= g.configVersion() {
-		g.comparedConfig.Store(true)
+		if hb.ConfigSource && g.comparison.note(now) {
+			g.options.Log.Info().Str("event", "configuration_compared").Str("peer", string(from)).
+				Uint64("version", g.configVersion()).Uint64("peer_version", hb.ConfigVersion).Msg("")
+		}
 		return
 	}
 	// Records that this instance has but has not applied yet may bring the peer's configuration.
@@ -70,7 +73,6 @@
 	}
 	g.newerVersion.Store(hb.ConfigVersion)
 	g.outdatedUntil.Store(int64(now.Add(outdatedNoticeTime)))
-	g.comparedConfig.Store(true)
 	if !g.fetching {
 		g.fetching = true
 		go g.fetchConfiguration(from)
@@ -78,16 +80,10 @@
 }
 
 // mayBeOutdated reports whether a peer has a newer configuration in force that the platform's
-// records lack, or whether this instance has just started and has not heard from a peer.
+// records lack, or whether this instance has yet to compare its own with a peer's.
 func (g *Gateway) mayBeOutdated() bool {
-	return g.options.Now() < clock.Instant(g.outdatedUntil.Load()) && g.configVersion() < g.newerVersion.Load() ||
-		g.isUncompared()
-}
-
-// isUncompared reports whether this instance has just started and has not heard from a peer which
-// configuration is in force there.
-func (g *Gateway) isUncompared() bool {
-	return !g.comparedConfig.Load() && g.options.Now().Sub(g.startedAt) < aloneSettleTime
+	now := g.options.Now()
+	return now < clock.Instant(g.outdatedUntil.Load()) && g.configVersion() < g.newerVersion.Load() || g.comparison.isNeeded(now)
 }
 
 // fetchConfiguration takes the configuration in force at a peer.
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -32,6 +32,8 @@
 	OperatorAddr string
 	// Seeds are peer addresses of other instances; they may be stale.
 	Seeds []fleet.InstanceID
+	// FirstStart is set if the whole fleet starts for the first time.
+	FirstStart bool
 	// MemoryLimit is the memory that the process may use, in bytes.
 	MemoryLimit int64
 	// ProcessorMillis is the machine's share of a processor, in thousandths of one.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -64,7 +64,7 @@
 // connected peer.
 func (g *Gateway) sendRound() {
 	now := g.options.Now()
-	common := wire.Heartbeat{Incarnation: g.incarnation, Leaving: g.leaving.Load(), ConfigVersion: g.configVersion(), KeysRequired: g.keysRequired.Load()}
+	common := wire.Heartbeat{Incarnation: g.incarnation, Leaving: g.leaving.Load(), ConfigVersion: g.configVersion(), KeysRequired: g.keysRequired.Load(), ConfigSource: g.comparison.isSource(now)}
 	if at, confirmedAt := g.copy.State(); !at.IsZero() && confirmedAt != 0 {
 		common.Records = &wire.RecordsState{Era: at.Era(), Revision: at.Revision(), AgeMillis: now.Sub(confirmedAt).Milliseconds() + 1}
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -65,6 +65,9 @@
 	// ConfigVersion and ConfigDigest identify the configuration in force at the sender.
 	ConfigVersion uint64 `json:"cv,omitempty"`
 	ConfigDigest  string `json:"cd,omitempty"`
+	// ConfigSource reports whether the sender knows of every configuration that was in force, so
+	// that the receiver may compare its own with ConfigVersion.
+	ConfigSource bool `json:"ck,omitempty"`
 	// KeysRequired reports whether a configuration that lists customers has been in force at the
 	// sender or, as far as the sender knows, at another instance.
 	KeysRequired bool `json:"kr,omitempty"`
