Instances out of touch across a restore compare their configuration

Cause: the comparison with peers was a step of the start. What makes it necessary is a restore that the instance did not follow.

Change: at a change of era an instance compares itself as a started one does if its records were too old to rely on keys, or no peer that knows had reported for a second, dated by the echoed heartbeat. Instances in neither state serve on.

--- a/internal/gateway/comparison.go
+++ b/internal/gateway/comparison.go
@@ -11,10 +11,14 @@
 // configuration. It covers the longest pause after which such a peer dials again.
 const comparisonTime = 3 * time.Second
 
+// touchTime is how long an instance counts as in touch with its peers after it has compared its
+// configuration with that of one.
+const touchTime = 5 * heartbeatInterval
+
 // comparison says whether this instance knows of every configuration that was in force. The
 // platform alone does not tell: after a restore it may show an older one. An instance that has
-// just started has to compare its configuration with that of a peer that knows. It is safe for
-// concurrent use.
+// just started, or stood still or was cut off while the platform was restored, has to compare its
+// configuration with that of a peer that knows. It is safe for concurrent use.
 type comparison struct {
 	mu sync.Mutex
 	// needed is set until this instance has compared its configuration, until at the latest.
@@ -23,6 +27,9 @@
 	// first is set for an instance of a fleet that starts for the first time. There is no earlier
 	// configuration that it could lack.
 	first bool
+	// inTouchAt is the time at which a peer's configuration was last known not to be newer, 0 if
+	// none has reported.
+	inTouchAt clock.Instant
 }
 
 // newComparison returns the state of an instance that starts.
@@ -51,12 +58,28 @@
 	return c.first || !c.isNeededLocked(now)
 }
 
-// note records that the configuration in force is as new as that of a peer that knows. It reports
-// whether that was needed.
-func (c *comparison) note(now clock.Instant) bool {
+// note records that the configuration in force is as new as that of a peer that knows, which
+// reported it after reportedAt. It reports whether that was needed.
+func (c *comparison) note(reportedAt, now clock.Instant) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.inTouchAt = max(c.inTouchAt, reportedAt)
 	was := c.isNeededLocked(now)
 	c.needed = false
 	return was
 }
+
+// noteRestore records that this instance has the records of a restored platform. It reports whether
+// a comparison is needed for that: the instance may have missed the last configuration before the
+// restore if its records had lapsed, which means that they were too old to rely on their keys, or if
+// it was not in touch. An instance that never had a peer has none to compare with.
+func (c *comparison) noteRestore(lapsed bool, now clock.Instant) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	pending := c.isNeededLocked(now)
+	missed := c.inTouchAt != 0 && (lapsed || now.Sub(c.inTouchAt) > touchTime)
+	if pending || missed {
+		c.needed, c.until, c.first = true, now.Add(comparisonTime), false
+	}
+	return missed
+}
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -86,15 +86,17 @@
 	}
 }
 
-// noteEra logs and counts a change of the platform's era between two positions of the copy.
+// noteEra notes, logs and counts a change of the platform's era between two positions of the copy.
 func (g *Gateway) noteEra(had, at records.Position) {
 	g.metrics.era.Set(int64(at.Era()))
 	if had.IsZero() || at.SharesHistory(had) {
 		return
 	}
 	g.metrics.eraChanges.Add(1)
+	now := g.options.Now()
+	compare := g.comparison.noteRestore(g.haveLapsed(now), now)
 	g.options.Log.Warn().Str("event", "store_era_changed").Uint64("had_era", had.Era()).Uint64("had", had.Revision()).
-		Uint64("era", at.Era()).Uint64("revision", at.Revision()).Msg("")
+		Uint64("era", at.Era()).Uint64("revision", at.Revision()).Bool("compare", compare).Msg("")
 }
 
 // applyState applies the targets and, if its version is newer, the configuration. began is when
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -233,12 +233,14 @@
 // enough that a revoked key stops working in time, and no peer has a newer configuration that
 // they lack.
 func (g *Gateway) Confirmed() bool {
+	return !g.mayBeOutdated() && !g.haveLapsed(g.options.Now())
+}
+
+// haveLapsed reports whether the records in force are too old to rely on their keys.
+func (g *Gateway) haveLapsed(now clock.Instant) bool {
 	bound := g.options.Settings.RevokeWithin
-	if g.mayBeOutdated() {
-		return false
-	}
 	_, at := g.applied.State()
-	return bound == 0 || at != 0 && g.options.Now().Sub(at) < bound-revokeMargin
+	return bound != 0 && (at == 0 || now.Sub(at) >= bound-revokeMargin)
 }
 
 // KeysRequired implements ingress.ConfigSource. An instance that has just started cannot know what
--- a/internal/gateway/inforce.go
+++ b/internal/gateway/inforce.go
@@ -51,24 +51,25 @@
 
 // noteConfigVersion compares the version in force at a peer with this instance's. A peer that has
 // no newer records but a newer configuration has it from before a restore of the platform, after
-// which this instance started. g.mu must be held.
-func (g *Gateway) noteConfigVersion(from fleet.InstanceID, hb *wire.Heartbeat, now clock.Instant) {
+// which this instance started. The peer reported after reportedAt. g.mu must be held.
+func (g *Gateway) noteConfigVersion(from fleet.InstanceID, hb *wire.Heartbeat, reportedAt, now clock.Instant) {
 	if hb.KeysRequired {
 		g.keysRequired.Store(true)
 	}
 	if hb.ConfigVersion == 0 || hb.Records == nil {
 		return
 	}
+	applied, _ := g.applied.State()
+	reported := records.NewPosition(hb.Records.Era, hb.Records.Revision)
 	if hb.ConfigVersion <= g.configVersion() {
-		if hb.ConfigSource && g.comparison.note(now) {
+		if hb.ConfigSource && reported.SharesHistory(applied) && g.comparison.note(reportedAt, now) {
 			g.options.Log.Info().Str("event", "configuration_compared").Str("peer", string(from)).
 				Uint64("version", g.configVersion()).Uint64("peer_version", hb.ConfigVersion).Msg("")
 		}
 		return
 	}
 	// Records that this instance has but has not applied yet may bring the peer's configuration.
-	applied, _ := g.applied.State()
-	if applied.IsZero() || records.NewPosition(hb.Records.Era, hb.Records.Revision).After(applied) {
+	if applied.IsZero() || reported.After(applied) {
 		return
 	}
 	g.newerVersion.Store(hb.ConfigVersion)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -64,7 +64,7 @@
 // connected peer.
 func (g *Gateway) sendRound() {
 	now := g.options.Now()
-	common := wire.Heartbeat{Incarnation: g.incarnation, Leaving: g.leaving.Load(), ConfigVersion: g.configVersion(), KeysRequired: g.keysRequired.Load(), ConfigSource: g.comparison.isSource(now)}
+	common := wire.Heartbeat{Incarnation: g.incarnation, Leaving: g.leaving.Load(), ConfigVersion: g.configVersion(), KeysRequired: g.keysRequired.Load(), ConfigSource: g.comparison.isSource(now) && !g.haveLapsed(now)}
 	if at, confirmedAt := g.copy.State(); !at.IsZero() && confirmedAt != 0 {
 		common.Records = &wire.RecordsState{Era: at.Era(), Revision: at.Revision(), AgeMillis: now.Sub(confirmedAt).Milliseconds() + 1}
 	}
@@ -155,21 +155,30 @@
 	}
 	p.receivedMembers.Merge(g.roster, hb, now)
 	g.roster.MarkSeen(from.Instance, from.Incarnation, now)
+	reportedAt, dated := p.reportedAfter(hb, g.incarnation)
 	if hb.Records != nil {
-		g.applyRecordsState(from.Instance, p, hb, now)
+		g.applyRecordsState(from.Instance, p, hb, reportedAt, dated)
 	}
-	g.noteConfigVersion(from.Instance, hb, now)
+	// A heartbeat that echoes none was created after this instance had started.
+	g.noteConfigVersion(from.Instance, hb, max(reportedAt, g.startedAt), now)
+}
+
+// reportedAfter returns the sending time of the heartbeat that a peer's heartbeat echoes: it was
+// created after that, however late it arrives. dated is false if it echoes none that is kept.
+func (p *peerState) reportedAfter(hb *wire.Heartbeat, self fleet.Incarnation) (at clock.Instant, dated bool) {
+	if hb.EchoIncarnation != self || hb.EchoSeq == 0 || hb.EchoSeq > p.lastSentSeq || p.lastSentSeq-hb.EchoSeq >= sentTimesKept {
+		return 0, false
+	}
+	return p.sentAt[hb.EchoSeq%sentTimesKept], true
 }
 
 // applyRecordsState applies the state of the records that a peer reports, and fetches the
-// records if the peer's are newer. The time at which the peer's position was the newest is
-// derived from the sending time of the heartbeat that it echoes: the report was created
-// after that, however late it arrives. g.mu must be held.
-func (g *Gateway) applyRecordsState(from fleet.InstanceID, p *peerState, hb *wire.Heartbeat, now clock.Instant) {
+// records if the peer's are newer. A dated report was created after reportedAt, from which the time
+// follows at which the peer's position was the newest. g.mu must be held.
+func (g *Gateway) applyRecordsState(from fleet.InstanceID, p *peerState, hb *wire.Heartbeat, reportedAt clock.Instant, dated bool) {
 	reported := records.NewPosition(hb.Records.Era, hb.Records.Revision)
-	if hb.EchoIncarnation == g.incarnation && hb.EchoSeq > 0 && hb.EchoSeq <= p.lastSentSeq && p.lastSentSeq-hb.EchoSeq < sentTimesKept {
-		reportedAfter := p.sentAt[hb.EchoSeq%sentTimesKept]
-		g.copy.Confirm(reported, reportedAfter.Add(-time.Duration(hb.Records.AgeMillis)*time.Millisecond))
+	if dated {
+		g.copy.Confirm(reported, reportedAt.Add(-time.Duration(hb.Records.AgeMillis)*time.Millisecond))
 	}
 	at, _ := g.copy.State()
 	switch {
