Services share the trials of a part that crashes targets

Cause: a part is another trait at each service, and the trials came with the record of the trait, so that a bound on a part was kept for each service.

Change: traits carry the key of their part without the service; the next trial follows from the trials and crashes at all services that refuse the part.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -76,8 +76,12 @@
 type Traits struct {
 	// Whole is the key of the request's customer and content.
 	Whole uint64
-	// Parts are the keys of the shared parts of the prompt, in their order.
+	// Parts are the keys of the shared parts of the prompt, in their order. A part has another key
+	// at each service.
 	Parts []uint64
+	// Groups are, for each of Parts, the key that the part has in common at all services, 0 or left
+	// out for none.
+	Groups []uint64
 	// Customer identifies the customer.
 	Customer uint32
 }
@@ -85,6 +89,14 @@
 // request returns a short identity of the request.
 func (t *Traits) request() uint32 { return uint32(t.Whole) }
 
+// group returns the common key of the part with index i, 0 for none.
+func (t *Traits) group(i int) uint64 {
+	if i < len(t.Groups) {
+		return t.Groups[i]
+	}
+	return 0
+}
+
 // FormatTrait formats the key of a trait for logs.
 func FormatTrait(key uint64) string { return fmt.Sprintf("%016x", key) }
 
@@ -128,6 +140,8 @@
 type record struct {
 	key   uint64
 	whole bool
+	// group is the common key of the part at all services, 0 for none.
+	group uint64
 	// depth is the greatest index of the part in a prompt. Of two parts that were always
 	// together the deeper one is in fewer requests.
 	depth int
@@ -157,6 +171,8 @@
 type Evidence struct {
 	records map[uint64]*record
 	refused int
+	// refusedGroups holds the refused records of each group.
+	refusedGroups map[uint64][]*record
 	// sound and soundBefore hold when a target last began to answer with a part, of the
 	// current and of the previous period of soundFor.
 	sound, soundBefore map[uint64]clock.Instant
@@ -181,7 +197,7 @@
 // RecordBreak holds a broken connection to a target against a request as a whole. start
 // identifies the target and its start.
 func (e *Evidence) RecordBreak(start uint64, t *Traits, now clock.Instant) {
-	e.hold(t.Whole, true, 0, crash{id: start, at: now, customer: t.Customer, request: t.request()}, now)
+	e.hold(identity{key: t.Whole, whole: true}, crash{id: start, at: now, customer: t.Customer, request: t.request()}, now)
 	e.settle()
 }
 
@@ -189,7 +205,7 @@
 // begun to answer. start identifies the target and its start.
 func (e *Evidence) RecordCrash(start uint64, t *Traits, at, now clock.Instant) {
 	for i, key := range t.Parts {
-		e.hold(key, false, i, crash{id: start, at: at, customer: t.Customer, request: t.request()}, now)
+		e.hold(identity{key: key, group: t.group(i), depth: i}, crash{id: start, at: at, customer: t.Customer, request: t.request()}, now)
 	}
 	e.settle()
 }
@@ -293,17 +309,17 @@
 			continue
 		}
 		refusals++
-		if found == nil || r.trialDue() > found.trialDue() {
+		if found == nil || e.trialDue(r) > e.trialDue(found) {
 			found, j = r, Judgement{Refused: true, Trait: key, Part: i, Crashes: r.heldCount}
 		}
 	}
 	if found == nil {
 		return j
 	}
-	if j.TrialIn = found.trialDue().Sub(now); j.TrialIn > 0 {
+	if j.TrialIn = e.trialDue(found).Sub(now); j.TrialIn > 0 {
 		return j
 	}
-	position, instances := order(found.key)
+	position, instances := order(cmp.Or(found.group, found.key))
 	j.TrialIn = untilTurn(-j.TrialIn, position, instances)
 	// A trial with a second refused trait would tell nothing of the first.
 	if refusals == 1 && j.TrialIn == 0 {
@@ -332,7 +348,7 @@
 			if age < 0 || age > refusedTTL {
 				continue
 			}
-			e.hold(w.Trait, w.Whole, w.Depth, crash{
+			e.hold(identity{key: w.Trait, whole: w.Whole, group: w.Group, depth: w.Depth}, crash{
 				id: c.Target, at: now.Add(-age), customer: c.Customer, request: c.Request, cleared: c.Cleared,
 			}, now)
 		}
@@ -361,7 +377,7 @@
 	slices.SortFunc(chosen, compareNews)
 	list := make([]wire.Evidence, 0, min(len(chosen), maxReported))
 	for _, r := range chosen[:min(len(chosen), maxReported)] {
-		w := wire.Evidence{Trait: r.key, Whole: r.whole, Depth: r.depth, Sound: r.sound, Trials: r.trials}
+		w := wire.Evidence{Trait: r.key, Whole: r.whole, Group: r.group, Depth: r.depth, Sound: r.sound, Trials: r.trials}
 		if r.trials > 0 {
 			w.TrialAgeMillis = now.Sub(r.triedAt).Milliseconds()
 		}
@@ -382,17 +398,24 @@
 	return changes
 }
 
+// identity is what identifies a trait, with the index of the part in a prompt.
+type identity struct {
+	key, group uint64
+	whole      bool
+	depth      int
+}
+
 // hold adds a crash to the record of a trait. settle must be called afterwards.
-func (e *Evidence) hold(key uint64, whole bool, depth int, c crash, now clock.Instant) {
-	if last := max(e.sound[key], e.soundBefore[key]); !whole && last != 0 && last >= c.at.Add(-soundFor) {
+func (e *Evidence) hold(t identity, c crash, now clock.Instant) {
+	if last := max(e.sound[t.key], e.soundBefore[t.key]); !t.whole && last != 0 && last >= c.at.Add(-soundFor) {
 		c.cleared = true
 	}
-	r := e.records[key]
+	r := e.records[t.key]
 	if r == nil {
-		r = &record{key: key, whole: whole, sound: !whole && e.isKnown(key), changedAt: now}
-		e.records[key] = r
+		r = &record{key: t.key, whole: t.whole, sound: !t.whole && e.isKnown(t.key), changedAt: now}
+		e.records[t.key] = r
 	}
-	r.depth = max(r.depth, depth)
+	r.group, r.depth = cmp.Or(r.group, t.group), max(r.depth, t.depth)
 	r.add(c, now)
 	e.undecided = e.undecided || r.refused || r.heldCount >= refuseAfter
 }
@@ -418,6 +441,7 @@
 		slices.SortFunc(all, compareNews)
 		for _, r := range all[maxRecords:] {
 			delete(e.records, r.key)
+			e.undecided = e.undecided || r.refused
 		}
 	}
 	e.decide()
@@ -443,6 +467,7 @@
 	// Before explainedUntil a refused trait had more crashes than are kept.
 	var explainedUntil clock.Instant
 	e.refused = 0
+	e.refusedGroups = make(map[uint64][]*record)
 	for _, r := range suspects {
 		var left []crash
 		for _, c := range r.held() {
@@ -453,6 +478,9 @@
 		refused := independent(left) >= r.refuseAfter() && (r.whole || distinct(left, crash.byRequest) >= minRequests)
 		if refused {
 			e.refused++
+			if r.group != 0 {
+				e.refusedGroups[r.group] = append(e.refusedGroups[r.group], r)
+			}
 			for _, c := range r.held() {
 				explained[c.id] = true
 			}
@@ -610,18 +638,28 @@
 	return refuseAfter
 }
 
-// trialDue returns the time from which a trial may run.
-func (r *record) trialDue() clock.Instant {
+// trialDue returns the time from which a trial with a refused trait may run. All services at which
+// a part is refused share its trials: each trial may crash a target.
+func (e *Evidence) trialDue(r *record) clock.Instant {
+	trials, sound, last := r.trials, r.sound, r.lastEvent()
+	for _, other := range e.refusedGroups[r.group] {
+		if other != r {
+			trials, sound, last = trials+other.trials, sound && other.sound, max(last, other.lastEvent())
+		}
+	}
 	interval := maxTrialInterval
-	if d := firstTrial << min(r.trials, 16); d < maxTrialInterval {
+	if d := firstTrial << min(trials, 16); d < maxTrialInterval {
 		interval = d
 	}
-	if r.sound && r.trials == 0 {
+	if sound && trials == 0 {
 		interval = firstSoundTrial
 	}
-	return max(r.lastCrash(), r.triedAt).Add(interval)
+	return last.Add(interval)
 }
 
+// lastEvent returns the time of the last crash or trial.
+func (r *record) lastEvent() clock.Instant { return max(r.lastCrash(), r.triedAt) }
+
 // compareSuspicion orders records of traits that no target has answered with before the others,
 // and then by the number of crashes held against them, the largest first. Of records with as
 // many, whole requests come first, then the deeper parts.
--- a/internal/scheduler/evidence.go
+++ b/internal/scheduler/evidence.go
@@ -33,11 +33,12 @@
 }
 
 // traitsOf returns what the job may share with others that crash targets. Parts of other
-// services are other traits.
+// services are other traits of the same group.
 func traitsOf(j *Job) *quarantine.Traits {
 	t := &quarantine.Traits{Whole: j.Fingerprint, Customer: uint32(membership.Hash(string(j.Customer)))}
 	for _, p := range j.Parts[:max(len(j.Parts)-1, 0)] {
 		t.Parts = append(t.Parts, membership.Hash(string(j.Service.ID)+"/"+p.ID))
+		t.Groups = append(t.Groups, membership.Hash("/"+p.ID))
 	}
 	return t
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -199,6 +199,8 @@
 	// a part occurred in a prompt.
 	Whole bool `json:"w,omitempty"`
 	Depth int  `json:"d,omitempty"`
+	// Group is the key that the part has in common at all services, 0 for none.
+	Group uint64 `json:"g,omitempty"`
 	// Sound reports whether some target has answered with the part at some time.
 	Sound   bool    `json:"s,omitempty"`
 	Crashes []Crash `json:"c,omitempty"`
