A part that turns deadly is refused by its first crashes, too

Cause: an answer up to 2 s before a crash cleared the part of it for good, so that the whole first wave counted for nothing. What it shows is only that the part was sound until then.

Change: an answer before a crash excuses the part until it crashes a target again while other parts of the same request are answered with and it is not.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -25,8 +25,8 @@
 	// simultaneous is the time within which crashes under different requests count as one:
 	// targets that go down together have a common cause outside the requests.
 	simultaneous = 100 * time.Millisecond
-	// soundFor is how long before a crash a part must have been answered with to be no
-	// suspect of that crash.
+	// soundFor is how long before a crash a part must have been answered with to be excused
+	// from that crash.
 	soundFor = 2 * time.Second
 	// maxSoundParts limits the parts whose last answer is remembered, for each half of the
 	// memory.
@@ -132,8 +132,14 @@
 	id                uint64
 	at                clock.Instant
 	customer, request uint32
-	// cleared reports that the trait was found sound after the crash or shortly before it.
+	// cleared reports that the trait was found sound after the crash.
 	cleared bool
+	// excused reports that a target had answered with the part shortly before the crash. Such a
+	// crash counts only once a later one is telling.
+	excused bool
+	// telling reports that other parts of the request had been answered with shortly before the
+	// crash, but this one had not.
+	telling bool
 }
 
 // record holds the crashes of one trait.
@@ -153,8 +159,10 @@
 	// changedAt is when this instance last learnt something new of the record, askedAt when it
 	// last refused a request for it.
 	changedAt, askedAt clock.Instant
-	// heldCount is the number of crashes that are not cleared.
+	// heldCount is the number of crashes that are held. turnedAt is the time of the last telling
+	// one, before which crashes count although the part is excused from them, 0 if there is none.
 	heldCount int
+	turnedAt  clock.Instant
 	refused   bool
 }
 
@@ -163,7 +171,8 @@
 // target and had not begun to be answered; of a request that had, only against the request
 // as a whole. A trait that a target begins to answer with is cleared of all crashes. From
 // refuseAfter crashes on, requests with the trait are refused, unless a trait with more
-// crashes explains them.
+// crashes explains them. A part that was answered with shortly before a crash is excused from it,
+// until it crashes a target again while others are answered with and it is not: then it has turned.
 //
 // The crashes of a trait only grow in number and are only ever cleared, so that merging is
 // independent of order and repetition. Memory is bounded by maxRecords and maxSoundParts,
@@ -205,11 +214,23 @@
 // begun to answer. start identifies the target and its start.
 func (e *Evidence) RecordCrash(start uint64, t *Traits, at, now clock.Instant) {
 	for i, key := range t.Parts {
-		e.hold(identity{key: key, group: t.group(i), depth: i}, crash{id: start, at: at, customer: t.Customer, request: t.request()}, now)
+		e.hold(identity{key: key, group: t.group(i), depth: i}, crash{
+			id: start, at: at, customer: t.Customer, request: t.request(), telling: e.isTelling(t, key, at),
+		}, now)
 	}
 	e.settle()
 }
 
+// isTelling reports whether targets have answered with another part of a request shortly before a
+// time, and later than with the part.
+func (e *Evidence) isTelling(t *Traits, key uint64, at clock.Instant) bool {
+	last := max(e.answeredAt(key), at.Add(-soundFor))
+	return slices.ContainsFunc(t.Parts, func(other uint64) bool { return other != key && e.answeredAt(other) > last })
+}
+
+// answeredAt returns when a target last began to answer with a part, 0 if that is not remembered.
+func (e *Evidence) answeredAt(key uint64) clock.Instant { return max(e.sound[key], e.soundBefore[key]) }
+
 // RecordAnswering records that a target has begun to answer a request: none of its parts
 // crashes targets.
 func (e *Evidence) RecordAnswering(t *Traits, now clock.Instant) {
@@ -349,7 +370,8 @@
 				continue
 			}
 			e.hold(identity{key: w.Trait, whole: w.Whole, group: w.Group, depth: w.Depth}, crash{
-				id: c.Target, at: now.Add(-age), customer: c.Customer, request: c.Request, cleared: c.Cleared,
+				id: c.Target, at: now.Add(-age), customer: c.Customer, request: c.Request,
+				cleared: c.Cleared && !c.Excused, excused: c.Excused, telling: c.Telling,
 			}, now)
 		}
 		if r := e.records[w.Trait]; r != nil && w.Sound {
@@ -383,7 +405,8 @@
 		}
 		for _, c := range r.reported() {
 			w.Crashes = append(w.Crashes, wire.Crash{
-				Target: c.id, AgeMillis: now.Sub(c.at).Milliseconds(), Customer: c.customer, Request: c.request, Cleared: c.cleared,
+				Target: c.id, AgeMillis: now.Sub(c.at).Milliseconds(), Customer: c.customer, Request: c.request,
+				Cleared: !r.counts(c), Excused: c.excused && !c.cleared, Telling: c.telling,
 			})
 		}
 		list = append(list, w)
@@ -407,8 +430,9 @@
 
 // hold adds a crash to the record of a trait. settle must be called afterwards.
 func (e *Evidence) hold(t identity, c crash, now clock.Instant) {
-	if last := max(e.sound[t.key], e.soundBefore[t.key]); !t.whole && last != 0 && last >= c.at.Add(-soundFor) {
-		c.cleared = true
+	if last := e.answeredAt(t.key); !t.whole && last != 0 {
+		c.cleared = c.cleared || last >= c.at
+		c.excused = c.excused || last >= c.at.Add(-soundFor)
 	}
 	r := e.records[t.key]
 	if r == nil {
@@ -538,9 +562,12 @@
 		return
 	}
 	known := &r.crashes[i]
-	if c.cleared && !known.cleared {
-		known.cleared, r.changedAt = true, now
+	if c.cleared && !known.cleared || c.excused && !known.excused || c.telling && !known.telling {
+		r.changedAt = now
 	}
+	known.cleared = known.cleared || c.cleared
+	known.excused = known.excused || c.excused
+	known.telling = known.telling || c.telling
 	// Each hop adds the time in transit to a crash's apparent time.
 	known.at = min(known.at, c.at)
 	// All instances must agree on the request under which a crash is counted.
@@ -550,29 +577,32 @@
 	r.count()
 }
 
-// count updates heldCount.
+// count updates turnedAt and heldCount.
 func (r *record) count() {
+	r.turnedAt = 0
+	for _, c := range r.crashes {
+		if c.telling && !c.cleared && !c.excused {
+			r.turnedAt = max(r.turnedAt, c.at)
+		}
+	}
 	r.heldCount = 0
 	for _, c := range r.crashes {
-		if !c.cleared {
+		if r.counts(c) {
 			r.heldCount++
 		}
 	}
 }
 
+// counts reports whether a crash is held against the trait.
+func (r *record) counts(c crash) bool { return !c.cleared && (!c.excused || c.at < r.turnedAt) }
+
 // trim removes the oldest crash, preferably a cleared one, if there are too many.
 func (r *record) trim() {
 	if len(r.crashes) <= maxCrashes {
 		return
 	}
 	victim := slices.MinFunc(r.crashes, func(a, b crash) int {
-		if a.cleared != b.cleared {
-			if a.cleared {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.id, b.id))
+		return cmp.Or(compareBool(!r.counts(a), !r.counts(b)), cmp.Compare(a.at, b.at), cmp.Compare(a.id, b.id))
 	})
 	r.crashes = slices.DeleteFunc(r.crashes, func(c crash) bool { return c.id == victim.id })
 }
@@ -591,7 +621,7 @@
 func (r *record) held() []crash {
 	held := make([]crash, 0, len(r.crashes))
 	for _, c := range r.crashes {
-		if !c.cleared {
+		if r.counts(c) {
 			held = append(held, c)
 		}
 	}
@@ -614,11 +644,11 @@
 	return total
 }
 
-// lastCrash returns the time of the last crash that is not cleared, 0 if there is none.
+// lastCrash returns the time of the last crash that is held, 0 if there is none.
 func (r *record) lastCrash() clock.Instant {
 	var last clock.Instant
 	for _, c := range r.crashes {
-		if !c.cleared {
+		if r.counts(c) {
 			last = max(last, c.at)
 		}
 	}
--- a/internal/quarantine/evidence_test.go
+++ b/internal/quarantine/evidence_test.go
@@ -151,6 +151,37 @@
 	}
 }
 
+// A part that was answered with until targets crashed is excused from these crashes for as long as
+// nothing else is answered either, and no longer.
+func TestExcuseEndsWhenOnlyOtherPartsAreAnswered(t *testing.T) {
+	n := newEvidenceNode()
+	n.RecordAnswering(n.traits(1, common, shared), n.now)
+	for range 6 {
+		n.now = n.now.Add(2 * simultaneous)
+		n.crashNow(n.traits(1, common, shared))
+	}
+	n.now = n.now.Add(2 * soundFor)
+	n.crash(n.traits(1, common, shared))
+	if n.isRefused(1, common, shared) {
+		t.Error("a part is refused for crashes after which nothing was answered")
+	}
+	n.RecordAnswering(n.traits(1, common), n.now)
+	n.crash(n.traits(1, common, shared))
+	if !n.isRefused(1, common, shared) || n.isRefused(1, common) {
+		t.Error("want the part refused with which no target answers any more, the other one allowed")
+	}
+	peer := newEvidenceNode()
+	peer.Merge(n.Report(n.now), n.now)
+	if !peer.isRefused(1, common, shared) || peer.isRefused(1, common) {
+		t.Error("want the same at a peer")
+	}
+	n.RecordAnswering(n.traits(1, shared), n.now)
+	peer.Merge(n.Report(n.now), n.now)
+	if n.isRefused(1, shared) || peer.isRefused(1, shared) {
+		t.Error("the part is refused after a target answered with it")
+	}
+}
+
 // Targets that crash at the same moment have a cause outside the requests that they ran.
 func TestTargetsThatCrashTogetherCondemnNothing(t *testing.T) {
 	n := newEvidenceNode()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -219,9 +219,13 @@
 	// Customer and Request are hashes of the request's customer and content.
 	Customer uint32 `json:"u,omitempty"`
 	Request  uint32 `json:"r,omitempty"`
-	// Cleared reports whether the trait was found sound after the crash or shortly before it.
-	// It stays set.
+	// Cleared reports whether the crash is not held against the trait. It stays set unless
+	// Excused, which reports that the trait was found sound shortly before the crash only.
 	Cleared bool `json:"k,omitempty"`
+	Excused bool `json:"e,omitempty"`
+	// Telling reports whether other parts of the request were found sound shortly before the crash,
+	// but this one was not.
+	Telling bool `json:"l,omitempty"`
 }
 
 // ConfigRequest asks a peer for the configuration that it has in force.
