A started instance keeps the evacuations that its peers keep

A restore of the platform may lose an evacuation. Instances that have been running keep it for ten seconds, one that starts did not know of it and sent work to the data centre (EVAC).

Cause: only the configuration passed between instances, not what they know beyond the listing.

Change: heartbeats carry the evacuations that are kept and the time left; an instance that has to compare its configuration takes them over before the comparison counts.

--- a/internal/gateway/inforce.go
+++ b/internal/gateway/inforce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -61,8 +62,12 @@
 	}
 	applied, _ := g.applied.State()
 	reported := records.NewPosition(hb.Records.Era, hb.Records.Revision)
+	known := hb.ConfigSource && reported.SharesHistory(applied)
+	if known && g.comparison.isNeeded(now) && len(hb.KeptEvacuations) > 0 {
+		g.scheduler.KeepEvacuations(hb.KeptEvacuations, time.Duration(hb.KeptMillis)*time.Millisecond)
+	}
 	if hb.ConfigVersion <= g.configVersion() {
-		if hb.ConfigSource && reported.SharesHistory(applied) && g.comparison.note(reportedAt, now) {
+		if known && g.comparison.note(reportedAt, now) {
 			g.options.Log.Info().Str("event", "configuration_compared").Str("peer", string(from)).
 				Uint64("version", g.configVersion()).Uint64("peer_version", hb.ConfigVersion).Msg("")
 		}
@@ -80,6 +85,13 @@
 	}
 }
 
+// isSource reports whether peers may compare their configuration with that of this instance.
+func (g *Gateway) isSource(now clock.Instant) bool {
+	applied, _ := g.applied.State()
+	held, _ := g.copy.State()
+	return applied.SharesHistory(held) && !g.haveLapsed(now) && g.comparison.isSource(now)
+}
+
 // mayBeOutdated reports whether a peer has a newer configuration in force that the platform's
 // records lack, or whether this instance has yet to compare its own with a peer's.
 func (g *Gateway) mayBeOutdated() bool {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -64,7 +64,10 @@
 // connected peer.
 func (g *Gateway) sendRound() {
 	now := g.options.Now()
-	common := wire.Heartbeat{Incarnation: g.incarnation, Leaving: g.leaving.Load(), ConfigVersion: g.configVersion(), KeysRequired: g.keysRequired.Load(), ConfigSource: g.comparison.isSource(now) && !g.haveLapsed(now)}
+	common := wire.Heartbeat{Incarnation: g.incarnation, Leaving: g.leaving.Load(), ConfigVersion: g.configVersion(), KeysRequired: g.keysRequired.Load(), ConfigSource: g.isSource(now)}
+	if kept, remaining := g.scheduler.KeptEvacuations(); len(kept) > 0 {
+		common.KeptEvacuations, common.KeptMillis = kept, remaining.Milliseconds()
+	}
 	if at, confirmedAt := g.copy.State(); !at.IsZero() && confirmedAt != 0 {
 		common.Records = &wire.RecordsState{Era: at.Era(), Revision: at.Revision(), AgeMillis: now.Sub(confirmedAt).Milliseconds() + 1}
 	}
--- a/internal/inventory/restore.go
+++ b/internal/inventory/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"medlarwind.dev/medlarwind/internal/clock"
@@ -108,6 +109,27 @@
 	return kept
 }
 
+// KeptEvacuations returns the data centres whose evacuation is kept although the listing lacks it,
+// and for how long.
+func (v *Inventory) KeptEvacuations(now clock.Instant) ([]fleet.DataCentreID, time.Duration) {
+	return slices.Sorted(maps.Keys(v.restore.evacuated)), v.restore.until.Sub(now)
+}
+
+// KeepEvacuations keeps evacuations that the listing lacks and that a peer keeps since a restore.
+func (v *Inventory) KeepEvacuations(kept []fleet.DataCentreID, remaining time.Duration, now clock.Instant) {
+	r := &v.restore
+	for _, dc := range kept {
+		if v.evacuated[dc] {
+			continue
+		}
+		if r.evacuated == nil {
+			r.evacuated = make(map[fleet.DataCentreID]bool)
+		}
+		v.evacuated[dc], r.evacuated[dc] = true, true
+		r.until = max(r.until, now.Add(min(remaining, outdatedPeriod)))
+	}
+}
+
 // expireRestore ends outdatedPeriod: what is still withheld is used as it was listed. It
 // reports whether that changed anything.
 func (v *Inventory) expireRestore(now clock.Instant) bool {
--- a/internal/inventory/restore_test.go
+++ b/internal/inventory/restore_test.go
@@ -106,6 +106,23 @@
 	wantUsable(t, v, 11*time.Second, "ten seconds after the restore", "x")
 }
 
+func TestEvacuationKeptByPeerStaysInForceUntilItEnds(t *testing.T) {
+	known, started := inventory.New(), inventory.New()
+	x := listed("x", 5, inventory.Ready)
+	known.Update([]inventory.Target{x}, []fleet.DataCentreID{"a"}, start)
+	known.NoteRestore(start.Add(time.Second))
+	known.Update([]inventory.Target{x}, nil, start.Add(time.Second))
+	started.Update([]inventory.Target{x}, nil, start.Add(4*time.Second))
+	kept, remaining := known.KeptEvacuations(start.Add(5 * time.Second))
+	started.KeepEvacuations(kept, remaining, start.Add(5*time.Second))
+	started.Update([]inventory.Target{x}, nil, start.Add(6*time.Second))
+	wantUsable(t, started, 6*time.Second, "evacuation that a peer keeps")
+	if started.Expire(start.Add(10*time.Second)) || !started.Expire(start.Add(11*time.Second)) {
+		t.Error("want the end of the evacuation reported when the peer's ends")
+	}
+	wantUsable(t, started, 11*time.Second, "after the end", "x")
+}
+
 func TestRestoredListingMakesKnownTargetsCold(t *testing.T) {
 	v := inventory.New()
 	x := listed("x", 5, inventory.Ready)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -262,6 +262,22 @@
 	return s.inventory.Outdated()
 }
 
+// KeptEvacuations returns the data centres whose evacuation is kept although a restore of the
+// platform's records lost it, and for how long.
+func (s *Scheduler) KeptEvacuations() ([]fleet.DataCentreID, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inventory.KeptEvacuations(s.options.Now())
+}
+
+// KeepEvacuations keeps the evacuations that a peer keeps for the remaining time.
+func (s *Scheduler) KeepEvacuations(kept []fleet.DataCentreID, remaining time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inventory.KeepEvacuations(kept, remaining, s.options.Now())
+	s.invalidateTargetLists()
+}
+
 // SetAlive replaces the list of live instances, which includes this instance.
 func (s *Scheduler) SetAlive(alive []roster.Member) {
 	s.mu.Lock()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -68,6 +68,10 @@
 	// ConfigSource reports whether the sender knows of every configuration that was in force, so
 	// that the receiver may compare its own with ConfigVersion.
 	ConfigSource bool `json:"ck,omitempty"`
+	// KeptEvacuations holds the data centres whose evacuation the sender keeps for KeptMillis, in
+	// milliseconds, although a restore of the platform's records lost it.
+	KeptEvacuations []fleet.DataCentreID `json:"ke,omitempty"`
+	KeptMillis      int64                `json:"km,omitempty"`
 	// KeysRequired reports whether a configuration that lists customers has been in force at the
 	// sender or, as far as the sender knows, at another instance.
 	KeysRequired bool `json:"kr,omitempty"`
