--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -64,7 +64,10 @@
 // connected peer.
 func (g *Gateway) sendRound() {
 	now := g.options.Now()
-	common := wire.Heartbeat{Incarnation: g.incarnation, Leaving: g.leaving.Load(), ConfigVersion: g.configVersion(), KeysRequired: g.keysRequired.Load(), ConfigSource: g.isSource(now)}
+	common := wire.Heartbeat{
+		Incarnation: g.incarnation, Leaving: g.leaving.Load(),
+		ConfigVersion: g.configVersion(), ConfigSource: g.isSource(now), KeysRequired: g.keysRequired.Load(),
+	}
 	if kept, remaining := g.scheduler.KeptEvacuations(); len(kept) > 0 {
 		common.KeptEvacuations, common.KeptMillis = kept, remaining.Milliseconds()
 	}
