A fleet that starts together does not wait for an instance that knows more

After a restart of all instances nobody knows of a configuration that the platform lacks, and each waited three seconds before it took keys.

Change: an instance that has heard from all its seeds, none of which knows more, goes on at once.

--- a/internal/gateway/comparison.go
+++ b/internal/gateway/comparison.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"medlarwind.dev/medlarwind/internal/clock"
+	"medlarwind.dev/medlarwind/internal/fleet"
 )
 
 // comparisonTime is how long an instance waits for a peer with which it can compare its
@@ -30,15 +31,24 @@
 	// inTouchAt is the time at which a peer's configuration was last known not to be newer, 0 if
 	// none has reported.
 	inTouchAt clock.Instant
+	// unheard holds, for an instance that starts, the seeds that have not reported yet. If all have
+	// and none knows of a newer configuration, the fleet has started together.
+	unheard map[fleet.InstanceID]bool
 }
 
-// newComparison returns the state of an instance that starts.
-func newComparison(now clock.Instant, first bool) *comparison {
+// newComparison returns the state of an instance that starts with the given seeds.
+func newComparison(now clock.Instant, first bool, self fleet.InstanceID, seeds []fleet.InstanceID) *comparison {
 	limit := comparisonTime
 	if first {
 		limit = aloneSettleTime
 	}
-	return &comparison{needed: true, until: now.Add(limit), first: first}
+	c := &comparison{needed: true, until: now.Add(limit), first: first, unheard: make(map[fleet.InstanceID]bool)}
+	for _, id := range seeds {
+		if id != self {
+			c.unheard[id] = true
+		}
+	}
+	return c
 }
 
 // isNeeded reports whether this instance has yet to compare its configuration. If no peer that
@@ -69,6 +79,19 @@
 	return was
 }
 
+// noteUnknowing records that a peer that does not know of every configuration either reported none
+// that is newer. It reports whether no comparison is needed any more.
+func (c *comparison) noteUnknowing(from fleet.InstanceID, now clock.Instant) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.unheard[from] || !c.isNeededLocked(now) {
+		return false
+	}
+	delete(c.unheard, from)
+	c.needed = len(c.unheard) > 0
+	return !c.needed
+}
+
 // noteRestore records that this instance has the records of a restored platform. It reports whether
 // a comparison is needed for that: the instance may have missed the last configuration before the
 // restore if its records had lapsed, which means that they were too old to rely on their keys, or if
@@ -79,7 +102,7 @@
 	pending := c.isNeededLocked(now)
 	missed := c.inTouchAt != 0 && (lapsed || now.Sub(c.inTouchAt) > touchTime)
 	if pending || missed {
-		c.needed, c.until, c.first = true, now.Add(comparisonTime), false
+		c.needed, c.until, c.first, c.unheard = true, now.Add(comparisonTime), false, nil
 	}
 	return missed
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -171,7 +171,7 @@
 		readJitter:  rand.New(rand.NewPCG(o.Seed, 1)).Float64(),
 	}
 	g.applied = records.NewApplied(g.copy)
-	g.comparison = newComparison(g.startedAt, o.Settings.FirstStart)
+	g.comparison = newComparison(g.startedAt, o.Settings.FirstStart, fleet.InstanceID(o.Settings.PeerAddr), o.Settings.Seeds)
 	g.lateness.lastTick.Store(int64(g.startedAt))
 	g.build()
 	return g
--- a/internal/gateway/inforce.go
+++ b/internal/gateway/inforce.go
@@ -62,14 +62,15 @@
 	}
 	applied, _ := g.applied.State()
 	reported := records.NewPosition(hb.Records.Era, hb.Records.Revision)
-	known := hb.ConfigSource && reported.SharesHistory(applied)
+	sameEra := reported.SharesHistory(applied)
+	known := hb.ConfigSource && sameEra
 	if known && g.comparison.isNeeded(now) && len(hb.KeptEvacuations) > 0 {
 		g.scheduler.KeepEvacuations(hb.KeptEvacuations, time.Duration(hb.KeptMillis)*time.Millisecond)
 	}
 	if hb.ConfigVersion <= g.configVersion() {
-		if known && g.comparison.note(reportedAt, now) {
+		if known && g.comparison.note(reportedAt, now) || sameEra && !known && g.comparison.noteUnknowing(from, now) {
 			g.options.Log.Info().Str("event", "configuration_compared").Str("peer", string(from)).
-				Uint64("version", g.configVersion()).Uint64("peer_version", hb.ConfigVersion).Msg("")
+				Uint64("version", g.configVersion()).Uint64("peer_version", hb.ConfigVersion).Bool("peer_knows", known).Msg("")
 		}
 		return
 	}
