Switches and fields for the parts of hard load

Cause: six parts are built side by side and share a few fields: what targets say of their load, the prefixes that they keep, connections taken over from peers, the address to fetch from. Adding them once avoids conflicts.

Change: package feature with the switches of medlarwind route -disable; kv_token_bytes and link_mbps decoded into catalog.Engine; fields of heartbeats, members, responses and forwarded requests. Nothing reads them yet.

Result: tests of feature, cli, peer and platform's published values pass; no decision changes.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -97,6 +97,10 @@
 	// MemoryTokens is the capacity for prompts and outputs of running requests and for the
 	// prefix cache, in tokens.
 	MemoryTokens int
+	// TokenBytes is the size of one token in an engine's memory in bytes, LinkMbps the bandwidth of an
+	// engine's link in Mbit/s. Each is 0 if it is unknown.
+	TokenBytes int
+	LinkMbps   float64
 }
 
 // Service is a set of interchangeable targets.
--- a/internal/cli/route.go
+++ b/internal/cli/route.go
@@ -9,9 +9,11 @@
 	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"medlarwind.dev/medlarwind/internal/clock"
+	"medlarwind.dev/medlarwind/internal/feature"
 	"medlarwind.dev/medlarwind/internal/gateway"
 	"medlarwind.dev/medlarwind/internal/upstream"
 	"medlarwind.dev/medlarwind/platform"
@@ -21,9 +23,10 @@
 // platform. SIGINT or SIGTERM starts a graceful stop, SIGHUP reloads the settings.
 func RouteCommand(stdout, stderr io.Writer) *ffcli.Command {
 	flags := newFlags("medlarwind route", stderr)
+	disable := flags.String("disable", "", "parts to switch off, separated by commas: "+feature.List())
 	return &ffcli.Command{
 		Name:       "route",
-		ShortUsage: "medlarwind route",
+		ShortUsage: "medlarwind route [-disable PART,...]",
 		ShortHelp:  "run one instance on the users' platform",
 		LongHelp: "Runs one instance that serves callers over plain HTTP. The environment names the settings file;\n" +
 			"docs/operators/route.md lists its fields. SIGINT or SIGTERM starts a graceful stop, SIGHUP reloads the settings.",
@@ -33,6 +36,9 @@
 			if err != nil {
 				return &UsageError{err}
 			}
+			if s.Gateway.Features, err = feature.Without(*disable); err != nil {
+				return &UsageError{errors.Wrap(err, "-disable")}
+			}
 			return route(ctx, s, stdout)
 		},
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -199,7 +199,7 @@
 	g.scheduler = scheduler.New(scheduler.Options{
 		Self: self.ID, Incarnation: g.incarnation, DataCentre: s.DataCentre, Regions: s.Regions, Now: o.Now,
 		ShareWindow: s.ShareWindow, RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow,
-		ListingConfirmedAt: g.listingConfirmedAt, ListingMaxAge: listingMaxAge(s.ChangeWithin),
+		ListingConfirmedAt: g.listingConfirmedAt, ListingMaxAge: listingMaxAge(s.ChangeWithin), Features: s.Features,
 	})
 	g.scheduler.SetAlive(g.roster.Alive(o.Now()))
 	g.upstream = upstream.NewClient(o.Dial)
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -10,6 +10,7 @@
 
 	"medlarwind.dev/medlarwind/internal/catalog"
 	"medlarwind.dev/medlarwind/internal/clock"
+	"medlarwind.dev/medlarwind/internal/feature"
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/ingress"
 	"medlarwind.dev/medlarwind/internal/inventory"
@@ -57,6 +58,8 @@
 	RetryWindow            time.Duration
 	// LocateLifetime is the lifetime of a directory answer.
 	LocateLifetime time.Duration
+	// Features are the parts that are switched on.
+	Features feature.Set
 }
 
 // PlatformState is the decoded content of the platform's records.
--- a/internal/ingress/codec.go
+++ b/internal/ingress/codec.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"medlarwind.dev/medlarwind/internal/fleet"
+	"medlarwind.dev/medlarwind/internal/loadreport"
 	"medlarwind.dev/medlarwind/internal/scheduler"
 	"medlarwind.dev/medlarwind/internal/upstream"
 )
@@ -51,6 +52,9 @@
 	Customer fleet.CustomerID
 	// ResumeAfter is the id of the event after which to resume the stream, empty for none.
 	ResumeAfter string
+	// FetchFrom is the address of a target from which this one fetches the parts of the prompt that
+	// it lacks, empty for none.
+	FetchFrom string
 }
 
 // ResponseInfo holds what the target's headers say about its response.
@@ -73,6 +77,8 @@
 	// PauseText is what it said if that cannot be read.
 	Pause     time.Duration
 	PauseText string
+	// Load is what the target says of its load, nil if it says nothing or nothing that can be read.
+	Load *loadreport.Report
 }
 
 // Codec translates between the headers of callers and targets and the types Call,
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -23,6 +23,7 @@
 	"medlarwind.dev/medlarwind/internal/catalog"
 	"medlarwind.dev/medlarwind/internal/clock"
 	"medlarwind.dev/medlarwind/internal/exchange"
+	"medlarwind.dev/medlarwind/internal/feature"
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/inventory"
 	"medlarwind.dev/medlarwind/internal/locate"
@@ -56,6 +57,8 @@
 	// ListingMaxAge is the age from which the list no longer shows which targets get work, 0 for
 	// none.
 	ListingMaxAge time.Duration
+	// Features are the parts that are switched on.
+	Features feature.Set
 }
 
 // Scheduler places requests on targets and holds the state that this needs. It is safe
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -105,6 +105,9 @@
 	// LeavingTargets holds targets that said that they leave: those of which the sender has just
 	// learnt it, and some of the others.
 	LeavingTargets []LeavingTarget `json:"lt,omitempty"`
+	// LoadReports are what targets said of their load, KeptPrefixes which prompt prefixes they keep.
+	LoadReports  []LoadReport `json:"lr,omitempty"`
+	KeptPrefixes []KeptPrefix `json:"kp,omitempty"`
 	// Members, Loads, Usage and Records hold the whole state of the instances that serve
 	// HTTP callers directly. Scope states which instances Loads and Usage cover.
 	Scope   Scope    `json:"sc,omitempty"`
@@ -311,6 +314,10 @@
 	NotReady bool `json:"u,omitempty"`
 	// Behind reports whether the instance gets less processor time than its work needs.
 	Behind bool `json:"b,omitempty"`
+	// TakesPerSecond is how many connections a second the instance takes over from peers of its data
+	// centre, at HandOverAddr, its IP:port for them.
+	TakesPerSecond int    `json:"tk,omitempty"`
+	HandOverAddr   string `json:"ho,omitempty"`
 	// AgeMillis is the time since any instance last received a message from this one, as far
 	// as the sender can tell, in milliseconds.
 	AgeMillis int64 `json:"g,omitempty"`
@@ -357,6 +364,32 @@
 	AgeMillis int64 `json:"a"`
 }
 
+// LoadReport is what a start of a target said of its load.
+type LoadReport struct {
+	Target      fleet.TargetID `json:"t"`
+	StartMillis int64          `json:"b"`
+	Running     int            `json:"r,omitempty"`
+	Waiting     int            `json:"w,omitempty"`
+	Slots       int            `json:"s,omitempty"`
+	// Pace is how long work takes on the target's machine, in percent of the usual, 0 if unknown.
+	Pace int `json:"p,omitempty"`
+	// AgeMillis is the time since the target made the report, in milliseconds.
+	AgeMillis int64 `json:"a,omitempty"`
+}
+
+// KeptPrefix is a prefix of prompts that a start of a target keeps in its memory.
+type KeptPrefix struct {
+	Target      fleet.TargetID `json:"t"`
+	StartMillis int64          `json:"b"`
+	// Prefix is the hash of the parts of the prefix, Tokens their number of tokens.
+	Prefix uint64 `json:"h"`
+	Tokens int    `json:"n"`
+	// Reading reports whether the target was still reading the prefix.
+	Reading bool `json:"r,omitempty"`
+	// AgeMillis is the time since the observation, in milliseconds.
+	AgeMillis int64 `json:"a,omitempty"`
+}
+
 // CustomerUsage counts one customer's tokens at the instances of the heartbeat's Scope
 // since their start. The counters only grow.
 type CustomerUsage struct {
