Treat a response whose status is not 200 to 599 as malformed

Cause: net/http parses any three digits of a status line, also "000" and "+20". upstream.Client passed such responses on. A status below 100 made net/http panic in WriteHeader: the caller's connection was closed without an answer, no second target was tried, and the placement was never ended, so that its slot stayed in use. A status of 600 to 999 was relayed. With the header that says that a request has not run, the response was believed, and a request of a non-repeatable route ran a second time. The client of the project's own interface believed the outcome header of such a response too.

Change: upstream.readOneHeader returns an error for a status that is not 100 to 599 (informational ones are skipped there), so that the attempt is handled like any broken answer. target.refusal returns Unknown for one that is not 200 to 599.

--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -23,6 +23,9 @@
 	maxRetryAfter   = time.Minute
 )
 
+// The least and the greatest status of a response.
+const minStatus, maxStatus = 200, 599
+
 // message is one HTTP request. It is sent without GetBody, so that the transport
 // cannot resend it.
 type message struct {
@@ -218,8 +221,12 @@
 
 // refusal converts a response other than 200 to an *Error. It is NotRun or Failed
 // only if the target's outcome header says so; a status without this header may come
-// from an intermediary such as a proxy.
+// from an intermediary such as a proxy. A status outside minStatus to maxStatus, which
+// net/http reads, too, is malformed: the header may belong to another response.
 func refusal(resp *http.Response) *Error {
+	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+		return &Error{Kind: Unknown, Reason: ReasonMalformedAnswer, err: errors.Errorf("status %03d", resp.StatusCode)}
+	}
 	e := &Error{Kind: Unknown, Reason: ReasonUnexpectedStatus, RetryAfter: retryAfter(resp.Header)}
 	e.err = errors.Errorf("status %d", resp.StatusCode)
 	switch resp.Header.Get(enginewire.HeaderOutcome) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -319,7 +319,23 @@
 		return nil, err
 	}
 	response, err := http.ReadResponse(resp.conn.reader, &http.Request{Method: method})
-	return response, asHeadTimeout(partHead, err)
+	if err != nil {
+		return nil, asHeadTimeout(partHead, err)
+	}
+	return response, checkStatus(response.StatusCode)
+}
+
+// The least and the greatest status of a response, informational ones included. net/http reads
+// any three digits, also with a sign, and panics if a status below 100 is written to a caller.
+const minStatus, maxStatus = 100, 599
+
+// checkStatus returns an error for a status that no response may have. What such a response says
+// of the request is unknown.
+func checkStatus(status int) error {
+	if status < minStatus || status > maxStatus {
+		return errors.Errorf("response status: got %03d, want %d to %d", status, minStatus, maxStatus)
+	}
+	return nil
 }
 
 // SetReadTimeout limits the wait for the next bytes of the body to d from now; 0 removes
