Treat an answer without a length that ends during the upload as cut

Cause: the kernel returns the reset of a connection once. If the goroutine that writes the upload takes the error, the read sees an ordinary end, which is the end of a body without length and chunks. In internal/target the transport of net/http drops the error of the write.

Change: upstream.unframedBody.Read returns an error at the end of such a body unless the request body was written. target.Call and control requests return answer_cut for an answer that has neither length, chunks nor checksum.

--- a/internal/target/call.go
+++ b/internal/target/call.go
@@ -51,7 +51,10 @@
 		return nil, err
 	}
 	sum := strconv.FormatUint(uint64(enginewire.Checksum(0, body)), 10)
-	if want := resp.Header.Get(enginewire.HeaderChecksum); want != "" && want != sum {
+	switch want := resp.Header.Get(enginewire.HeaderChecksum); {
+	case want == "" && endsWithConn(resp):
+		return nil, &Error{Kind: Unknown, Reason: ReasonAnswerCut}
+	case want != "" && want != sum:
 		return nil, &Error{Kind: Unknown, Reason: ReasonChecksum}
 	}
 	return body, nil
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -121,7 +121,7 @@
 }
 
 // exchangeBody sends m and returns the body of a 200 response. It fails if the
-// status differs or the body exceeds limit bytes.
+// status differs, the body exceeds limit bytes, or nothing but the connection shows its end.
 func (c *Client) exchangeBody(ctx context.Context, p *pool, m message, limit int64) ([]byte, error) {
 	resp, x, err := p.send(ctx, m)
 	if err != nil {
@@ -131,5 +131,9 @@
 		defer discardRefusal(resp)
 		return nil, refusal(resp)
 	}
-	return readAll(ctx, resp, x, limit)
+	body, err := readAll(ctx, resp, x, limit)
+	if err == nil && endsWithConn(resp) {
+		return nil, &Error{Kind: Unknown, Reason: ReasonAnswerCut}
+	}
+	return body, err
 }
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -270,6 +270,13 @@
 	return body, nil
 }
 
+// endsWithConn reports whether the body of resp ends with its connection. Its end alone does not show
+// that it is complete: if the connection is reset while the request is being written, the transport
+// drops the error of the write and the body ends as an ordinary one does.
+func endsWithConn(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // discardRefusal reads at most maxHeaderBytes of the body for at most drainTimeout and closes
 // it, so that the connection can be reused if little was left to read.
 func discardRefusal(resp *http.Response) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -159,8 +159,10 @@
 	// match is Own or Unnamed.
 	match Match
 	// bodyWriteDone receives the result of writing a large request body; nil if the body
-	// was written together with the headers.
+	// was written together with the headers, or if awaitBodyWritten has set bodyUnwritten.
 	bodyWriteDone chan error
+	// bodyUnwritten reports whether the request body was not written completely.
+	bodyUnwritten bool
 	// stopCancel stops the function that interrupts the connection when ctx ends. It
 	// returns false if that function has already been started.
 	stopCancel func() bool
@@ -269,6 +271,9 @@
 			resp.response, resp.Status, resp.Header = response, response.StatusCode, response.Header
 			resp.Body, resp.Length = response.Body, response.ContentLength
 			resp.EndsWithConn = response.ContentLength < 0 && len(response.TransferEncoding) == 0
+			if resp.EndsWithConn {
+				resp.Body = &unframedBody{in: response.Body, resp: resp}
+			}
 			resp.setReadDeadline(time.Time{})
 			return nil
 		}
@@ -378,16 +383,35 @@
 // reports whether it was written completely.
 func (resp *Response) awaitBodyWritten() bool {
 	if resp.bodyWriteDone == nil {
-		return true
+		return !resp.bodyUnwritten
 	}
 	timer := time.NewTimer(bodyWriteGrace)
 	defer timer.Stop()
 	select {
 	case err := <-resp.bodyWriteDone:
-		return err == nil
+		resp.bodyUnwritten = err != nil
 	case <-timer.C:
-		return false
+		resp.bodyUnwritten = true
+	}
+	resp.bodyWriteDone = nil
+	return !resp.bodyUnwritten
+}
+
+// unframedBody is a response body that ends with its connection. If the connection is reset while
+// the request body is being written, the kernel returns the error to the write, and the read sees an
+// ordinary end. Such a body is not complete.
+type unframedBody struct {
+	in   io.Reader
+	resp *Response
+}
+
+// Read implements io.Reader.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	n, err := b.in.Read(p)
+	if err == io.EOF && !b.resp.awaitBodyWritten() {
+		err = errors.Wrap(io.ErrUnexpectedEOF, "response without length ended before the request was written")
 	}
+	return n, err
 }
 
 // idleTimeout returns how long a connection may stay idle according to the Keep-Alive
