Start no run whose first event surely comes after the deadline

Cause: the scheduler compared only the present time with a job's deadline, so that a replacement began 0.28 s before it and ran on for 2.5 s after it.

Change: placement.Pick passes over candidates whose first event surely comes too late: half of the estimated wait and prefill (55/157 where an engine's speed is not known), and the distance, twice for a replacement, which opens a connection. The work of a plain call counts as 0. A job without another candidate goes on waiting or is refused, with late_targets in its log line. Scheduler.Replace returns nil in the last 10 ms before the deadline.

Effect: with 280 ms left, a prompt of 60,000 tokens (1.1 s at the assumed speed) starts no more, one of 24,000 tokens (436 ms estimated) still does.

--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -264,6 +264,9 @@
 			Int("slot_limit", in.SlotLimit).
 			Int("preferred_running", in.PreferredRunning).Int("preferred_slots", in.PreferredSlots)
 	}
+	if in.LateTargets > 0 {
+		line = line.Int("late_targets", in.LateTargets)
+	}
 	if in.HeldTargets > 0 {
 		line = line.Int("held_targets", in.HeldTargets).Int64("held_for_ms", in.HeldFor.Milliseconds())
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -31,6 +31,12 @@
 	// failurePenalty is the cost of a target on which all requests fail. It is multiplied
 	// by the failure rate.
 	failurePenalty = 2 * time.Second
+	// sureFraction is the fraction of an estimated time to the first event that a request surely
+	// takes: reported loads are up to 600 ms old, and the prompt that is being prefilled counts as a
+	// whole.
+	sureFraction = 0.5
+	// maxSpeed is the speed of the fastest engines in use, in the unit of AssumedSpeed.
+	maxSpeed = 157.0
 )
 
 // MaxRank is the highest rank that is distinguished. It limits the effect of the rank.
@@ -63,6 +69,10 @@
 	Shared int
 	// ServiceTime is the expected processing time on a plain service, 0 for engines.
 	ServiceTime time.Duration
+	// TimeLeft is the time until the request's deadline, 0 for no limit.
+	TimeLeft time.Duration
+	// NewConn says that a connection is opened first, which takes another round trip.
+	NewConn bool
 }
 
 // Candidate is a target that may get the request.
@@ -110,18 +120,26 @@
 	ShortestWait time.Duration
 	// Within reports whether the candidate is within the limit.
 	Within bool
+	// Late is the number of candidates with room whose first event would surely come after the
+	// request's deadline.
+	Late int
 }
 
 // Pick returns the candidate with the lowest cost, or false if none has room.
 func Pick(r Request, candidates []Candidate, limit Limit) (Choice, bool) {
 	best, lowestCost := Choice{Index: -1}, time.Duration(0)
 	var shortest time.Duration
+	late := 0
 	for i := range candidates {
 		c := &candidates[i]
 		if !c.hasRoom(r) {
 			continue
 		}
 		wait := c.wait(r)
+		if r.TimeLeft > 0 && c.leastTimeToFirstEvent(r, wait) >= r.TimeLeft {
+			late++
+			continue
+		}
 		if best.Index < 0 || wait < shortest {
 			shortest = wait
 		}
@@ -129,6 +147,7 @@
 			best, lowestCost = Choice{Index: i, Wait: wait, TimeToFirstEvent: c.timeToFirstEvent(r, wait)}, cost
 		}
 	}
+	best.Late = late
 	if best.Index < 0 {
 		return best, false
 	}
@@ -141,6 +160,23 @@
 	return wait + c.prefillTime(r.Prompt-c.Cached) + r.ServiceTime + c.Distance
 }
 
+// leastTimeToFirstEvent returns the time that a request surely takes to its first event. Nothing is
+// known of the processing time of a single call to a plain service.
+func (c *Candidate) leastTimeToFirstEvent(r Request, wait time.Duration) time.Duration {
+	least := c.Distance
+	if r.NewConn {
+		least += c.Distance
+	}
+	fraction := sureFraction
+	switch {
+	case r.ServiceTime > 0:
+		return least
+	case c.Speed == 0:
+		fraction = AssumedSpeed / maxSpeed
+	}
+	return least + time.Duration(fraction*float64(wait+c.prefillTime(r.Prompt-c.Cached)))
+}
+
 // cost returns the cost of sending the request to the candidate, as a time.
 func (c *Candidate) cost(r Request, wait time.Duration) time.Duration {
 	return c.timeToFirstEvent(r, wait) + recomputeWeight*prefillTime(max(r.Shared-c.Cached, 0), AssumedSpeed) +
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -112,3 +112,34 @@
 		t.Errorf("Pick = %+v, want the fast engine", choice)
 	}
 }
+
+// A request must not start where its first event surely comes after its deadline, also if the target
+// is the cheapest otherwise; where the estimate may be too long it must.
+func TestPickPassesOverTargetsThatAreTooLate(t *testing.T) {
+	plain := placement.Request{ServiceTime: 15 * time.Millisecond}
+	replacement := placement.Request{ServiceTime: 15 * time.Millisecond, NewConn: true}
+	busyHome := placement.Candidate{Slots: 64, Cached: 5000, Speed: 50, Load: placement.Load{Unread: 30000}}
+	for name, test := range map[string]struct {
+		request    placement.Request
+		left       time.Duration
+		candidates []placement.Candidate
+		index      int
+		late       int
+	}{
+		"in time":                          {longRequest, time.Second, []placement.Candidate{busyHome, {Slots: 64, Rank: 1, Speed: 50}}, 0, 0},
+		"home too late":                    {longRequest, 300 * time.Millisecond, []placement.Candidate{busyHome, {Slots: 64, Rank: 1, Speed: 50}}, 1, 1},
+		"all too late":                     {longRequest, 100 * time.Millisecond, []placement.Candidate{busyHome, {Slots: 64, Rank: 1, Speed: 50}}, -1, 2},
+		"estimate twice too long":          {longRequest, 400 * time.Millisecond, []placement.Candidate{busyHome}, 0, 0},
+		"speed not known, engine is fast":  {longRequest, 80 * time.Millisecond, []placement.Candidate{{Slots: 64}}, 0, 0},
+		"no time given":                    {longRequest, 0, []placement.Candidate{busyHome}, 0, 0},
+		"plain, work may take no time":     {plain, time.Millisecond, []placement.Candidate{{Slots: 8, Load: placement.Load{Running: 7}}}, 0, 0},
+		"replacement, needs a connection":  {replacement, 60 * time.Millisecond, []placement.Candidate{{Slots: 8, Distance: 45 * time.Millisecond}, {Slots: 8}}, 1, 1},
+		"plain, further away than allowed": {plain, 10 * time.Millisecond, []placement.Candidate{{Slots: 8, Distance: 45 * time.Millisecond}}, -1, 1},
+	} {
+		test.request.TimeLeft = test.left
+		choice, ok := placement.Pick(test.request, test.candidates, unlimited)
+		if choice.Index != test.index || ok != (test.index >= 0) || choice.Late != test.late {
+			t.Errorf("%s: Pick = %+v, want index %d and %d too late", name, choice, test.index, test.late)
+		}
+	}
+}
--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -27,6 +27,9 @@
 	// defaultNominalShareWait limits the expected wait at a target for customers within
 	// their nominal share on routes without an objective.
 	defaultNominalShareWait = 500 * time.Millisecond
+	// minReplacementTime is the time to a job's deadline from which no replacement is begun: opening a
+	// connection and the shortest work of a plain service, 15 ms, take longer.
+	minReplacementTime = 10 * time.Millisecond
 )
 
 // decision is the outcome for a job: a placement, a refusal, or neither if the job has to
@@ -52,7 +55,9 @@
 		return decision{}
 	}
 	candidates, from := s.candidates(j, s.targetListFor(j, now), now)
-	choice, ok := placement.Pick(j.request(), candidates, limit)
+	r := j.request()
+	r.TimeLeft = j.Deadline.Sub(now)
+	choice, ok := placement.Pick(r, candidates, limit)
 	j.considered.record(candidates, from, choice, now)
 	if !ok {
 		return decision{}
--- a/internal/scheduler/inputs.go
+++ b/internal/scheduler/inputs.go
@@ -40,6 +40,9 @@
 	SlotLimit int
 	// ShortestWait is the shortest expected wait at any candidate with room.
 	ShortestWait time.Duration
+	// LateTargets is the number of candidates whose first event would surely have come after the
+	// job's deadline.
+	LateTargets int
 	// HeldTargets is the number of targets that could have taken the job but for a bound on the
 	// starts there, HeldFor the time until the first target may take it that could not.
 	HeldTargets int
@@ -63,11 +66,13 @@
 	running, slots int
 	// candidates is the number of targets that could start the job now.
 	candidates int
+	// late is the number of them whose first event would surely come after the deadline.
+	late int
 }
 
 // record replaces the description of the last decision.
 func (c *consideration) record(candidates []placement.Candidate, from []*usableTarget, choice placement.Choice, now clock.Instant) {
-	*c = consideration{decisions: c.decisions + 1, decidedAt: now, candidates: len(candidates)}
+	*c = consideration{decisions: c.decisions + 1, decidedAt: now, candidates: len(candidates), late: choice.Late}
 	if choice.Index >= 0 {
 		chosen := &candidates[choice.Index]
 		c.preferred, c.choice = from[choice.Index].entry.ID, choice
@@ -81,8 +86,8 @@
 	c := &j.considered
 	in := Inputs{
 		Decisions: c.decisions, Preferred: c.preferred, PreferredWait: c.choice.Wait, WaitLimit: c.limit.Wait,
-		SlotLimit:        int(math.Ceil(c.limit.Slots * float64(c.slots))),
-		ProcessorDelay:   s.processor.Delay,
+		SlotLimit:      int(math.Ceil(c.limit.Slots * float64(c.slots))),
+		ProcessorDelay: s.processor.Delay, LateTargets: c.late,
 		PreferredRunning: c.running, PreferredSlots: c.slots, ShortestWait: c.choice.ShortestWait,
 	}
 	if c.decisions > 0 {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -56,6 +56,8 @@
 	// traits identify what the job may share with others that crash targets.
 	traits   *quarantine.Traits
 	prepared bool
+	// replacing is set while a replacement of a running run is placed.
+	replacing bool
 	// rankedTargets holds the first targets in the rendezvous order of homeHash, as
 	// indices into the target list of generation rankedGeneration, and -1 where there are
 	// fewer targets.
@@ -154,7 +156,7 @@
 
 // request returns the job's parameters for placement.
 func (j *Job) request() placement.Request {
-	r := placement.Request{Prompt: j.Prompt, Output: j.Output, Shared: j.sharedTokens}
+	r := placement.Request{Prompt: j.Prompt, Output: j.Output, Shared: j.sharedTokens, NewConn: j.replacing}
 	if j.Service.Engine == nil {
 		r.ServiceTime = plainServiceTime
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -347,16 +347,18 @@
 }
 
 // Replace places a job that already runs on a target, which must be excluded, on another
-// one. It returns nil if the job may not start there now; it never waits. Only a returned
-// placement draws on the retry budget.
+// one. It returns nil if the job may not start there now, or if its deadline is too close; it never
+// waits. Only a returned placement draws on the retry budget.
 func (s *Scheduler) Replace(j *Job) *Placement {
 	j.prepare()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.options.Now()
-	if !s.isListingCurrent(now) {
+	if !s.isListingCurrent(now) || j.Deadline.Sub(now) <= minReplacementTime {
 		return nil
 	}
+	j.replacing = true
+	defer func() { j.replacing = false }()
 	return s.place(j, true, now).placement
 }
 
