--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -23,6 +23,9 @@
 	maxRetryAfter   = time.Minute
 )
 
+// The least and the greatest status of a response.
+const minStatus, maxStatus = 200, 599
+
 // message is one HTTP request. It is sent without GetBody, so that the transport
 // cannot resend it.
 type message struct {
@@ -218,8 +221,12 @@
 
 // refusal converts a response other than 200 to an *Error. It is NotRun or Failed
 // only if the target's outcome header says so; a status without this header may come
-// from an intermediary such as a proxy.
+// from an intermediary such as a proxy. A status outside minStatus to maxStatus, which
+// net/http reads, too, is malformed: the header may belong to another response.
 func refusal(resp *http.Response) *Error {
+	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+		return &Error{Kind: Unknown, Reason: ReasonMalformedAnswer, err: errors.Errorf("status %03d", resp.StatusCode)}
+	}
 	e := &Error{Kind: Unknown, Reason: ReasonUnexpectedStatus, RetryAfter: retryAfter(resp.Header)}
 	e.err = errors.Errorf("status %d", resp.StatusCode)
 	switch resp.Header.Get(enginewire.HeaderOutcome) {
@@ -263,6 +270,13 @@
 	return body, nil
 }
 
+// endsWithConn reports whether the body of resp ends with its connection. Its end alone does not show
+// that it is complete: if the connection is reset while the request is being written, the transport
+// drops the error of the write and the body ends as an ordinary one does.
+func endsWithConn(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // discardRefusal reads at most maxHeaderBytes of the body for at most drainTimeout and closes
 // it, so that the connection can be reused if little was left to read.
 func discardRefusal(resp *http.Response) {
