Requests name the engine that keeps their long part

Cause: an engine that lacks a long part prefills it although others keep it and a transfer takes a tenth of the time.

Change: with placement unchanged, a request whose engine lacks 1,000 tokens or more that another usable engine is known to keep names that one, where the sizes are published and a transfer takes at most a quarter of the prefill. What is fetched counts as cached in the engine's load and in the observation of its speed. Late first events drop a belief after two in succession; a source of three late fetches is not named for 3 s.

--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -97,11 +97,13 @@
 // start places a job on a target and adds it to the target's load. s.mu must be held.
 func (s *Scheduler) start(j *Job, target *usableTarget, c placement.Candidate, choice placement.Choice, now clock.Instant) *Placement {
 	t := target.state
+	fetch, believed := s.planFetch(j, target, &c, now)
 	p := &Placement{
 		Target:    target.entry.Target,
 		Wait:      choice.Wait,
 		Cached:    c.Cached,
 		Rank:      c.Rank,
+		Fetch:     fetch,
 		scheduler: s,
 		job:       j,
 		started:   now,
@@ -110,9 +112,11 @@
 	if j.Prompt > 0 {
 		p.prefilling = true
 		p.load.Unread = max(j.Prompt-c.Cached, 0)
-		p.toPrefill, p.distance = c.Load.Unread+p.load.Unread, target.distance
+		p.toPrefill, p.distance = c.Load.Unread+p.load.Unread, target.distance+fetch.took()
+		p.believed, p.aheadUnread = believed, c.Load.Unread
 		p.load.Memory = placement.Footprint(j.request(), c.Cached)
 		s.cache.AddPrefixes(target.startID, "", j.prefixes)
+		s.beginPrefixes(p, now)
 		s.meter.AddUsage(j.Customer, j.weight(), now)
 		s.addUsage(j.Customer, 0, j.weight())
 		s.countStart(j.Customer, now)
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -32,6 +32,7 @@
 	s.exchange.FillHeartbeat(hb, peer, scope, ownLoad, s.usageTotals)
 	hb.Evidence = s.evidence.Report(now)
 	hb.Limits = s.limits.Report(now)
+	hb.KeptPrefixes = s.reportPrefixes(hb, peer, now)
 	hb.LeavingTargets = s.inventory.ReportLeaving(now, s.random)
 }
 
@@ -55,6 +56,7 @@
 	s.avoidBrokenTargets(hb.BrokenTargets, now)
 	s.evidence.Merge(hb.Evidence, now)
 	s.limits.Merge(hb.Limits, s.isListed, now)
+	s.mergePrefixes(from, hb, now)
 	if s.inventory.MergeLeaving(hb.LeavingTargets, now) {
 		s.invalidateTargetLists()
 	}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"medlarwind.dev/medlarwind/internal/catalog"
@@ -10,6 +11,7 @@
 	"medlarwind.dev/medlarwind/internal/inventory"
 	"medlarwind.dev/medlarwind/internal/membership"
 	"medlarwind.dev/medlarwind/internal/placement"
+	"medlarwind.dev/medlarwind/internal/prefixindex"
 	"medlarwind.dev/medlarwind/internal/quarantine"
 )
 
@@ -53,6 +55,8 @@
 	homeHash     uint64
 	prefixes     []uint64
 	sharedTokens int
+	// longPrefixes are the prefixes that the prefix index tracks, the longest first.
+	longPrefixes []longPrefix
 	// traits identify what the job may share with others that crash targets.
 	traits   *quarantine.Traits
 	prepared bool
@@ -87,6 +91,9 @@
 		if i < len(j.Parts)-1 {
 			j.sharedTokens += p.Tokens
 			j.homeHash = hash
+			if j.sharedTokens >= prefixindex.MinTokens {
+				j.longPrefixes = slices.Insert(j.longPrefixes, 0, longPrefix{hash, j.sharedTokens})
+			}
 		}
 	}
 	if j.sharedTokens < minHomeTokens {
@@ -244,6 +251,8 @@
 	Cached int
 	// Rank is the target's position in the rendezvous order of the request's home.
 	Rank int
+	// Fetch is what the target is to fetch from another one, nil for nothing.
+	Fetch *Fetch
 
 	scheduler  *Scheduler
 	job        *Job
@@ -257,5 +266,8 @@
 	// answering is set once the target has sent more than its first event. It is used by the
 	// goroutine of the request only.
 	answering bool
-	ended     bool
+	// believed is the number of tokens of the long prefix that the target was believed to have
+	// cached or to fetch, aheadUnread the tokens that it had to prefill before this request.
+	believed, aheadUnread int
+	ended                 bool
 }
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -98,7 +98,9 @@
 	t.ownLoad.Unread -= p.load.Unread
 	p.load.Unread = 0
 	t.endSilence(p)
-	s.observeSpeed(p, t, s.options.Now())
+	now := s.options.Now()
+	s.observeSpeed(p, t, now)
+	s.observePrefixes(p, t, now)
 	s.startQueued()
 }
 
@@ -122,6 +124,7 @@
 	if o == Rejected || o == Unreachable || o == DialTimedOut || o == Unsent {
 		s.refundUsage(p, now)
 	}
+	s.endPrefixes(p, o, now)
 	s.recordOutcome(p, t, o, now)
 	s.startQueued()
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -74,6 +74,7 @@
 	ownMeter *quota.Meter
 	ownPart  ownPart
 	cache    *affinity.Cache
+	prefixes prefixState
 	alive    []roster.Member
 	// entries are the live instances that callers are directed to. What the fleet divides between
 	// instances goes to them, since the others get few requests.
@@ -159,6 +160,7 @@
 		meter:         quota.NewMeter(o.ShareWindow),
 		ownMeter:      quota.NewMeter(o.ShareWindow),
 		cache:         affinity.New(),
+		prefixes:      newPrefixState(),
 		speeds:        speed.New(placement.AssumedSpeed),
 		meanSpeeds:    make(map[fleet.ServiceID]float64),
 		overLimit:     make(overLimit),
@@ -208,6 +210,7 @@
 	now := s.options.Now()
 	s.limits.Expire(s.isListed, now)
 	s.speeds.Keep(s.isListed)
+	s.prefixes.index.KeepListed(s.isListed)
 	for id, t := range s.targets {
 		if _, listed := s.inventory.Get(id); !listed && t.ownLoad == (placement.Load{}) && t.starts.Count(time.Second, now) == 0 && now >= t.pause.until {
 			delete(s.targets, id)
@@ -290,6 +293,7 @@
 		s.invalidateTargetLists()
 	}
 	s.updateSpeeds()
+	s.updatePrefixes()
 	s.startQueued()
 }
 
--- a/internal/scheduler/targets.go
+++ b/internal/scheduler/targets.go
@@ -48,6 +48,8 @@
 type targetList struct {
 	generation uint64
 	targets    []usableTarget
+	// index is the position of each target by its id.
+	index map[fleet.TargetID]int
 }
 
 // invalidateTargetLists drops all target lists, so that they are built anew. s.mu must be
@@ -62,8 +64,9 @@
 func (s *Scheduler) targetListFor(j *Job, now clock.Instant) *targetList {
 	list, ok := s.targetLists[j.Service.ID]
 	if !ok {
-		list = &targetList{generation: s.generation}
+		list = &targetList{generation: s.generation, index: make(map[fleet.TargetID]int)}
 		for _, e := range s.inventory.Usable(j.Service.ID, j.Service.ColdPeriod, now) {
+			list.index[e.ID] = len(list.targets)
 			list.targets = append(list.targets, s.usableTarget(e))
 		}
 		s.targetLists[j.Service.ID] = list
