Replay of hot long parts, with fetches between the engines

Cause: no test without a network shows what fetches do to the load for which they are made.

Change: the engine model imports parts; the replay transfers them over the source's link, one after another.

--- a/internal/enginemodel/engine.go
+++ b/internal/enginemodel/engine.go
@@ -125,6 +125,33 @@
 	return true
 }
 
+// Cached returns the number of leading parts that are cached.
+func (e *Engine) Cached(parts []Part) int {
+	for n, p := range parts {
+		if k := e.parts[p.Key]; k == nil || !k.prefilled {
+			return n
+		}
+	}
+	return len(parts)
+}
+
+// Import caches parts that were fetched from another engine, as far as there is memory.
+func (e *Engine) Import(parts []Part) {
+	for _, p := range parts {
+		k := e.parts[p.Key]
+		if k == nil {
+			if !e.makeRoom(p.Tokens) {
+				return
+			}
+			k = &cachedPart{tokens: p.Tokens}
+			e.parts[p.Key] = k
+			e.memoryTokens += p.Tokens
+		}
+		k.prefilled = true
+		e.touch(k)
+	}
+}
+
 // Cancel removes a request from the queue or from the batch.
 func (e *Engine) Cancel(r *Request) {
 	if i := slices.Index(e.queue, r); i >= 0 {
--- a/internal/enginemodel/engine_test.go
+++ b/internal/enginemodel/engine_test.go
@@ -130,3 +130,20 @@
 		e.Step()
 	}
 }
+
+// A fetched part must count as cached, or a replay shows no gain of fetches.
+func TestImportedPartIsNotPrefilled(t *testing.T) {
+	e := enginemodel.New(enginemodel.PublishedParams())
+	parts := []enginemodel.Part{{Key: 1, Tokens: 5000}, {Key: 2, Tokens: 100}}
+	e.Import(parts[:1])
+	if n := e.Cached(parts); n != 1 {
+		t.Fatalf("%d parts are cached, want 1", n)
+	}
+	e.Submit(&enginemodel.Request{Parts: parts, OutputTokens: 1})
+	for !e.Idle() {
+		e.Step()
+	}
+	if s := e.Stats(); s.PrefillTokens != 100 || s.CachedTokens != 5000 {
+		t.Errorf("%+v, want 100 tokens prefilled", s)
+	}
+}
--- a/internal/replay/baseline.go
+++ b/internal/replay/baseline.go
@@ -197,3 +197,6 @@
 	t.b.running[t.router][t.id]--
 	t.b.startQueued(t.router)
 }
+
+// fetchFrom implements ticket: the baselines fetch nothing.
+func (t *baselineTicket) fetchFrom() fleet.TargetID { return "" }
--- a/internal/replay/engines.go
+++ b/internal/replay/engines.go
@@ -37,7 +37,9 @@
 	id     fleet.TargetID
 	region int
 	params enginemodel.Params
-	wake   chan struct{}
+	// linkFreeAt is when the transfers from the engine end.
+	linkFreeAt time.Time
+	wake       chan struct{}
 
 	mu    sync.Mutex
 	model *enginemodel.Engine
@@ -45,6 +47,8 @@
 	down  bool
 	// crashedStats are the totals of the models that were discarded in crashes.
 	crashedStats enginemodel.Stats
+	// fetched counts the tokens that were transferred to the engine.
+	fetched int
 }
 
 func newEngine(id fleet.TargetID, region int, p enginemodel.Params) *engine {
@@ -121,12 +125,7 @@
 
 // submit starts a call. It returns errDown or errFull if the engine cannot accept it.
 func (e *engine) submit(x *call) (*run, error) {
-	request := &enginemodel.Request{OutputTokens: x.output}
-	chain := ""
-	for _, p := range x.parts {
-		chain += p.ID
-		request.Parts = append(request.Parts, enginemodel.Part{Key: membership.Hash(chain), Tokens: p.Tokens})
-	}
+	request := &enginemodel.Request{OutputTokens: x.output, Parts: x.engineParts()}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.down {
@@ -144,6 +143,56 @@
 	return r, nil
 }
 
+// engineParts returns the parts of the call's prompt as engines know them.
+func (x *call) engineParts() []enginemodel.Part {
+	var parts []enginemodel.Part
+	chain := ""
+	for _, p := range x.parts {
+		chain += p.ID
+		parts = append(parts, enginemodel.Part{Key: membership.Hash(chain), Tokens: p.Tokens})
+	}
+	return parts
+}
+
+// fetch transfers to the engine what another one has cached of the call's prompt beyond what the
+// engine has cached itself.
+func (e *engine) fetch(s *Spec, source *engine, x *call) {
+	parts := x.engineParts()
+	kept := e.cached(parts)
+	source.mu.Lock()
+	tokens, there := 0, source.model.Cached(parts)
+	for _, p := range parts[min(kept, there):there] {
+		tokens += p.Tokens
+	}
+	if tokens == 0 {
+		source.mu.Unlock()
+		return
+	}
+	now := time.Now()
+	if source.linkFreeAt.Before(now) {
+		source.linkFreeAt = now
+	}
+	source.linkFreeAt = source.linkFreeAt.Add(time.Duration(float64(tokens) * float64(s.TokenBytes) * 8 / s.LinkMbps * float64(time.Microsecond)))
+	wait := source.linkFreeAt.Sub(now) + s.TransferSetup
+	source.mu.Unlock()
+	if source.region != e.region {
+		wait += 2 * s.CrossRegionLatency
+	}
+	time.Sleep(wait)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.down {
+		e.model.Import(parts[:there])
+		e.fetched += tokens
+	}
+}
+
+func (e *engine) cached(parts []enginemodel.Part) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.model.Cached(parts)
+}
+
 // cancel ends a run whose caller no longer waits.
 func (e *engine) cancel(r *run) {
 	e.mu.Lock()
--- a/internal/replay/load.go
+++ b/internal/replay/load.go
@@ -98,7 +98,7 @@
 	x.router = region*perRegion + rng.IntN(perRegion)
 	chain := ""
 	for i, tokens := range c.Shared {
-		variant := rng.IntN(c.SharedVariants[i])
+		variant := c.drawVariant(rng, c.SharedVariants[i])
 		chain += fmt.Sprintf("%s/%d/%d,", c.Name, i, variant)
 		x.parts = append(x.parts, scheduler.Part{ID: chain, Tokens: partTokens(chain, tokens)})
 	}
@@ -113,6 +113,15 @@
 	return x
 }
 
+// drawVariant draws one of n texts.
+func (c *Class) drawVariant(rng *rand.Rand, n int) int {
+	if c.VariantSkew == 0 {
+		return rng.IntN(n)
+	}
+	// The inverse of the distribution function of the power law, taken as continuous.
+	return min(int(float64(n)*math.Pow(rng.Float64(), 1/(1-c.VariantSkew))), n-1)
+}
+
 // partTokens returns the length of a shared part, between half and one and a half times
 // the mean. It depends on chain only, so that every call with this part has the same length.
 func partTokens(chain string, mean int) int {
--- a/internal/replay/policy.go
+++ b/internal/replay/policy.go
@@ -9,8 +9,10 @@
 
 	"medlarwind.dev/medlarwind/internal/catalog"
 	"medlarwind.dev/medlarwind/internal/clock"
+	"medlarwind.dev/medlarwind/internal/feature"
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/inventory"
+	"medlarwind.dev/medlarwind/internal/membership"
 	"medlarwind.dev/medlarwind/internal/roster"
 	"medlarwind.dev/medlarwind/internal/scheduler"
 	"medlarwind.dev/medlarwind/internal/wire"
@@ -24,6 +26,8 @@
 // ticket is the permission to run a call on an engine.
 type ticket interface {
 	engine() fleet.TargetID
+	// fetchFrom is the engine from which to fetch what is cached there, empty for none.
+	fetchFrom() fleet.TargetID
 	// prefillDone records the first token, end the end of the run.
 	prefillDone()
 	end(err error)
@@ -58,10 +62,12 @@
 	return fleet.DataCentreID(fmt.Sprint("dc-", region))
 }
 
-func newRouters(s Spec, engines []*engine, noExchange bool) *routers {
+func newRouters(s Spec, engines []*engine, noExchange bool, features feature.Set) *routers {
 	p := &routers{
 		spec: s, now: clock.Monotonic(), noExchange: noExchange,
-		service: &catalog.Service{ID: "lm", Engine: &catalog.Engine{Slots: s.Engine.Slots, MemoryTokens: s.Engine.MemoryTokens}},
+		service: &catalog.Service{ID: "lm", Engine: &catalog.Engine{
+			Slots: s.Engine.Slots, MemoryTokens: s.Engine.MemoryTokens, TokenBytes: s.TokenBytes, LinkMbps: s.LinkMbps,
+		}},
 	}
 	regions := make(map[fleet.DataCentreID]fleet.RegionID)
 	for r := range s.Regions {
@@ -69,7 +75,7 @@
 	}
 	for _, e := range engines {
 		p.targets = append(p.targets, inventory.Target{
-			ID: e.id, StartMillis: 1, Service: "lm", Addr: "10.0.0.1:1", DataCentre: dataCentreOf(e.region), Slots: s.Engine.Slots,
+			ID: e.id, StartMillis: 1, Service: "lm", Addr: string(e.id), DataCentre: dataCentreOf(e.region), Slots: s.Engine.Slots,
 		})
 	}
 	configuration := catalog.New(catalog.Config{
@@ -83,7 +89,7 @@
 		members = append(members, roster.Member{ID: hello.Instance, DataCentre: centre})
 		p.schedulers = append(p.schedulers, scheduler.New(scheduler.Options{
 			Self: hello.Instance, DataCentre: centre, Regions: regions, Now: p.now,
-			ShareWindow: shareWindow, RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second,
+			ShareWindow: shareWindow, RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second, Features: features,
 		}))
 	}
 	for _, s := range p.schedulers {
@@ -125,7 +131,13 @@
 			}
 			hb := &wire.Heartbeat{Incarnation: p.hellos[i].Incarnation}
 			from.FillHeartbeat(hb, p.hellos[k].Instance, wire.ScopeOwn)
-			to.HandleHeartbeat(p.hellos[i], hb)
+			if p.spec.HeartbeatDelay == 0 {
+				to.HandleHeartbeat(p.hellos[i], hb)
+				continue
+			}
+			// Heartbeats between two routers stay in order.
+			delay := time.Duration(membership.Hash(fmt.Sprint(i, "/", k)) % uint64(p.spec.HeartbeatDelay))
+			time.AfterFunc(delay, func() { to.HandleHeartbeat(p.hellos[i], hb) })
 		}
 	}
 }
@@ -151,7 +163,11 @@
 type schedulerTicket struct{ p *scheduler.Placement }
 
 func (t *schedulerTicket) engine() fleet.TargetID { return t.p.Target.ID }
-func (t *schedulerTicket) prefillDone()           { t.p.PrefillDone() }
+func (t *schedulerTicket) fetchFrom() fleet.TargetID {
+	// Addresses of the simulation's engines are their ids.
+	return fleet.TargetID(t.p.Fetch.Addr())
+}
+func (t *schedulerTicket) prefillDone() { t.p.PrefillDone() }
 
 func (t *schedulerTicket) end(err error) {
 	switch {
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -6,6 +6,8 @@
 	"path/filepath"
 	"testing"
 	"testing/synctest"
+
+	"medlarwind.dev/medlarwind/internal/feature"
 )
 
 var out = flag.String("replay.out", "", "write tables and plots of TestReplay into this directory")
@@ -15,8 +17,8 @@
 	name  string
 	build func(Spec, []*engine) policy
 }{
-	{"medlarwind", func(s Spec, e []*engine) policy { return newRouters(s, e, false) }},
-	{"each router alone", func(s Spec, e []*engine) policy { return newRouters(s, e, true) }},
+	{"medlarwind", func(s Spec, e []*engine) policy { return newRouters(s, e, false, feature.Set{}) }},
+	{"each router alone", func(s Spec, e []*engine) policy { return newRouters(s, e, true, feature.Set{}) }},
 	{"home with gate", func(s Spec, e []*engine) policy {
 		return newBaseline(s, e, &baseline{maxRunning: 14, prefixAffinity: true, customerGate: true})
 	}},
--- a/internal/replay/simulation.go
+++ b/internal/replay/simulation.go
@@ -56,7 +56,11 @@
 func newSimulation(s Spec, build func(Spec, []*engine) policy) *simulation {
 	sim := &simulation{spec: s, engines: make(map[fleet.TargetID]*engine), calls: generateLoad(s)}
 	for i := range s.Engines {
-		e := newEngine(fleet.TargetID(fmt.Sprintf("engine-%02d", i)), i%s.Regions, s.Engine)
+		params := s.Engine
+		if len(s.Speeds) > 0 {
+			params.PrefillTokensPerMillisecond *= s.Speeds[i%len(s.Speeds)]
+		}
+		e := newEngine(fleet.TargetID(fmt.Sprintf("engine-%02d", i)), i%s.Regions, params)
 		sim.engines[e.id] = e
 		sim.engineList = append(sim.engineList, e)
 	}
@@ -151,6 +155,9 @@
 		latency = s.spec.CrossRegionLatency
 	}
 	time.Sleep(latency)
+	if source := s.engines[t.fetchFrom()]; source != nil {
+		e.fetch(&s.spec, source, x)
+	}
 	r, err := e.submit(x)
 	if err != nil {
 		t.end(err)
--- a/internal/replay/spec.go
+++ b/internal/replay/spec.go
@@ -30,6 +30,9 @@
 	// the numbers of different texts for each.
 	Shared         []int
 	SharedVariants []int
+	// VariantSkew is the exponent of the power law by which the texts differ in frequency, 0 for
+	// equal frequencies.
+	VariantSkew float64
 	// Own and Output are the mean lengths in tokens of the request's own part and of its
 	// answer, OwnSpread and OutputSpread the standard deviations of their logarithms, and
 	// MaxOwn and MaxOutput their upper bounds.
@@ -61,9 +64,18 @@
 	// Routers and Engines are spread evenly over Regions.
 	Routers, Engines, Regions int
 	Engine                    enginemodel.Params
+	// Speeds are factors on the engines' prefill rates, in turn; empty for equal engines.
+	Speeds []float64
+	// TokenBytes and LinkMbps are the published sizes for transfers between engines, TransferSetup the
+	// time until one begins. If they are 0, engines transfer nothing.
+	TokenBytes    int
+	LinkMbps      float64
+	TransferSetup time.Duration
 	// RegionLatency and CrossRegionLatency are the one-way latencies within a region and
 	// between regions.
 	RegionLatency, CrossRegionLatency time.Duration
+	// HeartbeatDelay is the longest time that a heartbeat takes to another router.
+	HeartbeatDelay time.Duration
 	// Customers is the number of customers. Their sizes follow a power law with the
 	// exponent -Skew.
 	Customers int
