Counters of prefix fetches, and their source in the request log

Cause: an operator cannot see whether fetches replace prefills, nor on which belief a request named its source.

Change: prefix_fetch in /debug/vars (fetches, late ones, tokens; entries kept, disproved, evicted, displaced, merged, ignored); fetch_source, fetch_tokens and fetch_belief_age_ms in the line of a request.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -201,6 +201,7 @@
 		ShareWindow: s.ShareWindow, RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow,
 		ListingConfirmedAt: g.listingConfirmedAt, ListingMaxAge: listingMaxAge(s.ChangeWithin), Features: s.Features,
 	})
+	g.metrics.prefixes = g.scheduler.PrefixCounters
 	g.scheduler.SetAlive(g.roster.Alive(o.Now()))
 	g.upstream = upstream.NewClient(o.Dial)
 	g.callers = newCallerConns(s.MaxCallerConns, o.Now)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -36,6 +36,8 @@
 	// behind is 1 while the instance falls behind, timesBehind counts how often it began to.
 	behind, timesBehind expvar.Int
 	logDropped          func() int64
+	// prefixes returns the counters of prefix fetches. It may be nil.
+	prefixes func() scheduler.PrefixCounters
 
 	// mu guards the histograms.
 	mu        sync.Mutex
@@ -207,6 +209,9 @@
 	all.Set("times_behind", &m.timesBehind)
 	all.Set("first_byte_ms", expvar.Func(func() any { return m.summary(m.firstByte) }))
 	all.Set("waited_ms", expvar.Func(func() any { return m.summary(m.waited) }))
+	if m.prefixes != nil {
+		all.Set("prefix_fetch", expvar.Func(func() any { return gaugesOf(m.prefixes()) }))
+	}
 	if m.logDropped != nil {
 		all.Set("log_lines_dropped", expvar.Func(func() any { return m.logDropped() }))
 	}
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -67,3 +67,13 @@
 		t.Errorf("report_age_ms is %v, want one age of 210 ms: an instance without reports has none", all["report_age_ms"])
 	}
 }
+
+// Without its counters an operator cannot see whether fetches replace prefills.
+func TestPrefixCountersAreServed(t *testing.T) {
+	m := newMetrics(nil)
+	m.prefixes = func() scheduler.PrefixCounters { return scheduler.PrefixCounters{Fetches: 3, FetchedTokens: 16000} }
+	all := scrape(t, m)
+	if member(all, "prefix_fetch", "fetches") != 3.0 || member(all, "prefix_fetch", "fetched_tokens") != 16000.0 {
+		t.Errorf("prefix_fetch is %v, want 3 fetches of 16000 tokens", all["prefix_fetch"])
+	}
+}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -155,7 +155,7 @@
 // with that run of the request, which has been begun on p.
 func (x *exchange) attempt(ctx context.Context, p *scheduler.Placement, s *standby) attemptResult {
 	x.result.Target, x.result.ExpectedWait = p.Target.ID, p.Wait
-	x.result.Cached, x.result.Rank = p.Cached, p.Rank
+	x.result.Cached, x.result.Rank, x.result.Fetch = p.Cached, p.Rank, p.Fetch
 	x.runEvents = 0
 	if s == nil && !p.Validity().Usable {
 		return x.unsent(p, errTargetLeft)
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -45,6 +45,8 @@
 	// Cached is the estimated number of prompt tokens in the target's cache. Rank is the
 	// target's position in the rendezvous-hashing order for the shared start of the prompt.
 	Cached, Rank int
+	// Fetch is what the target was to fetch from another one, nil for nothing.
+	Fetch *scheduler.Fetch
 	// Version is the version of the configuration, 0 if there was none.
 	Version uint64
 	// Waited is the time from arrival to the first send, ExpectedWait the expected wait at
@@ -203,6 +205,9 @@
 	if x.route != nil {
 		line = line.Str("route", x.route.Name)
 	}
+	if f := r.Fetch; f != nil {
+		line = line.Str("fetch_source", string(f.Source.ID)).Int("fetch_tokens", f.Tokens).Int64("fetch_belief_age_ms", f.Age.Milliseconds())
+	}
 	if x.customer != "" {
 		line = line.Str("customer", string(x.customer))
 	}
