Work leaves a busy home for a fetch

Cause: leaving the home of a part was charged 14 times its prefill, on the belief that the home always keeps it. Work queued there while engines that could have fetched the part in 9 ms were idle; homes that had evicted it counted as cached.

Change: where the index is in force, it replaces that belief. A candidate's cost is its wait, the transfer from the best source (published sizes, the source's link, distance, doubt) or the prefill of what it lacks, and what the copy costs others: a transfer, because it evicts as much that is fetched again; a prefill, one for each request that runs there and waits for it. While nobody is known to hold a part, its home prefills it first; while it is prefilled, further requests go there. The preference by rank stays, so that work returns to the home. The multiple 14 stays for all other requests.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -76,6 +76,8 @@
 	Rank int
 	// Cached is the number of prompt tokens that the target is expected to have cached.
 	Cached int
+	// Copy describes the shared parts on the target if it is known which targets keep them.
+	Copy Copy
 	// Distance is the network cost as a time: a round trip and the cost of the
 	// transferred bytes.
 	Distance time.Duration
@@ -138,12 +140,12 @@
 
 // timeToFirstEvent returns the expected time to the first event after the given wait.
 func (c *Candidate) timeToFirstEvent(r Request, wait time.Duration) time.Duration {
-	return wait + c.prefillTime(r.Prompt-c.Cached) + r.ServiceTime + c.Distance
+	return wait + c.Copy.Transfer + c.prefillTime(r.Prompt-c.Cached) + r.ServiceTime + c.Distance
 }
 
 // cost returns the cost of sending the request to the candidate, as a time.
 func (c *Candidate) cost(r Request, wait time.Duration) time.Duration {
-	return c.timeToFirstEvent(r, wait) + recomputeWeight*prefillTime(max(r.Shared-c.Cached, 0), AssumedSpeed) +
+	return c.timeToFirstEvent(r, wait) + c.copyCost(r) +
 		time.Duration(min(c.Rank, MaxRank))*rankPenalty +
 		time.Duration(c.FailureRate*float64(failurePenalty))
 }
--- a/internal/scheduler/prefixes.go
+++ b/internal/scheduler/prefixes.go
@@ -69,6 +69,8 @@
 	// holdTimes are the mean times for which requests of a service hold their memory.
 	holdTimes map[fleet.ServiceID]time.Duration
 	counters  PrefixCounters
+	// located describes the targets that hold the long prefix of the job that is being decided on.
+	located located
 }
 
 // PrefixCounters count the prefix fetches of an instance.
@@ -108,24 +110,27 @@
 // that as cached in the candidate. It also returns the number of tokens of the prefix that the target
 // then needs not prefill. s.mu must be held.
 func (s *Scheduler) planFetch(j *Job, target *usableTarget, c *placement.Candidate, now clock.Instant) (*Fetch, int) {
-	if len(j.longPrefixes) == 0 || !s.fetchesPrefixes(j.Service) {
+	l := &s.prefixes.located
+	s.locate(j, s.targetListFor(j, now), now)
+	if !l.inForce {
 		return nil, 0
 	}
 	kept, _ := s.heldTokens(j, target, now)
-	source, ok := s.bestSource(j, target, kept, s.targetListFor(j, now), now)
-	if !ok {
+	tokens := l.tokens - kept
+	source, took := s.bestSource(j, target, tokens)
+	if source == nil {
 		return nil, kept
 	}
-	x := s.prefixes.index
+	from := source.target.entry.Target
+	prefix := j.hashOf(l.tokens)
 	f := &Fetch{
-		Source: source.target.entry.Target, Tokens: source.entry.Tokens - kept, Age: source.entry.Age(now),
-		prefix: source.entry.Prefix, time: source.took,
+		Source: from, Tokens: tokens, Age: s.prefixes.index.Get(from.ID, from.StartMillis, prefix).Age(now), prefix: prefix, time: took,
 	}
-	c.Cached = source.entry.Tokens
-	x.BeginFetch(f.Source.ID, source.took, now)
+	c.Cached = max(c.Cached, l.tokens)
+	s.prefixes.index.BeginFetch(from.ID, took, now)
 	s.prefixes.counters.Fetches++
-	s.prefixes.counters.FetchedTokens += int64(f.Tokens)
-	return f, source.entry.Tokens
+	s.prefixes.counters.FetchedTokens += int64(tokens)
+	return f, l.tokens
 }
 
 // heldTokens returns the number of tokens of the job's longest prefix that the target keeps, and of
@@ -144,44 +149,6 @@
 	return 0, prefilling
 }
 
-// fetchSource is a target that keeps a prefix, with the expected time of a transfer.
-type fetchSource struct {
-	target *usableTarget
-	entry  *prefixindex.Entry
-	// took is the time of the transfer, cost the same and the expected cost of a wrong belief.
-	took, cost time.Duration
-}
-
-// bestSource returns the source from which the target gets most of the job's long prefix, and of
-// those the cheapest. kept is what the target keeps itself. s.mu must be held.
-func (s *Scheduler) bestSource(j *Job, target *usableTarget, kept int, list *targetList, now clock.Instant) (best fetchSource, ok bool) {
-	for _, p := range j.longPrefixes {
-		lacking := p.tokens - kept
-		if lacking < prefixindex.MinTokens {
-			break
-		}
-		for _, e := range s.prefixes.index.Holders(p.hash) {
-			source := s.sourceOf(j, e, list, now)
-			if source == nil || source == target {
-				continue
-			}
-			took := s.transferTime(j.Service.Engine, source, target, lacking, now)
-			prefill := time.Duration(float64(lacking) / s.meanSpeed(j.Service.ID) * float64(time.Millisecond))
-			if took >= prefill {
-				continue
-			}
-			cost := took + time.Duration((1-e.Belief())*float64(prefill))
-			if !ok || cost < best.cost || cost == best.cost && source.entry.ID < best.target.entry.ID {
-				best, ok = fetchSource{target: source, entry: e, took: took, cost: cost}, true
-			}
-		}
-		if ok {
-			break
-		}
-	}
-	return best, ok
-}
-
 // sourceOf returns the target of an entry if the job may fetch from it: it keeps the prefix, may get
 // the job itself, is not cold and does not fail. s.mu must be held.
 func (s *Scheduler) sourceOf(j *Job, e *prefixindex.Entry, list *targetList, now clock.Instant) *usableTarget {
@@ -203,20 +170,6 @@
 	return source
 }
 
-// transferTime returns the time to transfer tokens from one target to another, after the transfers
-// under way on the source's link. s.mu must be held.
-func (s *Scheduler) transferTime(e *catalog.Engine, source, target *usableTarget, tokens int, now clock.Instant) time.Duration {
-	took := transferSetup + time.Duration(float64(tokens)*tokenTransfer(e)*float64(time.Millisecond))
-	switch {
-	case source.entry.DataCentre == target.entry.DataCentre:
-	case source.region == target.region:
-		took += dataCentreDistance
-	default:
-		took += regionDistance
-	}
-	return took + s.prefixes.index.LinkWait(source.entry.ID, now)
-}
-
 // beginPrefixes records the long prefixes of a request that is sent to a target. s.mu must be held.
 func (s *Scheduler) beginPrefixes(p *Placement, now clock.Instant) {
 	if !s.fetchesPrefixes(p.job.Service) {
--- a/internal/scheduler/prefixes_test.go
+++ b/internal/scheduler/prefixes_test.go
@@ -207,3 +207,133 @@
 		}
 	})
 }
+
+// place admits a request of 12,000 tokens, of which 6,000 are a shared part.
+func (ts *testScheduler) place(t *testing.T) *Placement {
+	t.Helper()
+	j := ts.job("customer", "part", 12000)
+	j.Service = &fetching
+	p, err := ts.admit(t.Context(), j)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// Two requests for one part at the same moment must have it prefilled once. Once it is cached, a busy
+// home must not hold work that another engine could do after a transfer, and work must return to the
+// home when it is idle again, or the copies of a part only grow in number.
+func TestPartIsPrefilledOnceThenSpreadsUnderLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ts := newFetchScheduler()
+		first, second := ts.place(t), ts.place(t)
+		if first.Rank != 0 || second.Target.ID != first.Target.ID || second.Cached != 6000 {
+			t.Fatalf("the first request went to rank %d, the second to %s with %d tokens cached, want both to the home %s",
+				first.Rank, second.Target.ID, second.Cached, first.Target.ID)
+		}
+		time.Sleep(300 * time.Millisecond)
+		first.PrefillDone()
+		second.PrefillDone()
+		var away []*Placement
+		for range 6 {
+			if p := ts.place(t); p.Target.ID != first.Target.ID {
+				away = append(away, p)
+			} else if p.Fetch != nil || p.Cached != 6000 {
+				t.Errorf("the home fetches %+v and has %d tokens cached, want 6000 of its own", p.Fetch, p.Cached)
+			}
+		}
+		if len(away) == 0 {
+			t.Fatal("six requests at once queue at the home")
+		}
+		for _, p := range away {
+			if p.Fetch.Addr() != first.Target.Addr {
+				t.Errorf("the request at %s fetches %+v, want a fetch from the home", p.Target.ID, p.Fetch)
+			}
+		}
+	})
+	synctest.Test(t, func(t *testing.T) {
+		ts := newFetchScheduler()
+		for _, e := range engineList(4) {
+			ts.keepOn(e.ID)
+		}
+		for range 5 {
+			p := ts.place(t)
+			if p.Rank != 0 {
+				t.Errorf("a request went to rank %d while the home was idle", p.Rank)
+			}
+			time.Sleep(100 * time.Millisecond)
+			p.PrefillDone()
+			p.End(Completed)
+		}
+	})
+}
+
+// A home that lost its cache, as after a restart, must get the part by a fetch, and what it has to
+// prefill otherwise must count as work there.
+func TestHomeIsNotBelievedToKeepWhatItLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ts := newFetchScheduler()
+		home := ts.place(t)
+		if load := ts.target(home.Target.ID).ownLoad; load.Unread != 12000 {
+			t.Errorf("%d tokens count as to be prefilled at a home that keeps nothing, want 12000", load.Unread)
+		}
+		home.PrefillDone()
+		home.End(Completed)
+		for _, e := range engineList(4) {
+			ts.keepOn(e.ID)
+		}
+		ts.prefixes.index.Drop(home.Target.ID, 1, home.job.longPrefixes[0].hash, ts.now())
+		p := ts.startOn(home.Target.ID, &fetching, nil)
+		if p.Fetch == nil || p.Cached != 6000 {
+			t.Errorf("fetch %+v with %d tokens cached, want a fetch of 6000", p.Fetch, p.Cached)
+		}
+	})
+}
+
+// A decision on a waiting request must not allocate, nor must its time grow with the number of copies.
+func TestDecideWithManyCopiesDoesNotAllocate(t *testing.T) {
+	ts := newBusyScheduler(90)
+	ts.useService(fetching)
+	j := ts.job("customer-1", "part", 12000)
+	j.Service = &fetching
+	j.prepare()
+	for i := range 90 {
+		ts.prefixes.index.Keep(fleet.TargetID(fmt.Sprint("e", i)), 1, j.longPrefixes[0].hash, 6000, ts.now())
+	}
+	list := ts.targetListFor(j, ts.now())
+	decide := func() {
+		candidates, _ := ts.candidates(j, list, ts.now())
+		placement.Pick(j.request(), candidates, placement.Limit{})
+	}
+	decide()
+	if allocs := testing.AllocsPerRun(100, decide); allocs > 0 {
+		t.Errorf("deciding a job that has to wait allocates %v times, want 0", allocs)
+	}
+	if len(ts.prefixes.located.sources) > sourcesPerDataCentre {
+		t.Errorf("%d sources of one data centre are compared, want %d", len(ts.prefixes.located.sources), sourcesPerDataCentre)
+	}
+}
+
+// BenchmarkDecideWithCopies measures the choice among 90 engines, of which none and 30 keep the part.
+func BenchmarkDecideWithCopies(b *testing.B) {
+	for _, copies := range []int{0, 30} {
+		b.Run(fmt.Sprint(copies), func(b *testing.B) { benchmarkChoice(b, copies) })
+	}
+}
+
+func benchmarkChoice(b *testing.B, copies int) {
+	ts := newBusyScheduler(90)
+	ts.useService(fetching)
+	j := ts.job("customer-1", "part", 12000)
+	j.Service = &fetching
+	j.prepare()
+	for i := range copies {
+		ts.prefixes.index.Keep(fleet.TargetID(fmt.Sprint("e", i)), 1, j.longPrefixes[0].hash, 6000, ts.now())
+	}
+	list := ts.targetListFor(j, ts.now())
+	b.ReportAllocs()
+	for b.Loop() {
+		candidates, _ := ts.candidates(j, list, ts.now())
+		placement.Pick(j.request(), candidates, placement.Limit{})
+	}
+}
--- a/internal/scheduler/targets.go
+++ b/internal/scheduler/targets.go
@@ -104,6 +104,7 @@
 	j.rankTargets(list)
 	candidates, from := s.candidateBuffer[:0], s.targetBuffer[:0]
 	j.heldTargets, j.heldUntil = 0, 0
+	s.locate(j, list, now)
 	for i := range list.targets {
 		target := &list.targets[i]
 		if !j.allows(target) {
@@ -158,6 +159,11 @@
 		c.Slots *= plainSlotFactor
 		return c
 	}
+	if s.prefixes.located.inForce {
+		c.Memory = int(memoryFraction * float64(j.Service.Engine.MemoryTokens))
+		s.describeCopy(j, target, &c, now)
+		return c
+	}
 	c.Memory = int(memoryFraction * float64(j.Service.Engine.MemoryTokens))
 	c.Cached = j.cachedTokens(s.cache.Cached(target.startID, j.prefixes))
 	// The home target counts as having all shared parts cached.
