Transfers under way are not reported; test of late first events

Cause: peers were told of each transfer that began, which is over before they learn of it. No test showed that late first events end a belief.

Change: a prefill that begins is reported only while no target is known to keep the prefix. Test of late first events, of those in time and of those behind other work.

--- a/internal/prefixindex/index.go
+++ b/internal/prefixindex/index.go
@@ -255,7 +255,9 @@
 	}
 	e.keptAt, e.prefillAt = max(e.keptAt, seen.keptAt), max(e.prefillAt, seen.prefillAt)
 	refreshed := e.takenIn-e.reportedTakenIn > refreshPart*float64(t.memory)
-	if e.Kept() != wasKept || !wasKept && e.Prefilling(now) != wasPrefilling || e.Kept() && refreshed {
+	// Once a target keeps the prefix, others fetch it in some 10 ms: that is over before peers learn of it.
+	begun := !e.Kept() && e.Prefilling(now) && !wasPrefilling && !slices.ContainsFunc(x.holders[seen.Prefix], (*Entry).Kept)
+	if e.Kept() && (!wasKept || refreshed) || begun {
 		e.origin, e.from, e.reportedTakenIn = seen.origin, seen.from, e.takenIn
 		x.changes.add(e)
 	}
--- a/internal/scheduler/prefixes_test.go
+++ b/internal/scheduler/prefixes_test.go
@@ -337,3 +337,38 @@
 		placement.Pick(j.request(), candidates, placement.Limit{})
 	}
 }
+
+// A source that keeps nothing, or is gone, costs the engine a prefill. First events that come later than
+// a transfer can take must end the belief; those of an engine that had other work to do say nothing.
+func TestLateFirstEventsEndBelief(t *testing.T) {
+	for name, c := range map[string]struct {
+		took    time.Duration
+		ahead   int
+		dropped bool
+	}{
+		"late": {300 * time.Millisecond, 0, true}, "in time": {120 * time.Millisecond, 0, false}, "late behind other work": {300 * time.Millisecond, 20000, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			ts := newFetchScheduler()
+			for range 2 {
+				ts.keepOn("e0")
+			}
+			hash := ts.startOn("e0", &fetching, nil).job.longPrefixes[0].hash
+			for _, id := range []fleet.TargetID{"e1", "e2"} {
+				ts.target(id).ownLoad.Unread += c.ahead
+				ts.target(id).speed = 92
+				p := ts.startOn(id, &fetching, nil)
+				if p.Fetch == nil || p.Fetch.Source.ID != "e0" {
+					t.Fatalf("%s: fetch %+v, want one from e0", name, p.Fetch)
+				}
+				time.Sleep(c.took)
+				p.PrefillDone()
+				// The engine then keeps what it has prefilled, but must not be the next source here.
+				ts.prefixes.index.Drop(id, 1, hash, ts.now())
+			}
+			if kept := ts.prefixes.index.Get("e0", 1, hash).Kept(); kept == c.dropped {
+				t.Errorf("%s: the belief in e0 is kept: %v, want %v", name, kept, !c.dropped)
+			}
+		})
+	}
+}
