--- a/internal/prefixindex/index_test.go
+++ b/internal/prefixindex/index_test.go
@@ -176,3 +176,30 @@
 		t.Error("two late first events in succession must drop the entry, one must not")
 	}
 }
+
+// A peer that is faulty or of another release must not fill the index with what cannot be.
+func TestOddReportsAreIgnored(t *testing.T) {
+	x := prefixindex.New()
+	odd := []wire.KeptPrefix{
+		{Target: "a", StartMillis: 1, Prefix: 1, Tokens: 999},
+		{Target: "a", StartMillis: 1, Prefix: 1, Tokens: -5000},
+		{Target: "a", StartMillis: 1, Prefix: 1, Tokens: 1 << 40},
+		{Target: "a", StartMillis: 1, Prefix: 1, Tokens: 5000, AgeMillis: -1},
+		{Target: "a", StartMillis: 1, Prefix: 1, Tokens: 5000, AgeMillis: 1 << 60},
+		{Target: "a", StartMillis: 2, Prefix: 1, Tokens: 5000},
+		{Target: "gone", StartMillis: 1, Prefix: 1, Tokens: 5000},
+	}
+	isListed := func(id fleet.TargetID, startMillis int64) bool { return id == "a" && startMillis == 1 }
+	x.Merge(odd, "p", prefixindex.DataCentre, isListed, start)
+	if s := x.Stats(); s.Entries != 0 || s.Ignored != int64(len(odd)) {
+		t.Errorf("%+v, want %d ignored and no entry", s, len(odd))
+	}
+	many := make([]wire.KeptPrefix, 10*prefixindex.MaxReported)
+	for i := range many {
+		many[i] = wire.KeptPrefix{Target: "a", StartMillis: 1, Prefix: uint64(i), Tokens: 5000}
+	}
+	x.Merge(many, "p", prefixindex.DataCentre, isListed, start)
+	if n := x.Stats().Entries; n != prefixindex.MaxReported {
+		t.Errorf("a report of %d entries added %d, want %d", len(many), n, prefixindex.MaxReported)
+	}
+}
