A start that is listed replaces a higher one in the prefix index

Cause: a target whose machine's clock was set back restarts with a lower start, which the index would have refused for as long as the target is listed.

Change: the upkeep drops entries of any other start than the listed one.

--- a/internal/prefixindex/index_test.go
+++ b/internal/prefixindex/index_test.go
@@ -203,3 +203,31 @@
 		t.Errorf("a report of %d entries added %d, want %d", len(many), n, prefixindex.MaxReported)
 	}
 }
+
+// A target whose machine's clock was set back restarts with a lower start. It must not stay without
+// entries, nor with those of the start before.
+func TestRestartWithLowerStart(t *testing.T) {
+	x := prefixindex.New()
+	x.Keep("a", 9, 1, 5000, start)
+	x.Expire(prefixindex.Usage{Target: "a", StartMillis: 5, Memory: 100_000}, start)
+	x.Keep("a", 5, 2, 5000, start)
+	if x.Get("a", 9, 1) != nil || x.Get("a", 5, 2) == nil {
+		t.Error("the index has entries of the start that is over, or none of the one that is listed")
+	}
+}
+
+// BenchmarkExpire measures the upkeep of 90 targets with 50 entries each, which is due five times a second.
+func BenchmarkExpire(b *testing.B) {
+	x := prefixindex.New()
+	for i := range 90 {
+		for p := range uint64(50) {
+			x.Keep(fleet.TargetID(fmt.Sprint(i)), 1, p, 5000, start)
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		for i := range 90 {
+			x.Expire(prefixindex.Usage{Target: fleet.TargetID(fmt.Sprint(i)), StartMillis: 1, Memory: 1_000_000}, start)
+		}
+	}
+}
--- a/internal/prefixindex/memory.go
+++ b/internal/prefixindex/memory.go
@@ -13,7 +13,7 @@
 // rateTime is the time constant of the smoothed rate at which a target takes in tokens.
 const rateTime = 2 * time.Second
 
-// Usage is what is known of the memory of one start of a target.
+// Usage is what is known of the memory of the listed start of a target.
 type Usage struct {
 	Target      fleet.TargetID
 	StartMillis int64
@@ -53,10 +53,9 @@
 		return
 	}
 	if t.startMillis != u.StartMillis {
-		if t.startMillis < u.StartMillis {
-			x.stats.Restarted += int64(len(t.entries))
-			x.removeTarget(u.Target)
-		}
+		// The start that is listed may also be the lower one, if the machine's clock was set back.
+		x.stats.Restarted += int64(len(t.entries))
+		x.removeTarget(u.Target)
 		return
 	}
 	elapsed := max(now.Sub(t.countedAt), 0).Seconds()
