--- a/internal/scheduler/targets.go
+++ b/internal/scheduler/targets.go
@@ -48,6 +48,8 @@
 type targetList struct {
 	generation uint64
 	targets    []usableTarget
+	// index is the position of each target by its id.
+	index map[fleet.TargetID]int
 }
 
 // invalidateTargetLists drops all target lists, so that they are built anew. s.mu must be
@@ -62,8 +64,9 @@
 func (s *Scheduler) targetListFor(j *Job, now clock.Instant) *targetList {
 	list, ok := s.targetLists[j.Service.ID]
 	if !ok {
-		list = &targetList{generation: s.generation}
+		list = &targetList{generation: s.generation, index: make(map[fleet.TargetID]int)}
 		for _, e := range s.inventory.Usable(j.Service.ID, j.Service.ColdPeriod, now) {
+			list.index[e.ID] = len(list.targets)
 			list.targets = append(list.targets, s.usableTarget(e))
 		}
 		s.targetLists[j.Service.ID] = list
@@ -101,6 +104,7 @@
 	j.rankTargets(list)
 	candidates, from := s.candidateBuffer[:0], s.targetBuffer[:0]
 	j.heldTargets, j.heldUntil = 0, 0
+	s.locate(j, list, now)
 	for i := range list.targets {
 		target := &list.targets[i]
 		if !j.allows(target) {
@@ -155,6 +159,11 @@
 		c.Slots *= plainSlotFactor
 		return c
 	}
+	if s.prefixes.located.inForce {
+		c.Memory = int(memoryFraction * float64(j.Service.Engine.MemoryTokens))
+		s.describeCopy(j, target, &c, now)
+		return c
+	}
 	c.Memory = int(memoryFraction * float64(j.Service.Engine.MemoryTokens))
 	c.Cached = j.cachedTokens(s.cache.Cached(target.startID, j.prefixes))
 	// The home target counts as having all shared parts cached.
