--- a/internal/ingress/codec.go
+++ b/internal/ingress/codec.go
@@ -78,7 +78,9 @@
 	Pause     time.Duration
 	PauseText string
 	// Load is what the target says of its load, nil if it says nothing or nothing that can be read.
-	Load *loadreport.Report
+	// LoadText is what it said if that cannot be read.
+	Load     *loadreport.Report
+	LoadText string
 }
 
 // Codec translates between the headers of callers and targets and the types Call,
