Use load reports of targets, and learn the times of plain services

Cause: a target on a slow machine, or at which requests wait, is chosen like any other until its slots are full: the wait is estimated from the fleet's own requests alone. Calls to plain services count 15 ms, whatever they take.

Change: reports of every response, also of refusals and of second runs, but not of a misdirected one, go to the beliefs and into heartbeats. Wait and prefill of a candidate are multiplied by its estimated pace, requests that wait at it add the time until they have slots, and the requests that its report counts raise those that the fleet knows of. This holds only for targets whose reports state a pace. Plain services use the learned time and the learned speed of each target everywhere. Speeds and times are learned at the usual pace, so that a slow moment does not count twice, and not while the instance's own processor is late. Counters in load_reports at /debug/vars, one log line a second, pace and age in the request's line.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -202,6 +202,7 @@
 		ListingConfirmedAt: g.listingConfirmedAt, ListingMaxAge: listingMaxAge(s.ChangeWithin), Features: s.Features,
 	})
 	g.scheduler.SetAlive(g.roster.Alive(o.Now()))
+	g.metrics.loads = g.scheduler.LoadState
 	g.upstream = upstream.NewClient(o.Dial)
 	g.callers = newCallerConns(s.MaxCallerConns, o.Now)
 	g.callers.onUnanswered = g.noteUnanswered
@@ -463,6 +464,7 @@
 			return
 		case <-shareTicker.C:
 			g.logShares()
+			g.logLoads()
 			g.logRecordsAge()
 			g.logClosedIdle()
 		case <-ticker.C:
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -35,7 +35,9 @@
 	era, eraChanges expvar.Int
 	// behind is 1 while the instance falls behind, timesBehind counts how often it began to.
 	behind, timesBehind expvar.Int
-	logDropped          func() int64
+	// loads returns what is known of the load of targets by their reports.
+	loads      func() scheduler.LoadState
+	logDropped func() int64
 
 	// mu guards the histograms.
 	mu        sync.Mutex
@@ -207,6 +209,9 @@
 	all.Set("times_behind", &m.timesBehind)
 	all.Set("first_byte_ms", expvar.Func(func() any { return m.summary(m.firstByte) }))
 	all.Set("waited_ms", expvar.Func(func() any { return m.summary(m.waited) }))
+	if m.loads != nil {
+		all.Set("load_reports", expvar.Func(func() any { return m.loads() }))
+	}
 	if m.logDropped != nil {
 		all.Set("log_lines_dropped", expvar.Func(func() any { return m.logDropped() }))
 	}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -156,6 +156,7 @@
 func (x *exchange) attempt(ctx context.Context, p *scheduler.Placement, s *standby) attemptResult {
 	x.result.Target, x.result.ExpectedWait = p.Target.ID, p.Wait
 	x.result.Cached, x.result.Rank = p.Cached, p.Rank
+	x.result.LoadReported, x.result.LoadAge, x.result.Pace = p.Reported, p.ReportAge, p.Pace
 	x.runEvents = 0
 	if s == nil && !p.Validity().Usable {
 		return x.unsent(p, errTargetLeft)
@@ -376,6 +377,7 @@
 	x.observeLeaving(p, resp.Status, info)
 	x.observeLimit(p, resp.Status, info)
 	x.observePause(p, info)
+	x.observeLoad(p, resp.Status, info)
 	switch {
 	case info.NotRun:
 		resp.Finish(discardRest(resp))
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -51,6 +51,11 @@
 	// the target, FirstByte the time from arrival to the response's headers, Total to its
 	// end.
 	Waited, ExpectedWait, FirstByte, Total time.Duration
+	// LoadReported is set if the choice of the last target rested on its own report of its load. LoadAge is the age
+	// of that report, Pace the estimated pace as a factor.
+	LoadReported bool
+	LoadAge      time.Duration
+	Pace         float64
 	// RetryAfter is the retry delay sent to the caller, 0 for none.
 	RetryAfter time.Duration
 	// Sends counts the unsuccessful attempts that reached a target, Runs those of them that
@@ -206,6 +211,9 @@
 	if x.customer != "" {
 		line = line.Str("customer", string(x.customer))
 	}
+	if r.LoadReported {
+		line = line.Float64("pace", r.Pace).Int64("load_age_ms", r.LoadAge.Milliseconds())
+	}
 	line.Str("target", string(r.Target)).Uint64("version", r.Version).
 		Int64("budget_ms", x.call.Budget.Milliseconds()).Int("prompt", x.call.Prompt).Int("output", x.call.expectedOutput()).
 		Int("cached", r.Cached).Int("rank", r.Rank).
--- a/internal/ingress/standby.go
+++ b/internal/ingress/standby.go
@@ -68,6 +68,8 @@
 	s.unsent = isUnsendable(s.err)
 	if s.err == nil {
 		s.info = o.Codec.DecodeResponse(s.resp.Status, s.resp.Header)
+		// The report is of now, however long the response then waits to be chosen.
+		s.x.observeLoad(s.placement, s.resp.Status, s.info)
 		if err := s.memory.holdHead(s.resp.Header); err != nil {
 			s.broken = true
 			return
--- a/internal/loadreport/table_test.go
+++ b/internal/loadreport/table_test.go
@@ -79,6 +79,9 @@
 				t.Errorf("%d instances: %s holds a report of %v, want of %v", len(nodes), id, b.At(), start)
 			}
 		}
+		if c := nodes["r1-02"].table.Counters; c.FromPeers+c.OldFromPeers != 0 {
+			t.Errorf("%d instances: the report comes back to where it came from", len(nodes))
+		}
 		if sent := exchangeRound(nodes, members, now); sent != 0 {
 			t.Errorf("%d instances: %d reports are sent in the fourth round, want none", len(nodes), sent)
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -84,6 +84,11 @@
 	// Speed is the number of prompt tokens that the engine prefills in a millisecond, 0 if it
 	// is not known.
 	Speed float64
+	// Pace is how long work takes on the target's machine as a factor of the usual, 0 if it is not
+	// known. Queued is the time, at the usual pace, that requests which wait at the target add to
+	// the wait.
+	Pace   float64
+	Queued time.Duration
 }
 
 // Limit limits the load of a target on which a request may start.
@@ -138,7 +143,7 @@
 
 // timeToFirstEvent returns the expected time to the first event after the given wait.
 func (c *Candidate) timeToFirstEvent(r Request, wait time.Duration) time.Duration {
-	return wait + c.prefillTime(r.Prompt-c.Cached) + r.ServiceTime + c.Distance
+	return wait + c.paced(c.prefillTime(r.Prompt-c.Cached)+r.ServiceTime) + c.Distance
 }
 
 // cost returns the cost of sending the request to the candidate, as a time.
@@ -159,9 +164,17 @@
 // wait returns the expected time before the target starts on a new request.
 func (c *Candidate) wait(r Request) time.Duration {
 	if r.ServiceTime > 0 {
-		return time.Duration(c.Load.Running) * r.ServiceTime / time.Duration(max(c.Slots, 1))
+		return c.paced(time.Duration(c.Load.Running)*r.ServiceTime/time.Duration(max(c.Slots, 1)) + c.Queued)
 	}
-	return c.prefillTime(c.Load.Unread) + time.Duration(c.Load.Running)*concurrencyPenalty
+	return c.paced(c.prefillTime(c.Load.Unread) + time.Duration(c.Load.Running)*concurrencyPenalty + c.Queued)
+}
+
+// paced returns how long work that usually takes d takes on the target now.
+func (c *Candidate) paced(d time.Duration) time.Duration {
+	if c.Pace == 0 {
+		return d
+	}
+	return time.Duration(float64(d) * c.Pace)
 }
 
 // Footprint returns the number of tokens that a request adds to the memory of a target
--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -11,7 +11,7 @@
 // Limits used in decisions.
 const (
 	// plainServiceTime is the assumed processing time of a call to a plain service, which
-	// is a service without an engine.
+	// is a service without an engine, until calls have shown it.
 	plainServiceTime = 15 * time.Millisecond
 	// plainSlotFactor multiplies the slots of a plain service, so that a few requests can
 	// queue at the target beside those that run.
@@ -52,7 +52,7 @@
 		return decision{}
 	}
 	candidates, from := s.candidates(j, s.targetListFor(j, now), now)
-	choice, ok := placement.Pick(j.request(), candidates, limit)
+	choice, ok := placement.Pick(s.request(j), candidates, limit)
 	j.considered.record(candidates, from, choice, now)
 	if !ok {
 		return decision{}
@@ -117,6 +117,7 @@
 		s.addUsage(j.Customer, 0, j.weight())
 		s.countStart(j.Customer, now)
 	}
+	s.noteStart(p, target, c, now)
 	t.backlog.add(p.load.Unread, now)
 	t.ownLoad = t.ownLoad.Add(p.load)
 	t.starts.Add(now)
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -16,7 +16,7 @@
 
 // FillHeartbeat fills a heartbeat to a peer with the loads and usage counters of the
 // given scope, the broken targets, the evidence against requests that crash targets, the
-// limits that targets name, and the targets that said that they leave.
+// limits that targets name, the reports of their load, and the targets that said that they leave.
 func (s *Scheduler) FillHeartbeat(hb *wire.Heartbeat, peer fleet.InstanceID, scope wire.Scope) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -32,6 +32,7 @@
 	s.exchange.FillHeartbeat(hb, peer, scope, ownLoad, s.usageTotals)
 	hb.Evidence = s.evidence.Report(now)
 	hb.Limits = s.limits.Report(now)
+	s.shareLoads(hb, peer, scope, now)
 	hb.LeavingTargets = s.inventory.ReportLeaving(now, s.random)
 }
 
@@ -55,6 +56,7 @@
 	s.avoidBrokenTargets(hb.BrokenTargets, now)
 	s.evidence.Merge(hb.Evidence, now)
 	s.limits.Merge(hb.Limits, s.isListed, now)
+	s.mergeLoads(from, hb, now)
 	if s.inventory.MergeLeaving(hb.LeavingTargets, now) {
 		s.invalidateTargetLists()
 	}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -244,6 +244,11 @@
 	Cached int
 	// Rank is the target's position in the rendezvous order of the request's home.
 	Rank int
+	// Reported is set if the choice rested on the target's own report of its load. ReportAge is the age of that
+	// report, Pace the estimated pace as a factor.
+	Reported  bool
+	ReportAge time.Duration
+	Pace      float64
 
 	scheduler  *Scheduler
 	job        *Job
@@ -254,6 +259,11 @@
 	// distance the cost of its distance.
 	toPrefill int
 	distance  time.Duration
+	// queueFactor is the expected time of a call to a plain service, with its wait at the target, as a multiple
+	// of its processing time. paceAtStart is the target's pace at the start as a factor, 0 if it is not known.
+	queueFactor, paceAtStart float64
+	// responded is set once the head of a response has arrived.
+	responded bool
 	// answering is set once the target has sent more than its first event. It is used by the
 	// goroutine of the request only.
 	answering bool
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -123,6 +123,7 @@
 		s.refundUsage(p, now)
 	}
 	s.recordOutcome(p, t, o, now)
+	s.observeRunTime(p, o, now)
 	s.startQueued()
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -84,6 +84,7 @@
 	// meanSpeeds are the mean speeds of the services' engines then.
 	meanSpeeds map[fleet.ServiceID]float64
 	oddTimes   []OddTime
+	loads      loads
 	// failedReadAt is when the target list could last not be read.
 	failedReadAt clock.Instant
 	// processor is how this instance's own processor keeps up.
@@ -128,6 +129,9 @@
 	backlog backlog
 	// speed is the estimated speed of an engine in tokens a millisecond, 0 if it is not known.
 	speed float64
+	// slowness is how long calls take on a target of a plain service, as a factor of the service's time, 0 if it is
+	// not known.
+	slowness float64
 	// failureRate is the smoothed fraction of recent requests that failed.
 	failureRate float64
 	// avoidUntil is the time until which the target gets no requests after failures.
@@ -161,6 +165,7 @@
 		cache:         affinity.New(),
 		speeds:        speed.New(placement.AssumedSpeed),
 		meanSpeeds:    make(map[fleet.ServiceID]float64),
+		loads:         newLoads(&o),
 		overLimit:     make(overLimit),
 		targets:       make(map[fleet.TargetID]*targetState),
 		exchange:      exchange.New(o.DataCentre),
@@ -208,6 +213,7 @@
 	now := s.options.Now()
 	s.limits.Expire(s.isListed, now)
 	s.speeds.Keep(s.isListed)
+	s.expireLoads()
 	for id, t := range s.targets {
 		if _, listed := s.inventory.Get(id); !listed && t.ownLoad == (placement.Load{}) && t.starts.Count(time.Second, now) == 0 && now >= t.pause.until {
 			delete(s.targets, id)
--- a/internal/scheduler/speeds.go
+++ b/internal/scheduler/speeds.go
@@ -39,7 +39,10 @@
 	if p.job.Service.Engine == nil || s.processor.Delay >= maxObservedDelay {
 		return
 	}
-	took := now.Sub(p.started) - p.distance
+	took, steady := s.atUsualPace(p, now.Sub(p.started)-p.distance, now)
+	if !steady {
+		return
+	}
 	if !s.speeds.Observe(p.job.Service.ID, p.Target.ID, p.Target.StartMillis, p.toPrefill, took, now) && len(s.oddTimes) < maxOddTimes {
 		s.oddTimes = append(s.oddTimes, OddTime{Target: p.Target.ID, Took: took})
 	}
@@ -55,6 +58,7 @@
 	}
 	s.speedsAt = now
 	s.speeds.Refresh(now)
+	s.updateTimes(now)
 	clear(s.meanSpeeds)
 	known := make(map[fleet.ServiceID]int)
 	for id, t := range s.targets {
--- a/internal/scheduler/targets.go
+++ b/internal/scheduler/targets.go
@@ -8,6 +8,7 @@
 	"medlarwind.dev/medlarwind/internal/clock"
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/inventory"
+	"medlarwind.dev/medlarwind/internal/loadreport"
 	"medlarwind.dev/medlarwind/internal/membership"
 	"medlarwind.dev/medlarwind/internal/placement"
 )
@@ -41,6 +42,7 @@
 	entryRank      int
 	entryRankKnown bool
 	chances        startChances
+	belief         *loadreport.Belief
 }
 
 // targetList holds the usable targets of one service. generation identifies the version
@@ -80,6 +82,7 @@
 		hash:     membership.Hash(string(e.ID)),
 		region:   s.options.Regions[e.DataCentre],
 		distance: s.distance(e.DataCentre),
+		belief:   s.loads.reports.Of(e.ID),
 	}
 }
 
@@ -153,8 +156,10 @@
 	}
 	if j.Service.Engine == nil {
 		c.Slots *= plainSlotFactor
+		s.applyReport(j, &c, target, now)
 		return c
 	}
+	s.applyReport(j, &c, target, now)
 	c.Memory = int(memoryFraction * float64(j.Service.Engine.MemoryTokens))
 	c.Cached = j.cachedTokens(s.cache.Cached(target.startID, j.prefixes))
 	// The home target counts as having all shared parts cached.
