--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -203,6 +203,7 @@
 	})
 	g.metrics.prefixes = g.scheduler.PrefixCounters
 	g.scheduler.SetAlive(g.roster.Alive(o.Now()))
+	g.metrics.loads = g.scheduler.LoadState
 	g.upstream = upstream.NewClient(o.Dial)
 	g.callers = newCallerConns(s.MaxCallerConns, o.Now)
 	g.callers.onUnanswered = g.noteUnanswered
@@ -464,6 +465,7 @@
 			return
 		case <-shareTicker.C:
 			g.logShares()
+			g.logLoads()
 			g.logRecordsAge()
 			g.logClosedIdle()
 		case <-ticker.C:
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -38,6 +38,8 @@
 	logDropped          func() int64
 	// prefixes returns the counters of prefix fetches. It may be nil.
 	prefixes func() scheduler.PrefixCounters
+	// loads returns what is known of the load of targets by their reports.
+	loads func() scheduler.LoadState
 
 	// mu guards the histograms.
 	mu        sync.Mutex
@@ -212,6 +214,9 @@
 	if m.prefixes != nil {
 		all.Set("prefix_fetch", expvar.Func(func() any { return gaugesOf(m.prefixes()) }))
 	}
+	if m.loads != nil {
+		all.Set("load_reports", expvar.Func(func() any { return m.loads() }))
+	}
 	if m.logDropped != nil {
 		all.Set("log_lines_dropped", expvar.Func(func() any { return m.logDropped() }))
 	}
--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -11,7 +11,7 @@
 // Limits used in decisions.
 const (
 	// plainServiceTime is the assumed processing time of a call to a plain service, which
-	// is a service without an engine.
+	// is a service without an engine, until calls have shown it.
 	plainServiceTime = 15 * time.Millisecond
 	// plainSlotFactor multiplies the slots of a plain service, so that a few requests can
 	// queue at the target beside those that run.
@@ -55,7 +55,7 @@
 		return decision{}
 	}
 	candidates, from := s.candidates(j, s.targetListFor(j, now), now)
-	r := j.request()
+	r := s.request(j)
 	r.TimeLeft = j.Deadline.Sub(now)
 	choice, ok := placement.Pick(r, candidates, limit)
 	j.considered.record(candidates, from, choice, now)
@@ -126,6 +126,7 @@
 		s.addUsage(j.Customer, 0, j.weight())
 		s.countStart(j.Customer, now)
 	}
+	s.noteStart(p, target, c, now)
 	t.backlog.add(p.load.Unread, now)
 	t.ownLoad = t.ownLoad.Add(p.load)
 	t.starts.Add(now)
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -16,7 +16,7 @@
 
 // FillHeartbeat fills a heartbeat to a peer with the loads and usage counters of the
 // given scope, the broken targets, the evidence against requests that crash targets, the
-// limits that targets name, and the targets that said that they leave.
+// limits that targets name, the reports of their load, and the targets that said that they leave.
 func (s *Scheduler) FillHeartbeat(hb *wire.Heartbeat, peer fleet.InstanceID, scope wire.Scope) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -33,6 +33,7 @@
 	hb.Evidence = s.evidence.Report(now)
 	hb.Limits = s.limits.Report(now)
 	hb.KeptPrefixes = s.reportPrefixes(hb, peer, now)
+	s.shareLoads(hb, peer, scope, now)
 	hb.LeavingTargets = s.inventory.ReportLeaving(now, s.random)
 }
 
@@ -57,6 +58,7 @@
 	s.evidence.Merge(hb.Evidence, now)
 	s.limits.Merge(hb.Limits, s.isListed, now)
 	s.mergePrefixes(from, hb, now)
+	s.mergeLoads(from, hb, now)
 	if s.inventory.MergeLeaving(hb.LeavingTargets, now) {
 		s.invalidateTargetLists()
 	}
--- a/internal/scheduler/prefixes_test.go
+++ b/internal/scheduler/prefixes_test.go
@@ -208,8 +208,8 @@
 	})
 }
 
-// place admits a request of 12,000 tokens, of which 6,000 are a shared part.
-func (ts *testScheduler) place(t *testing.T) *Placement {
+// placeLong admits a request of 12,000 tokens, of which 6,000 are a shared part.
+func (ts *testScheduler) placeLong(t *testing.T) *Placement {
 	t.Helper()
 	j := ts.job("customer", "part", 12000)
 	j.Service = &fetching
@@ -226,7 +226,7 @@
 func TestPartIsPrefilledOnceThenSpreadsUnderLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ts := newFetchScheduler()
-		first, second := ts.place(t), ts.place(t)
+		first, second := ts.placeLong(t), ts.placeLong(t)
 		if first.Rank != 0 || second.Target.ID != first.Target.ID || second.Cached != 6000 {
 			t.Fatalf("the first request went to rank %d, the second to %s with %d tokens cached, want both to the home %s",
 				first.Rank, second.Target.ID, second.Cached, first.Target.ID)
@@ -236,7 +236,7 @@
 		second.PrefillDone()
 		var away []*Placement
 		for range 6 {
-			if p := ts.place(t); p.Target.ID != first.Target.ID {
+			if p := ts.placeLong(t); p.Target.ID != first.Target.ID {
 				away = append(away, p)
 			} else if p.Fetch != nil || p.Cached != 6000 {
 				t.Errorf("the home fetches %+v and has %d tokens cached, want 6000 of its own", p.Fetch, p.Cached)
@@ -257,7 +257,7 @@
 			ts.keepOn(e.ID)
 		}
 		for range 5 {
-			p := ts.place(t)
+			p := ts.placeLong(t)
 			if p.Rank != 0 {
 				t.Errorf("a request went to rank %d while the home was idle", p.Rank)
 			}
@@ -273,7 +273,7 @@
 func TestHomeIsNotBelievedToKeepWhatItLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ts := newFetchScheduler()
-		home := ts.place(t)
+		home := ts.placeLong(t)
 		if load := ts.target(home.Target.ID).ownLoad; load.Unread != 12000 {
 			t.Errorf("%d tokens count as to be prefilled at a home that keeps nothing, want 12000", load.Unread)
 		}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -126,6 +126,7 @@
 	}
 	s.endPrefixes(p, o, now)
 	s.recordOutcome(p, t, o, now)
+	s.observeRunTime(p, o, now)
 	s.startQueued()
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -85,6 +85,7 @@
 	// meanSpeeds are the mean speeds of the services' engines then.
 	meanSpeeds map[fleet.ServiceID]float64
 	oddTimes   []OddTime
+	loads      loads
 	// failedReadAt is when the target list could last not be read.
 	failedReadAt clock.Instant
 	// processor is how this instance's own processor keeps up.
@@ -129,6 +130,9 @@
 	backlog backlog
 	// speed is the estimated speed of an engine in tokens a millisecond, 0 if it is not known.
 	speed float64
+	// slowness is how long calls take on a target of a plain service, as a factor of the service's time, 0 if it is
+	// not known.
+	slowness float64
 	// failureRate is the smoothed fraction of recent requests that failed.
 	failureRate float64
 	// avoidUntil is the time until which the target gets no requests after failures.
@@ -163,6 +167,7 @@
 		prefixes:      newPrefixState(),
 		speeds:        speed.New(placement.AssumedSpeed),
 		meanSpeeds:    make(map[fleet.ServiceID]float64),
+		loads:         newLoads(&o),
 		overLimit:     make(overLimit),
 		targets:       make(map[fleet.TargetID]*targetState),
 		exchange:      exchange.New(o.DataCentre),
@@ -211,6 +216,7 @@
 	s.limits.Expire(s.isListed, now)
 	s.speeds.Keep(s.isListed)
 	s.prefixes.index.KeepListed(s.isListed)
+	s.expireLoads()
 	for id, t := range s.targets {
 		if _, listed := s.inventory.Get(id); !listed && t.ownLoad == (placement.Load{}) && t.starts.Count(time.Second, now) == 0 && now >= t.pause.until {
 			delete(s.targets, id)
