Keep long prefills apart from the streams that they would hold up

Change: in a service whose targets report a pace, some engines of each data centre, as many as long prefills have of all tokens to be prefilled, are set aside. A request is ranked and its home chosen among the engines that are meant for it; another one costs the objective for the gap more, so that neither kind waits while engines idle. A long prefill may wait for as long as it takes itself. Switch prefill-isolation; log line prefill_isolation; counters prefill_isolation.

--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -23,12 +23,14 @@
 	PrefixFetch Name = "prefix-fetch"
 	// EvenLoad chooses targets so that many instances with old figures load them evenly.
 	EvenLoad Name = "even-load"
+	// PrefillIsolation keeps long prefills apart from the streams that they would hold up.
+	PrefillIsolation Name = "prefill-isolation"
 	// AdmissionOrder orders waiting requests by rank, share and the time that is left.
 	AdmissionOrder Name = "admission-order"
 )
 
 // names are all parts, in the order in which they are listed for operators.
-var names = []Name{EarlyRefusals, HandOver, LoadReports, PrefixFetch, EvenLoad, AdmissionOrder}
+var names = []Name{EarlyRefusals, HandOver, LoadReports, PrefixFetch, EvenLoad, PrefillIsolation, AdmissionOrder}
 
 // Set is the set of parts that are switched on. The zero value has all of them.
 type Set struct{ disabled map[Name]bool }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -204,6 +204,7 @@
 	g.metrics.prefixes = g.scheduler.PrefixCounters
 	g.scheduler.SetAlive(g.roster.Alive(o.Now()))
 	g.metrics.loads = g.scheduler.LoadState
+	g.metrics.isolation = g.scheduler.IsolationCounters
 	g.upstream = upstream.NewClient(o.Dial)
 	g.callers = newCallerConns(s.MaxCallerConns, o.Now)
 	g.callers.onUnanswered = g.noteUnanswered
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -40,6 +40,8 @@
 	prefixes func() scheduler.PrefixCounters
 	// loads returns what is known of the load of targets by their reports.
 	loads func() scheduler.LoadState
+	// isolation returns the counters of the isolation of long prefills.
+	isolation func() scheduler.IsolationCounters
 
 	// mu guards the histograms.
 	mu        sync.Mutex
@@ -214,6 +216,9 @@
 	if m.prefixes != nil {
 		all.Set("prefix_fetch", expvar.Func(func() any { return gaugesOf(m.prefixes()) }))
 	}
+	if m.isolation != nil {
+		all.Set("prefill_isolation", expvar.Func(func() any { return m.isolation() }))
+	}
 	if m.loads != nil {
 		all.Set("load_reports", expvar.Func(func() any { return m.loads() }))
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -94,6 +94,7 @@
 	g.logEvidence(g.scheduler.TakeEvidenceChanges())
 	g.logLimits(g.scheduler.TakeLimitChanges())
 	g.logOddTimes(g.scheduler.TakeOddTimes())
+	g.logIsolation(g.scheduler.TakeIsolationChanges())
 	for _, hello := range g.transport.Connected() {
 		scope, planned := topology.Scopes[hello.Instance]
 		if !planned {
--- a/internal/isolation/isolation.go
+++ b/internal/isolation/isolation.go
@@ -94,7 +94,7 @@
 	return min(int(math.Ceil(want)), most)
 }
 
-// Choose returns which targets are set aside for long prefills, and their number in each data centre. before
+// Choose returns which targets are set aside for long prefills, and their number in each data centre that has any. before
 // holds the numbers until now. O(n log n) for n targets.
 func Choose(targets []Target, share float64, before map[fleet.DataCentreID]int) ([]bool, map[fleet.DataCentreID]int) {
 	members := make(map[fleet.DataCentreID][]int)
@@ -104,8 +104,12 @@
 	chosen, counts := make([]bool, len(targets)), make(map[fleet.DataCentreID]int, len(members))
 	for dc, indices := range members {
 		slices.SortFunc(indices, func(a, b int) int { return cmp.Compare(targets[b].Order, targets[a].Order) })
-		counts[dc] = Count(len(indices), share, before[dc])
-		for _, i := range indices[:counts[dc]] {
+		n := Count(len(indices), share, before[dc])
+		if n == 0 {
+			continue
+		}
+		counts[dc] = n
+		for _, i := range indices[:n] {
 			chosen[i] = true
 		}
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -91,6 +91,9 @@
 	// Distance is the network cost as a time: a round trip and the cost of the
 	// transferred bytes.
 	Distance time.Duration
+	// Interference is the cost to streams on the target, and to the request's own stream, of requests
+	// whose prefills are meant for other targets.
+	Interference time.Duration
 	// FailureRate is the fraction of recent requests that failed, from 0 to 1.
 	FailureRate float64
 	// Speed is the number of prompt tokens that the engine prefills in a millisecond, 0 if it
@@ -186,7 +189,7 @@
 
 // cost returns the cost of sending the request to the candidate, as a time.
 func (c *Candidate) cost(r Request, wait time.Duration) time.Duration {
-	return c.timeToFirstEvent(r, wait) + c.copyCost(r) +
+	return c.timeToFirstEvent(r, wait) + c.copyCost(r) + c.Interference +
 		time.Duration(min(c.Rank, MaxRank))*rankPenalty +
 		time.Duration(c.FailureRate*float64(failurePenalty))
 }
--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -50,11 +50,13 @@
 	case s.tooLarge(j):
 		return decision{refusal: &Refusal{Reason: ReasonTooLarge, Inputs: s.inputs(j, now)}}
 	}
+	list := s.targetListFor(j, now)
+	j.longPrefill = list.isolates && s.isLongPrefill(j)
 	limit := s.loadLimit(j, now)
 	if s.overLimit.has(j, limit, now) {
 		return decision{}
 	}
-	candidates, from := s.candidates(j, s.targetListFor(j, now), now)
+	candidates, from := s.candidates(j, list, now)
 	r := s.request(j)
 	r.TimeLeft = j.Deadline.Sub(now)
 	choice, ok := placement.Pick(r, candidates, limit)
@@ -89,6 +91,11 @@
 	if j.Service.Engine == nil {
 		return placement.Limit{Wait: math.MaxInt64}
 	}
+	return s.allowOwnPrefill(j, s.shareLimit(j, now))
+}
+
+// shareLimit is the limit by the customer's share alone. s.mu must be held.
+func (s *Scheduler) shareLimit(j *Job, now clock.Instant) placement.Limit {
 	used, shares := s.meter.Usage(j.Customer, now), s.shares(now)
 	if used >= shares.nominal {
 		return shares.spareLimit(used, j.isLate(), s.meanSpeed(j.Service.ID))
@@ -130,6 +137,7 @@
 	t.backlog.add(p.load.Unread, now)
 	t.ownLoad = t.ownLoad.Add(p.load)
 	t.starts.Add(now)
+	s.countIsolation(j, target)
 	// After consecutive failures one request probes the target before others follow.
 	t.probing = t.consecutiveFailures >= probeThreshold
 	return p
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -60,6 +60,8 @@
 	// traits identify what the job may share with others that crash targets.
 	traits   *quarantine.Traits
 	prepared bool
+	// longPrefill is set if the job's prefill is kept apart from other streams.
+	longPrefill bool
 	// replacing is set while a replacement of a running run is placed.
 	replacing bool
 	// rankedTargets holds the first targets in the rendezvous order of homeHash, as
@@ -113,6 +115,9 @@
 	var scores [placement.MaxRank]uint64
 	found := 0
 	for i := range list.targets {
+		if j.isApart(list, &list.targets[i]) {
+			continue
+		}
 		score := membership.Score(j.homeHash, list.targets[i].hash)
 		if found == len(scores) && score <= scores[found-1] {
 			continue
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -85,7 +85,10 @@
 	// meanSpeeds are the mean speeds of the services' engines then.
 	meanSpeeds map[fleet.ServiceID]float64
 	oddTimes   []OddTime
-	loads      loads
+	// isolation keeps long prefills apart; isolationChanges are its changes until they are taken.
+	isolation        prefillIsolation
+	isolationChanges []IsolationChange
+	loads            loads
 	// failedReadAt is when the target list could last not be read.
 	failedReadAt clock.Instant
 	// processor is how this instance's own processor keeps up.
@@ -165,6 +168,7 @@
 		ownMeter:      quota.NewMeter(o.ShareWindow),
 		cache:         affinity.New(),
 		prefixes:      newPrefixState(),
+		isolation:     prefillIsolation{services: make(map[fleet.ServiceID]*isolatedService)},
 		speeds:        speed.New(placement.AssumedSpeed),
 		meanSpeeds:    make(map[fleet.ServiceID]float64),
 		loads:         newLoads(&o),
@@ -300,6 +304,7 @@
 	}
 	s.updateSpeeds()
 	s.updatePrefixes()
+	s.updateIsolation(now)
 	s.startQueued()
 }
 
@@ -323,6 +328,7 @@
 	}
 	s.meter.AddDemand(j.Customer, j.weight(), now)
 	s.ownMeter.AddDemand(j.Customer, j.weight(), now)
+	s.noteArrival(j, now)
 	s.addUsage(j.Customer, j.weight(), 0)
 }
 
--- a/internal/scheduler/targets.go
+++ b/internal/scheduler/targets.go
@@ -42,7 +42,9 @@
 	entryRank      int
 	entryRankKnown bool
 	chances        startChances
-	belief         *loadreport.Belief
+	// setAside is set for an engine that is set aside for long prefills.
+	setAside bool
+	belief   *loadreport.Belief
 }
 
 // targetList holds the usable targets of one service. generation identifies the version
@@ -50,6 +52,8 @@
 type targetList struct {
 	generation uint64
 	targets    []usableTarget
+	// isolates is set if some of the targets are set aside for long prefills.
+	isolates bool
 	// index is the position of each target by its id.
 	index map[fleet.TargetID]int
 }
@@ -71,6 +75,7 @@
 			list.index[e.ID] = len(list.targets)
 			list.targets = append(list.targets, s.usableTarget(e))
 		}
+		s.setAside(j.Service.ID, list)
 		s.targetLists[j.Service.ID] = list
 	}
 	return list
@@ -122,7 +127,9 @@
 			j.waitUntil(next)
 			continue
 		}
-		candidates = append(candidates, s.candidate(j, target, j.rankOf(i), now))
+		c := s.candidate(j, target, j.rankOf(i), now)
+		c.Interference = j.interference(list, target)
+		candidates = append(candidates, c)
 		from = append(from, target)
 	}
 	s.candidateBuffer, s.targetBuffer = candidates, from
