Refuse generations early while the processor is late

Cause: an instance with a fifth of a core that receives 1,500 requests a second of one customer uses all of its processor for refusals: each is read, parsed and refused by net/http.

Change: while the processor is late, the first read of a connection takes up to 16 KB, in the connection's own goroutine. A generation that the scheduler refuses at this moment for the processor (isShed, asked under its lock, no copy) gets a 503 with its id and Retry-After, and its demand is counted as before. The rest of its body is read for up to 4 s. What is incomplete, unusual, of a plain service, of an unknown key or route goes to net/http with the bytes read so far. Fields are decoded by the codec's own code; a property compares them with net/http's.

--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -52,6 +52,8 @@
 	// bound. heads is what they hold.
 	headMemory int64
 	heads      int64
+	// early refuses requests before net/http parses them; nil if that is switched off.
+	early *earlyRefuser
 	// slotFree is signalled when a connection closes and when stopped is set.
 	slotFree *sync.Cond
 	stopped  bool
@@ -91,24 +93,42 @@
 	// holds of conns.headMemory. conns.mu guards them.
 	head                httphead.Counter
 	headBytes, headHeld int64
+
+	// firstRead is set once readFirst has read something; pending is what it has read beyond what it
+	// returned. Only the goroutine that reads uses them.
+	firstRead bool
+	pending   []byte
 }
 
 // Read implements net.Conn. It returns nothing from a connection that was closed as idle: the
 // request could not be answered.
 func (c *callerConn) Read(b []byte) (int, error) {
+	switch {
+	case len(c.pending) > 0:
+		return c.readPending(b)
+	case !c.firstRead && c.conns.early != nil:
+		return c.readFirst(b)
+	}
+	n, err := c.receive(func() []byte { return b })
+	return c.limitHead(b, n, err)
+}
+
+// receive reads from the connection into the buffer that buffer returns. On a socket it is called
+// when bytes may have arrived, more than once if they have not.
+func (c *callerConn) receive(buffer func() []byte) (int, error) {
 	if c.socket == nil {
-		n, err := c.Conn.Read(b)
+		n, err := c.Conn.Read(buffer())
 		if n > 0 && !c.use() {
 			c.conns.reportUnanswered(c, closedAsIdle)
 			return 0, net.ErrClosed
 		}
-		return c.limitHead(b, n, err)
+		return n, err
 	}
-	n, err := c.readSocket(b)
+	n, err := c.readSocket(buffer)
 	if n > 0 {
 		c.conns.received(c)
 	}
-	return c.limitHead(b, n, err)
+	return n, err
 }
 
 // use records that bytes were read. It returns false if the connection was closed before.
@@ -122,8 +142,8 @@
 }
 
 // readSocket reads what has arrived, or waits for it, unless the connection was closed as idle.
-func (c *callerConn) readSocket(b []byte) (int, error) {
-	var n int
+func (c *callerConn) readSocket(buffer func() []byte) (int, error) {
+	var n, size int
 	var readErr error
 	receive := func(fd uintptr) bool {
 		c.mu.Lock()
@@ -132,6 +152,8 @@
 			n, readErr = 0, net.ErrClosed
 			return true
 		}
+		b := buffer()
+		size = len(b)
 		for {
 			if n, readErr = unix.Read(int(fd), b); readErr != unix.EINTR {
 				break
@@ -153,7 +175,7 @@
 		return 0, c.readError(err)
 	case readErr != nil:
 		return 0, c.readError(readErr)
-	case n == 0 && len(b) > 0:
+	case n == 0 && size > 0:
 		return 0, io.EOF
 	}
 	return n, nil
@@ -302,7 +324,7 @@
 		c.endHead(conn)
 		conn.head.Begin()
 		conn.mu.Lock()
-		conn.used = false
+		conn.used = len(conn.pending) > 0
 		conn.mu.Unlock()
 	case http.StateClosed, http.StateHijacked:
 		delete(c.fresh, conn)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -212,6 +212,7 @@
 		BodyMemory: s.MemoryLimit / bodyMemoryDivisor, AnswerMemory: s.MemoryLimit / answerMemoryDivisor,
 		Observe: g.metrics.recordRequest, ObserveSend: g.metrics.recordSend, TooManyConns: g.callers.crowded,
 	})
+	g.callers.early = g.newEarlyRefuser()
 	g.follower = &records.Follower{
 		Copy: g.copy, Reader: o.Reader, Now: o.Now, Log: o.Log,
 		Role: g.readDuty, OnResult: g.recordRead,
@@ -465,6 +466,7 @@
 			g.logShares()
 			g.logRecordsAge()
 			g.logClosedIdle()
+			g.logEarlyRefusals()
 		case <-ticker.C:
 			g.upstream.Sweep()
 			g.callers.sweep(g.callerIdleTimeout())
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"medlarwind.dev/medlarwind/internal/earlyrefusal"
 	"medlarwind.dev/medlarwind/internal/ingress"
 	"medlarwind.dev/medlarwind/internal/scheduler"
 )
@@ -36,6 +37,11 @@
 	// behind is 1 while the instance falls behind, timesBehind counts how often it began to.
 	behind, timesBehind expvar.Int
 	logDropped          func() int64
+	// early counts the new connections that were read while the processor was late, by verdict.
+	// drainedBytes is what was read of refused bodies after the refusal, drainsCut how many were not
+	// read whole.
+	early                   expvar.Map
+	drainedBytes, drainsCut expvar.Int
 
 	// mu guards the histograms.
 	mu        sync.Mutex
@@ -72,6 +78,7 @@
 	m.retriesRefused.Init()
 	m.gaveUp.Init()
 	m.failureCauses.Init()
+	m.early.Init()
 	m.shares.Store(&scheduler.ShareReport{})
 	return m
 }
@@ -136,6 +143,26 @@
 	}
 }
 
+// countEarly counts a new connection that was read while the processor was late. An early refusal counts
+// as a refused request, too.
+func (m *metrics) countEarly(v earlyrefusal.Verdict) {
+	m.early.Add(string(v), 1)
+	if v == earlyrefusal.Refused {
+		m.requests.Add("total", 1)
+		m.requests.Add("refused", 1)
+		m.reasons.Add(string(scheduler.ReasonInstanceBusy), 1)
+	}
+}
+
+// recordDrain records that n bytes of a refused body were read after the refusal; complete is false if
+// more were due.
+func (m *metrics) recordDrain(n int64, complete bool) {
+	m.drainedBytes.Add(n)
+	if !complete {
+		m.drainsCut.Add(1)
+	}
+}
+
 // addUnanswered counts connections that were closed while a request on them was
 // unanswered.
 func (m *metrics) addUnanswered(by connCloser, n int) { m.closedUnanswered.Add(string(by), int64(n)) }
@@ -203,6 +230,9 @@
 	all.Set("listing_age_ms", expvar.Func(func() any { return m.summary(m.listingAge) }))
 	all.Set("store_era", &m.era)
 	all.Set("store_era_changes", &m.eraChanges)
+	all.Set("early_connections", &m.early)
+	all.Set("early_drained_bytes", &m.drainedBytes)
+	all.Set("early_drains_cut", &m.drainsCut)
 	all.Set("behind", &m.behind)
 	all.Set("times_behind", &m.timesBehind)
 	all.Set("first_byte_ms", expvar.Func(func() any { return m.summary(m.firstByte) }))
--- a/internal/ingress/codec.go
+++ b/internal/ingress/codec.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"medlarwind.dev/medlarwind/internal/earlyrefusal"
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/loadreport"
 	"medlarwind.dev/medlarwind/internal/scheduler"
@@ -86,6 +87,9 @@
 type Codec interface {
 	// DecodeCall decodes a caller's headers.
 	DecodeCall(h http.Header) (Call, error)
+	// DecodeFields decodes the fields of a head that net/http has not parsed. It returns false if
+	// DecodeCall would fail, or if a field that it uses is repeated.
+	DecodeFields(fields []earlyrefusal.Field) (Call, bool)
 	// ForwardHeader returns the headers for a target: the caller's without those that apply
 	// to a single connection or that only this system may set, plus those for f.
 	ForwardHeader(h http.Header, f Forwarding) http.Header
@@ -99,4 +103,6 @@
 	// SetRefusalHeader sets in h the headers of a refusal by this instance. retryAfter is 0
 	// for none.
 	SetRefusalHeader(h http.Header, call Call, retryAfter time.Duration)
+	// AppendRefusal appends the same headers to b as lines of a head.
+	AppendRefusal(b []byte, call Call, retryAfter time.Duration) []byte
 }
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -243,13 +243,15 @@
 }
 
 // timeout returns how long the request may take: until the time of the caller or the route is up.
-func (x *exchange) timeout() time.Duration {
-	timeout := x.route.Timeout
+func (x *exchange) timeout() time.Duration { return timeoutOf(x.route, &x.call) }
+
+func timeoutOf(route *catalog.Route, call *Call) time.Duration {
+	timeout := route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	if x.call.Budget > 0 {
-		timeout = min(timeout, x.call.Budget)
+	if call.Budget > 0 {
+		timeout = min(timeout, call.Budget)
 	}
 	return timeout
 }
--- a/internal/ingress/silence_test.go
+++ b/internal/ingress/silence_test.go
@@ -17,6 +17,7 @@
 
 	"medlarwind.dev/medlarwind/internal/catalog"
 	"medlarwind.dev/medlarwind/internal/clock"
+	"medlarwind.dev/medlarwind/internal/earlyrefusal"
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/inventory"
 	"medlarwind.dev/medlarwind/internal/memnet"
@@ -80,6 +81,10 @@
 
 func (*testCodec) SetRefusalHeader(http.Header, Call, time.Duration) {}
 
+func (*testCodec) DecodeFields([]earlyrefusal.Field) (Call, bool) { return Call{}, false }
+
+func (*testCodec) AppendRefusal(b []byte, _ Call, _ time.Duration) []byte { return b }
+
 // testConfig is a ConfigSource.
 type testConfig struct {
 	current atomic.Pointer[catalog.Catalog]
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -17,6 +17,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"medlarwind.dev/medlarwind/internal/affinity"
@@ -87,7 +88,9 @@
 	// failedReadAt is when the target list could last not be read.
 	failedReadAt clock.Instant
 	// processor is how this instance's own processor keeps up.
-	processor    ProcessorState
+	processor ProcessorState
+	// late is set while processor refuses some generations. It may be read without mu.
+	late         atomic.Bool
 	targets      map[fleet.TargetID]*targetState
 	exchange     *exchange.Table
 	random       *rand.Rand
@@ -265,6 +268,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.processor = p
+	s.late.Store(p.Delay >= shedSpareFrom)
 }
 
 // entriesOf returns the instances that callers are directed to, all if none is known to be.
@@ -306,7 +310,11 @@
 	j.prepare()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.options.Now()
+	s.countArrival(j, s.options.Now())
+}
+
+// countArrival does the work of RecordArrival. s.mu must be held.
+func (s *Scheduler) countArrival(j *Job, now clock.Instant) {
 	s.retryBudget(j.Service.ID).AddRequest(now)
 	if j.Prompt == 0 {
 		return
--- a/internal/scheduler/shed.go
+++ b/internal/scheduler/shed.go
@@ -44,3 +44,20 @@
 	}
 	return used > shares.nominal
 }
+
+// IsLate reports whether the processor is so late that some generations are refused. It takes no lock.
+func (s *Scheduler) IsLate() bool { return s.late.Load() }
+
+// RefuseEarly refuses a job for the processor if Admit would do so now, and returns nil otherwise. It
+// counts the arrival of a job that it refuses, as RecordArrival does: without its demand, a customer's
+// share would seem larger the more of its requests are refused.
+func (s *Scheduler) RefuseEarly(j *Job) *Refusal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Now()
+	if !s.isListingCurrent(now) || !s.isShed(j, now) {
+		return nil
+	}
+	s.countArrival(j, now)
+	return s.refusal(j, ReasonInstanceBusy, now, now)
+}
