Hand connections over to peers while the processor is late

Cause: an instance that is late refuses a customer's generations although peers of its data centre have processor time to spare and engines are idle.

Change: while the processor is late, a new connection with a generation of a known customer goes, as bytes, to a peer of the data centre that offers to take it; customers under their share come first. Peers offer what half of their idle processor time serves, in steps of two, only while a peer reports that it falls behind, divided among these; the peer enforces its own total. An offer counts for 1 s after the peer was heard from. The peer says that it accepts before it receives a byte, so that a refusal is known to be one; after that the request is never served or sent again. It answers once and closes. A connection that was handed over is not handed over again. The port is the last free one below the operators' in the internal range; without it an instance takes nothing.

--- a/internal/cli/route.go
+++ b/internal/cli/route.go
@@ -71,6 +71,7 @@
 		LogDropped:  lines.Dropped,
 		// Goroutines wait for the processor long before timers are late.
 		SchedulingDelay: clock.NewSchedulingDelay().Mean,
+		ProcessorTime:   clock.ProcessorTime,
 	})
 	runCtx, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/internal/clock/scheduling.go
+++ b/internal/clock/scheduling.go
@@ -4,6 +4,8 @@
 	"math"
 	"runtime/metrics"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // schedulingMetric is the histogram of the times that goroutines were ready to run before they ran.
@@ -58,3 +60,12 @@
 	}
 	return (low + high) / 2
 }
+
+// ProcessorTime returns the processor time that this process has used.
+func ProcessorTime() time.Duration {
+	var u unix.Rusage
+	if unix.Getrusage(unix.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/earlyrefusal/head.go
+++ b/internal/earlyrefusal/head.go
@@ -17,6 +17,8 @@
 // Verdicts.
 const (
 	Refused Verdict = "refused"
+	// HandedOver connections went to a peer.
+	HandedOver Verdict = "handed_over"
 	// Incomplete heads have not arrived whole; Unusual ones have a form that net/http has to judge.
 	Incomplete Verdict = "head_incomplete"
 	Unusual    Verdict = "head_unusual"
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -54,6 +54,8 @@
 	heads      int64
 	// early refuses requests before net/http parses them; nil if that is switched off.
 	early *earlyRefuser
+	// handOver hands connections over to peers; nil if that is switched off.
+	handOver *handOver
 	// slotFree is signalled when a connection closes and when stopped is set.
 	slotFree *sync.Cond
 	stopped  bool
@@ -98,6 +100,17 @@
 	// returned. Only the goroutine that reads uses them.
 	firstRead bool
 	pending   []byte
+
+	// caller is the caller's address if a peer has handed the connection over, nil otherwise.
+	caller net.Addr
+}
+
+// RemoteAddr implements net.Conn. It returns the address of the caller, not that of a peer.
+func (c *callerConn) RemoteAddr() net.Addr {
+	if c.caller != nil {
+		return c.caller
+	}
+	return c.Conn.RemoteAddr()
 }
 
 // Read implements net.Conn. It returns nothing from a connection that was closed as idle: the
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -189,6 +189,9 @@
 	select {
 	case <-g.ready:
 		_ = g.callerListener.Close()
+		if g.handOverListener != nil {
+			_ = g.handOverListener.Close()
+		}
 	default:
 	}
 }
--- a/internal/gateway/early.go
+++ b/internal/gateway/early.go
@@ -30,10 +30,12 @@
 
 // earlyRefuser decides on the first bytes of callers' connections. It is safe for concurrent use.
 type earlyRefuser struct {
-	// isLate reports whether the processor is late. decide returns a refusal, which it may build in
-	// buffer, or why net/http gets the connection. Both must not block.
+	// isLate reports whether the processor is late, read returns the request that a connection has
+	// received, or why net/http gets it, and refuse a refusal, which it may build in buffer. refuse
+	// is nil if early refusals are switched off. None of them may block.
 	isLate func() bool
-	decide func(received, buffer []byte) (ingress.EarlyRefusal, earlyrefusal.Verdict)
+	read   func(received []byte) (*ingress.EarlyRequest, earlyrefusal.Verdict)
+	refuse func(r *ingress.EarlyRequest, buffer []byte) (ingress.EarlyRefusal, bool)
 	// count counts a connection, and drained what was read of a refused body after the refusal; complete
 	// is false if that was cut short.
 	count   func(earlyrefusal.Verdict)
@@ -43,15 +45,20 @@
 	tally earlyrefusal.Tally
 }
 
-// newEarlyRefuser returns nil if early refusals are switched off.
+// newEarlyRefuser returns nil if early refusals and hand-over are switched off.
 func (g *Gateway) newEarlyRefuser() *earlyRefuser {
-	if !g.options.Settings.Features.Enabled(feature.EarlyRefusals) {
+	features := g.options.Settings.Features
+	if !features.Enabled(feature.EarlyRefusals) && !features.Enabled(feature.HandOver) {
 		return nil
 	}
-	return &earlyRefuser{
-		isLate: g.scheduler.IsLate, decide: g.handler.RefuseEarly,
+	e := &earlyRefuser{
+		isLate: g.scheduler.IsLate, read: g.handler.ReadEarly,
 		count: g.metrics.countEarly, drained: g.metrics.recordDrain,
 	}
+	if features.Enabled(feature.EarlyRefusals) {
+		e.refuse = g.handler.RefuseEarly
+	}
+	return e
 }
 
 // note counts a refusal for the next log line.
@@ -70,16 +77,21 @@
 	return t
 }
 
+// readsEarly reports whether the first bytes of connections are read before net/http gets them.
+func (c *callerConns) readsEarly() bool {
+	return c.early.isLate() && (c.early.refuse != nil || c.handOver != nil && c.handOver.hasPeers())
+}
+
 // readFirst reads the first bytes of a connection into b, as Read does. While the processor is late, it
-// reads more than fits into b and may refuse the request: net/http then finds the connection ended
-// before it has sent anything, and closes it. It runs in the connection's own goroutine, so that
+// reads more than fits into b and may refuse the request or hand it over: net/http then finds the connection
+// ended before it has sent anything, and closes it. It runs in the connection's own goroutine, so that
 // accepting connections never waits for it.
 func (c *callerConn) readFirst(b []byte) (int, error) {
 	early := c.conns.early
 	var pooled *[earlyReadBytes]byte
 	into := b
 	n, err := c.receive(func() []byte {
-		if c.socket != nil && pooled == nil && early.isLate() {
+		if c.socket != nil && pooled == nil && c.conns.readsEarly() {
 			pooled = earlyBuffers.Get().(*[earlyReadBytes]byte)
 			into = pooled[:]
 		}
@@ -92,16 +104,23 @@
 		return n, err
 	}
 	c.firstRead = true
-	if !early.isLate() && pooled == nil {
+	if pooled == nil && !c.conns.readsEarly() {
 		return c.limitHead(b, n, err)
 	}
-	refusal, verdict := early.decide(into[:n], into)
-	early.count(verdict)
-	if verdict == earlyrefusal.Refused {
-		early.note(&refusal)
-		c.refuse(early, refusal, b)
+	request, verdict := early.read(into[:n])
+	if request != nil && c.handOver(request, into[:n], b) {
+		early.count(earlyrefusal.HandedOver)
 		return 0, io.EOF
 	}
+	if request != nil && early.refuse != nil {
+		if refusal, ok := early.refuse(request, into); ok {
+			early.count(earlyrefusal.Refused)
+			early.note(&refusal)
+			c.refuse(early, refusal, b)
+			return 0, io.EOF
+		}
+	}
+	early.count(verdict)
 	if pooled != nil {
 		fits := copy(b, into[:n])
 		c.pending = bytes.Clone(into[fits:n])
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -141,6 +141,9 @@
 	servers []*http.Server
 	// callerListener is the listener of the first server. It may be read once ready is closed.
 	callerListener net.Listener
+	// handOverListener is nil without a port for hand-over; handOverAddr, which mu guards, is empty then.
+	handOverListener *handOverListener
+	handOverAddr     string
 	// ready is closed once the listeners are open.
 	ready chan struct{}
 }
@@ -212,7 +215,7 @@
 		BodyMemory: s.MemoryLimit / bodyMemoryDivisor, AnswerMemory: s.MemoryLimit / answerMemoryDivisor,
 		Observe: g.metrics.recordRequest, ObserveSend: g.metrics.recordSend, TooManyConns: g.callers.crowded,
 	})
-	g.callers.early = g.newEarlyRefuser()
+	g.callers.early, g.callers.handOver = g.newEarlyRefuser(), g.newHandOver()
 	g.follower = &records.Follower{
 		Copy: g.copy, Reader: o.Reader, Now: o.Now, Log: o.Log,
 		Role: g.readDuty, OnResult: g.recordRead,
@@ -281,6 +284,9 @@
 		server := g.servers[i]
 		group.Go(func() { g.serve(server, l) })
 	}
+	if l := g.handOverListener; l != nil {
+		group.Go(l.run)
+	}
 	group.Go(func() {
 		if err := g.transport.Serve(listeners.peers); err != nil {
 			g.options.Log.Error().Str("event", "peer_listener_failed").Err(err).Msg("")
@@ -365,6 +371,14 @@
 	// Sweeps close idle connections of callers.
 	g.servers[0].IdleTimeout = 0
 	g.servers[0].ConnContext = withCallerConn
+	if opened := g.listenForHandOver(); opened != nil {
+		server := newServer(g.handler)
+		server.ConnState, server.ConnContext, server.IdleTimeout = g.callers.track, withCallerConn, 0
+		// The instance that hands a connection over copies bytes and cannot tell a second request.
+		server.SetKeepAlivesEnabled(false)
+		l.http = append(l.http, opened)
+		g.servers = append(g.servers, server)
+	}
 	return l, nil
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -42,6 +42,10 @@
 	// read whole.
 	early                   expvar.Map
 	drainedBytes, drainsCut expvar.Int
+	// handedOver counts the connections handed over to peers, by result, handOverTaken those taken over
+	// from peers, handOverRefused those that peers offered in vain.
+	handedOver                     expvar.Map
+	handOverTaken, handOverRefused expvar.Int
 
 	// mu guards the histograms.
 	mu        sync.Mutex
@@ -79,6 +83,7 @@
 	m.gaveUp.Init()
 	m.failureCauses.Init()
 	m.early.Init()
+	m.handedOver.Init()
 	m.shares.Store(&scheduler.ShareReport{})
 	return m
 }
@@ -154,6 +159,9 @@
 	}
 }
 
+// countHandOver counts a connection that was handed over.
+func (m *metrics) countHandOver(r handOverResult) { m.handedOver.Add(string(r), 1) }
+
 // recordDrain records that n bytes of a refused body were read after the refusal; complete is false if
 // more were due.
 func (m *metrics) recordDrain(n int64, complete bool) {
@@ -233,6 +241,9 @@
 	all.Set("early_connections", &m.early)
 	all.Set("early_drained_bytes", &m.drainedBytes)
 	all.Set("early_drains_cut", &m.drainsCut)
+	all.Set("handed_over_connections", &m.handedOver)
+	all.Set("taken_over_connections", &m.handOverTaken)
+	all.Set("taken_over_refused", &m.handOverRefused)
 	all.Set("behind", &m.behind)
 	all.Set("times_behind", &m.timesBehind)
 	all.Set("first_byte_ms", expvar.Func(func() any { return m.summary(m.firstByte) }))
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -29,6 +29,8 @@
 	// CallerAddr, ReadyAddr, DirectoryAddr and PeerAddr are the IP:ports to listen on.
 	// PeerAddr is also the instance's ID.
 	CallerAddr, ReadyAddr, DirectoryAddr, PeerAddr string
+	// HandOverAddr is the IP:port at which peers hand over connections; empty for none.
+	HandOverAddr string
 	// OperatorAddr is the IP:port that serves metrics; empty for none.
 	OperatorAddr string
 	// Seeds are peer addresses of other instances; they may be stale.
@@ -116,6 +118,9 @@
 	// SchedulingDelay returns the mean time that goroutines have waited for the processor since
 	// the last call; nil if it is not measured. One goroutine calls it.
 	SchedulingDelay func() time.Duration
+	// ProcessorTime returns the processor time that the process has used; nil if it is not measured.
+	// Without it the instance takes over no connections.
+	ProcessorTime func() time.Duration
 	// LogDropped returns the number of log lines dropped so far; nil if none can be.
 	LogDropped func() int64
 	// Seed makes random choices repeatable; 0 for a random seed.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -82,6 +82,7 @@
 	g.roundAt = now
 	g.roster.SetSelf(g.leaving.Load(), !g.isReady(), g.behind.Load())
 	alive := g.roster.Alive(now)
+	g.updateHandOver(alive, now)
 	topology := roster.Plan(fleet.InstanceID(g.options.Settings.PeerAddr), g.options.Settings.DataCentre, alive)
 	g.round++
 	members := g.roster.WireMembers(now)
--- a/internal/ingress/early.go
+++ b/internal/ingress/early.go
@@ -31,39 +31,58 @@
 		strconv.Itoa(len(earlyBody)) + "\r\n\r\n" + earlyBody
 )
 
-// RefuseEarly decides on a connection by the first bytes that it has received. It refuses the request
-// only if ServeHTTP would now refuse it because this instance's processor is late, and forwards
-// nothing. The response is built in buffer, which may be the memory of received.
-func (h *Handler) RefuseEarly(received, buffer []byte) (EarlyRefusal, earlyrefusal.Verdict) {
+// EarlyRequest is a generation of a known customer of which only the fields that a refusal needs were read.
+type EarlyRequest struct {
+	call Call
+	job  scheduler.Job
+	// UnreadBytes is the part of the body that has not arrived.
+	UnreadBytes int64
+}
+
+// Wait returns how long the caller waited for an answer when the head was read.
+func (r *EarlyRequest) Wait() time.Duration { return r.job.Deadline.Sub(r.job.Arrived) }
+
+// ReadEarly reads the request at the start of what a connection has received. The verdict is
+// earlyrefusal.NotShed if the processor may be a reason to refuse it, else why net/http must get the connection.
+func (h *Handler) ReadEarly(received []byte) (*EarlyRequest, earlyrefusal.Verdict) {
 	if h.drain.started() {
-		return EarlyRefusal{}, earlyrefusal.Leaving
+		return nil, earlyrefusal.Leaving
 	}
 	head, verdict := earlyrefusal.Parse(received)
 	if verdict != earlyrefusal.Refused {
-		return EarlyRefusal{}, verdict
+		return nil, verdict
 	}
 	call, ok := h.options.Codec.DecodeFields(head.Fields)
 	if !ok {
-		return EarlyRefusal{}, earlyrefusal.Unusual
+		return nil, earlyrefusal.Unusual
 	}
-	job, verdict := h.earlyJob(&head, &call)
-	if verdict != earlyrefusal.Refused {
-		return EarlyRefusal{}, verdict
+	r := &EarlyRequest{call: call, UnreadBytes: head.UnreadBytes}
+	if r.job, verdict = h.earlyJob(&head, &r.call); verdict != earlyrefusal.Refused {
+		return nil, verdict
 	}
-	refusal := h.options.Scheduler.RefuseEarly(&job)
+	return r, earlyrefusal.NotShed
+}
+
+// WouldShed reports whether ServeHTTP would now refuse a request because the processor is late.
+func (h *Handler) WouldShed(r *EarlyRequest) bool { return h.options.Scheduler.WouldShed(&r.job) }
+
+// RefuseEarly refuses a request if ServeHTTP would now refuse it because this instance's processor is
+// late, and forwards nothing. The response is built in buffer, which may be what the request was read from.
+func (h *Handler) RefuseEarly(r *EarlyRequest, buffer []byte) (EarlyRefusal, bool) {
+	refusal := h.options.Scheduler.RefuseEarly(&r.job)
 	if refusal == nil {
-		return EarlyRefusal{}, earlyrefusal.NotShed
+		return EarlyRefusal{}, false
 	}
 	response := append(buffer[:0], earlyHead...)
-	response = append(h.options.Codec.AppendRefusal(response, call, refusal.RetryAfter), earlyTail...)
+	response = append(h.options.Codec.AppendRefusal(response, r.call, refusal.RetryAfter), earlyTail...)
 	in := &refusal.Inputs
 	return EarlyRefusal{
-		Response: response, UnreadBytes: head.UnreadBytes, Wait: job.Deadline.Sub(job.Arrived), Customer: job.Customer,
+		Response: response, UnreadBytes: r.UnreadBytes, Wait: r.Wait(), Customer: r.job.Customer,
 		Inputs: earlyrefusal.Inputs{
 			Delay: in.ProcessorDelay, Used: in.Used, Nominal: in.Nominal, Reports: in.Reports, OldestReport: in.OldestReport,
 			RetryAfter: refusal.RetryAfter,
 		},
-	}, earlyrefusal.Refused
+	}, true
 }
 
 // earlyJob returns the job that ServeHTTP would create for a generation of a known customer, without
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -45,6 +45,10 @@
 	NotReady        bool
 	// Behind is set while the instance gets less processor time than its work needs.
 	Behind bool
+	// TakesPerSecond is how many connections a second the instance takes over from each late peer of its
+	// data centre, at HandOverAddr.
+	TakesPerSecond int
+	HandOverAddr   string
 	// LastSeen is when the instance was last heard from by any instance, converted to this
 	// machine's clock.
 	LastSeen clock.Instant
@@ -70,6 +74,11 @@
 	r.self.Leaving, r.self.NotReady, r.self.Behind = leaving, notReady, behind
 }
 
+// SetTakes sets what this instance takes over from peers, and where.
+func (r *Roster) SetTakes(perSecond int, addr string) {
+	r.self.TakesPerSecond, r.self.HandOverAddr = perSecond, addr
+}
+
 // SetSeeds replaces the addresses of the seeds.
 func (r *Roster) SetSeeds(seeds []fleet.InstanceID) { r.seeds = seeds }
 
@@ -95,6 +104,7 @@
 		*current = Member{
 			ID: m.ID, Incarnation: m.Incarnation, DataCentre: m.DataCentre, CallerAddr: m.CallerAddr,
 			ProcessorMillis: m.ProcessorMillis, Leaving: m.Leaving, NotReady: m.NotReady, Behind: m.Behind, LastSeen: lastSeen,
+			TakesPerSecond: m.TakesPerSecond, HandOverAddr: m.HandOverAddr,
 		}
 	}
 }
@@ -115,6 +125,7 @@
 	return wire.Member{
 		ID: m.ID, Incarnation: m.Incarnation, DataCentre: m.DataCentre, CallerAddr: m.CallerAddr,
 		ProcessorMillis: m.ProcessorMillis, Leaving: m.Leaving, NotReady: m.NotReady, Behind: m.Behind, AgeMillis: age.Milliseconds(),
+		TakesPerSecond: m.TakesPerSecond, HandOverAddr: m.HandOverAddr,
 	}
 }
 
--- a/internal/scheduler/shed.go
+++ b/internal/scheduler/shed.go
@@ -48,6 +48,14 @@
 // IsLate reports whether the processor is so late that some generations are refused. It takes no lock.
 func (s *Scheduler) IsLate() bool { return s.late.Load() }
 
+// WouldShed reports whether Admit would refuse a job for the processor now. It counts nothing.
+func (s *Scheduler) WouldShed(j *Job) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Now()
+	return s.isListingCurrent(now) && s.isShed(j, now)
+}
+
 // RefuseEarly refuses a job for the processor if Admit would do so now, and returns nil otherwise. It
 // counts the arrival of a job that it refuses, as RecordArrival does: without its demand, a customer's
 // share would seem larger the more of its requests are refused.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -314,8 +314,8 @@
 	NotReady bool `json:"u,omitempty"`
 	// Behind reports whether the instance gets less processor time than its work needs.
 	Behind bool `json:"b,omitempty"`
-	// TakesPerSecond is how many connections a second the instance takes over from peers of its data
-	// centre, at HandOverAddr, its IP:port for them.
+	// TakesPerSecond is how many connections a second the instance takes over from each late peer of its
+	// data centre, at HandOverAddr, its IP:port for them.
 	TakesPerSecond int    `json:"tk,omitempty"`
 	HandOverAddr   string `json:"ho,omitempty"`
 	// AgeMillis is the time since any instance last received a message from this one, as far
