Tests of early refusals and hand-over that break with the code

Change: an early refusal is compared with isShed and Admit at each threshold, with its demand and with an old listing; a head with both framings; a margin that the end of a run must not wait for.

--- a/internal/earlyrefusal/earlyrefusal_test.go
+++ b/internal/earlyrefusal/earlyrefusal_test.go
@@ -28,6 +28,7 @@
 		{"absolute target", "/s/x", "http://h/s/x", earlyrefusal.Unusual},
 		{"expects 100", "A: b", "EXPECT: 100-continue", earlyrefusal.Unusual},
 		{"chunked", "Content-Length: 3", "Transfer-Encoding: chunked", earlyrefusal.Unusual},
+		{"chunked with a length", "A: b", "transfer-encoding: chunked", earlyrefusal.Unusual},
 		{"upgrade", "A: b", "Connection: upgrade", earlyrefusal.Unusual},
 		{"two lengths", "A: b", "Content-Length: 3", earlyrefusal.Unusual},
 		{"length is no number", "Content-Length: 3", "Content-Length: +3", earlyrefusal.Unusual},
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -199,6 +199,7 @@
 		_, err := io.Copy(io.Discard, conn)
 		ended <- err
 	})
+	x.conns.handOver.margin = time.Minute
 	conn := x.send()
 	x.await("dialled", func() bool { return len(x.dials) == 1 })
 	_ = conn.Close()
--- a/internal/scheduler/shed_test.go
+++ b/internal/scheduler/shed_test.go
@@ -5,6 +5,8 @@
 	"testing/synctest"
 	"time"
 
+	"medlarwind.dev/medlarwind/internal/clock"
+	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/inventory"
 	"medlarwind.dev/medlarwind/internal/records"
 )
@@ -53,6 +55,49 @@
 	}
 }
 
+// An early refusal must be one that Admit would give at that moment, with the same delay for the caller, and
+// counts the demand: a customer whose refused requests do not count seems to need less than it asks for.
+func TestEarlyRefusalIsThatOfAdmit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ts := newTestScheduler(4)
+		ts.meter.AddDemand("hog", 6000000, ts.now())
+		ts.meter.AddUsage("hog", 2000000, ts.now())
+		ts.meter.AddDemand("other", 6000000, ts.now())
+		for _, delay := range []time.Duration{0, shedSpareFrom - 1, shedSpareFrom, shedBehindFrom, shedAllFrom} {
+			ts.SetProcessor(ProcessorState{Delay: delay})
+			for _, customer := range []fleet.CustomerID{"hog", "small"} {
+				for _, isPlain := range []bool{false, true} {
+					j := ts.job(string(customer), "part", 1000)
+					if isPlain {
+						j.Service, j.Parts = &plain, nil
+					}
+					before := ts.meter.Demand(customer, ts.now())
+					early := ts.RefuseEarly(j)
+					counted := ts.meter.Demand(customer, ts.now()) > before
+					ts.mu.Lock()
+					shed := ts.isShed(j, ts.now())
+					ts.mu.Unlock()
+					if (early != nil) != shed || counted != shed || early != nil && !ts.IsLate() {
+						t.Errorf("delay %v, %s, plain %v: refused %v, counted %v, want both %v", delay, customer, isPlain, early != nil, counted, shed)
+					}
+					if early == nil {
+						continue
+					}
+					_, err := ts.Admit(t.Context(), ts.job(string(customer), "part", 1000), false)
+					if r := refusalOf(t, err); r.Reason != early.Reason || r.RetryAfter != early.RetryAfter {
+						t.Errorf("delay %v, %s: refused early with %+v, Admit refuses with %+v", delay, customer, early, r)
+					}
+				}
+			}
+		}
+		ts.options.ListingConfirmedAt = func() clock.Instant { return 0 }
+		ts.inventory.MaxAge = time.Second
+		if early := ts.RefuseEarly(ts.job("hog", "part", 1000)); early != nil {
+			t.Errorf("refused early with %+v although the listing is old, which is another refusal", early)
+		}
+	})
+}
+
 // A retry of a request that has run is not refused for the processor: the caller would get nothing.
 func TestRetryIsStartedWhileProcessorIsLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
