--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -158,7 +158,7 @@
 		}
 		h.used, h.usedAt = used, now
 	}
-	total := h.offer.Total(situation)
+	total := h.offer.Total(situation, now)
 	if total != h.total {
 		h.total = total
 		g.options.Log.Info().Str("event", "hand_over_offer").Int("per_s", total).Int("late_peers", situation.LatePeers).
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -19,7 +19,7 @@
 func TestOfferFollowsIdleProcessor(t *testing.T) {
 	var o handover.Offer
 	s := handover.Situation{Processor: 0.8, LatePeers: 1}
-	if got := o.Total(s); got != 0 {
+	if got := o.Total(s, start); got != 0 {
 		t.Errorf("%d a second before the first measurement, want none", got)
 	}
 	changes, last := 0, 0
@@ -27,21 +27,28 @@
 		// 0.15 to 0.25 of a processor are used; half of the rest serves 470 to 570 a second.
 		used := 200*time.Millisecond + time.Duration(i%3-1)*50*time.Millisecond
 		o.Measure(used, time.Second)
-		if got := o.Total(s); got != last {
+		if got := o.Total(s, start.Add(time.Duration(i)*time.Second)); got != last {
 			last, changes = got, changes+1
 		}
 	}
 	if last != 400 || changes > 2 {
 		t.Errorf("%d a second after %d changes, want 400 after at most 2", last, changes)
 	}
+	now := start.Add(time.Hour)
 	for name, closed := range map[string]handover.Situation{
-		"late": {Processor: 0.8, LatePeers: 1, Late: true}, "closed": {Processor: 0.8, LatePeers: 1, Closed: true},
-		"no late peer": {Processor: 0.8}, "small": {Processor: 0.2, LatePeers: 1},
+		"closed": {Processor: 0.8, LatePeers: 1, Closed: true}, "no late peer": {Processor: 0.8}, "small": {Processor: 0.2, LatePeers: 1},
+		"late": {Processor: 0.8, LatePeers: 1, Late: true},
 	} {
-		if got := o.Total(closed); got != 0 {
+		if got := o.Total(closed, now); got != 0 {
 			t.Errorf("%s: %d a second, want none", name, got)
 		}
 	}
+	if got := o.Total(s, now.Add(900*time.Millisecond)); got != 0 {
+		t.Errorf("%d a second 0.9 s after the processor was late, want none", got)
+	}
+	if got := o.Total(s, now.Add(1100*time.Millisecond)); got != 400 {
+		t.Errorf("%d a second 1.1 s after the processor was late, want 400", got)
+	}
 }
 
 // The load of 1,500 connections a second at each of some late instances: together they must not give a
--- a/internal/handover/offer.go
+++ b/internal/handover/offer.go
@@ -8,6 +8,8 @@
 import (
 	"math"
 	"time"
+
+	"medlarwind.dev/medlarwind/internal/clock"
 )
 
 // Constants of an offer.
@@ -21,6 +23,9 @@
 	reservedFraction = 0.1
 	// minOffer is the least offer in connections a second; a smaller one is none.
 	minOffer = 25
+	// withdrawnTime is how long there is no offer after the processor was late, so that one that is late
+	// now and then does not change its offer in each heartbeat.
+	withdrawnTime = time.Second
 	// usedWeight is the weight of the newest measurement of the processor time used.
 	usedWeight = 0.3
 )
@@ -43,6 +48,8 @@
 	used  float64
 	known bool
 	level int
+	// lateAt is when the processor was last late, 0 if it never was.
+	lateAt clock.Instant
 }
 
 // Measure records the processor time used within the time elapsed.
@@ -62,8 +69,12 @@
 func (o *Offer) Used() float64 { return o.used }
 
 // Total returns how many connections a second the instance takes from all peers together.
-func (o *Offer) Total(s Situation) int {
-	if !o.known || s.Late || s.Closed || s.LatePeers == 0 {
+func (o *Offer) Total(s Situation, now clock.Instant) int {
+	if s.Late {
+		o.lateAt = now
+	}
+	isWithdrawn := o.lateAt != 0 && now.Sub(o.lateAt) < withdrawnTime
+	if !o.known || isWithdrawn || s.Closed || s.LatePeers == 0 {
 		o.level = 0
 		return 0
 	}
