No hand-over for callers that have left; no address in heartbeats without an offer

Each member carried its hand-over address without an offer, too.

Change: the caller's socket is looked at before the first byte goes to the peer. The address comes with an offer only. The result of a hand-over that its caller closed first is named so: it may have been answered whole.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"medlarwind.dev/medlarwind/internal/clock"
 	"medlarwind.dev/medlarwind/internal/feature"
@@ -45,10 +46,13 @@
 
 // Results of connections that were handed over, by what ended them first.
 const (
-	handOverAnswered   handOverResult = "peer_closed_after_answer"
-	handOverCut        handOverResult = "peer_closed_without_answer"
-	handOverCallerLeft handOverResult = "caller_left"
-	handOverTimedOut   handOverResult = "timed_out"
+	handOverAnswered handOverResult = "peer_closed_after_answer"
+	handOverCut      handOverResult = "peer_closed_without_answer"
+	// handOverCallerLeft is also that the caller closed its connection after it had read a whole answer.
+	handOverCallerLeft handOverResult = "caller_closed_first"
+	// handOverUnsent is that the caller left before anything was sent to the peer.
+	handOverUnsent   handOverResult = "caller_left_before"
+	handOverTimedOut handOverResult = "timed_out"
 	// handOverFailed counts the tries at peers that refused or could not be reached.
 	handOverFailed handOverResult = "peer_refused"
 )
@@ -164,7 +168,12 @@
 		g.options.Log.Info().Str("event", "hand_over_offer").Int("per_s", total).Int("late_peers", situation.LatePeers).
 			Int64("processor_used_permille", int64(1000*h.offer.Used())).Bool("late", situation.Late).Bool("closed", situation.Closed).Msg("")
 	}
-	g.roster.SetTakes(handover.PerPeer(total, situation.LatePeers), g.handOverAddr)
+	// Without an offer the address would only lengthen heartbeats.
+	addr := ""
+	if total > 0 {
+		addr = g.handOverAddr
+	}
+	g.roster.SetTakes(handover.PerPeer(total, situation.LatePeers), addr)
 }
 
 // take takes one connection from a peer's lease.
@@ -240,6 +249,12 @@
 			except = peer.ID
 			continue
 		}
+		if c.hasEnded() {
+			_ = conn.Close()
+			h.end(peer.ID, false)
+			h.count(handOverUnsent)
+			return true
+		}
 		c.conns.beginBusy(c)
 		first := handover.AppendPreamble(make([]byte, 0, handover.PreambleBytes+len(received)), addrPort(c.RemoteAddr()))
 		result := c.relay(conn, append(first, received...), b, time.Now().Add(r.Wait()+h.margin))
@@ -318,6 +333,20 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
+// hasEnded reports whether the caller has closed its connection, as far as its socket tells. A late instance
+// may notice a caller only after that caller has left.
+func (c *callerConn) hasEnded() bool {
+	ended := false
+	if c.socket != nil {
+		_ = c.socket.Control(func(fd uintptr) {
+			var b [1]byte
+			n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+			ended = n == 0 && err == nil || err != nil && err != unix.EAGAIN && err != unix.EINTR
+		})
+	}
+	return ended
+}
+
 // addrPort returns the address of a connection's other end, the zero value if it has no IP address.
 func addrPort(addr net.Addr) netip.AddrPort {
 	if tcp, ok := addr.(*net.TCPAddr); ok {
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -211,6 +211,21 @@
 	x.await("left", func() bool { return x.results[handOverCallerLeft] == 1 })
 }
 
+// A caller that left while a late instance was reaching a peer gets no run at the peer.
+func TestRequestOfCallerThatLeftIsNotHandedOver(t *testing.T) {
+	left, received := make(chan bool), make(chan string, 1)
+	x := newHandOverTest(t, func(conn net.Conn) { <-left; received <- accept(conn) })
+	conn := x.send()
+	x.await("dialled", func() bool { return len(x.dials) == 1 })
+	_ = conn.Close()
+	time.Sleep(50 * time.Millisecond)
+	close(left)
+	if got := <-received; got != "" {
+		t.Errorf("the peer received %q of a caller that had left", got)
+	}
+	x.await("unsent", func() bool { return x.results[handOverUnsent] == 1 })
+}
+
 // A peer that accepts and never answers holds a connection no longer than its caller waits, and only so
 // many at a time; others are served by the instance.
 func TestSilentPeerIsBounded(t *testing.T) {
