--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"medlarwind.dev/medlarwind/internal/earlyrefusal"
 	"medlarwind.dev/medlarwind/internal/ingress"
 	"medlarwind.dev/medlarwind/internal/scheduler"
 )
@@ -42,6 +43,15 @@
 	loads func() scheduler.LoadState
 	// isolation returns the counters of the isolation of long prefills.
 	isolation func() scheduler.IsolationCounters
+	// early counts the new connections that were read while the processor was late, by verdict.
+	// drainedBytes is what was read of refused bodies after the refusal, drainsCut how many were not
+	// read whole.
+	early                   expvar.Map
+	drainedBytes, drainsCut expvar.Int
+	// handedOver counts the connections handed over to peers, by result, handOverTaken those taken over
+	// from peers, handOverRefused those that peers offered in vain.
+	handedOver                     expvar.Map
+	handOverTaken, handOverRefused expvar.Int
 
 	// mu guards the histograms.
 	mu        sync.Mutex
@@ -52,7 +62,9 @@
 	// listingAge is the age of the list of targets at each send, sends the sends since the last
 	// line on the records.
 	listingAge *hdrhistogram.Histogram
-	sends      sendSummary
+	// heartbeatGap is the time between two heartbeats from a peer.
+	heartbeatGap *hdrhistogram.Histogram
+	sends        sendSummary
 }
 
 // Range of the latency histograms in milliseconds, and their number of significant digits.
@@ -69,6 +81,8 @@
 		waited:     hdrhistogram.New(latencyMin, latencyMax, latencyDigits),
 		reportAge:  hdrhistogram.New(latencyMin, latencyMax, latencyDigits),
 		listingAge: hdrhistogram.New(latencyMin, latencyMax, latencyDigits),
+
+		heartbeatGap: hdrhistogram.New(latencyMin, latencyMax, latencyDigits),
 	}
 	m.requests.Init()
 	m.reasons.Init()
@@ -78,6 +92,8 @@
 	m.retriesRefused.Init()
 	m.gaveUp.Init()
 	m.failureCauses.Init()
+	m.early.Init()
+	m.handedOver.Init()
 	m.shares.Store(&scheduler.ShareReport{})
 	return m
 }
@@ -142,6 +158,29 @@
 	}
 }
 
+// countEarly counts a new connection that was read while the processor was late. An early refusal counts
+// as a refused request, too.
+func (m *metrics) countEarly(v earlyrefusal.Verdict) {
+	m.early.Add(string(v), 1)
+	if v == earlyrefusal.Refused {
+		m.requests.Add("total", 1)
+		m.requests.Add("refused", 1)
+		m.reasons.Add(string(scheduler.ReasonInstanceBusy), 1)
+	}
+}
+
+// countHandOver counts a connection that was handed over.
+func (m *metrics) countHandOver(r handOverResult) { m.handedOver.Add(string(r), 1) }
+
+// recordDrain records that n bytes of a refused body were read after the refusal; complete is false if
+// more were due.
+func (m *metrics) recordDrain(n int64, complete bool) {
+	m.drainedBytes.Add(n)
+	if !complete {
+		m.drainsCut.Add(1)
+	}
+}
+
 // addUnanswered counts connections that were closed while a request on them was
 // unanswered.
 func (m *metrics) addUnanswered(by connCloser, n int) { m.closedUnanswered.Add(string(by), int64(n)) }
@@ -207,8 +246,15 @@
 	all.Set("platform_failures", &m.platformFailures)
 	all.Set("platform_failure_causes", &m.failureCauses)
 	all.Set("listing_age_ms", expvar.Func(func() any { return m.summary(m.listingAge) }))
+	all.Set("heartbeat_gap_ms", expvar.Func(func() any { return m.summary(m.heartbeatGap) }))
 	all.Set("store_era", &m.era)
 	all.Set("store_era_changes", &m.eraChanges)
+	all.Set("early_connections", &m.early)
+	all.Set("early_drained_bytes", &m.drainedBytes)
+	all.Set("early_drains_cut", &m.drainsCut)
+	all.Set("handed_over_connections", &m.handedOver)
+	all.Set("taken_over_connections", &m.handOverTaken)
+	all.Set("taken_over_refused", &m.handOverRefused)
 	all.Set("behind", &m.behind)
 	all.Set("times_behind", &m.timesBehind)
 	all.Set("first_byte_ms", expvar.Func(func() any { return m.summary(m.firstByte) }))
