Placement: draw among targets of similar cost

Cause: instances know each other's loads with a delay of up to three heartbeats.

Change: Spread draws among the candidates near the lowest cost, with a probability that falls with the cost. The steepness is a fifth of the age of the loads, at most half the mean wait and a fourth of the objective. The draw is a hash of request, instance and target. Targets that would prefill 1,000 tokens or more of a shared part again are not drawn.

Tried and not chosen: a fixed part of the age alone, the better of two, a forecast of peers' sends, own parts, figures that approach the mean.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -6,6 +6,8 @@
 // its home only when it would wait there for longer than prefilling the part elsewhere
 // takes. Requests without long shared parts go where they start soonest.
 //
+// Where many instances decide on stale loads, Spread draws among the targets of similar cost.
+//
 // The package keeps no state and does no I/O. Pick takes time linear in the number of
 // candidates.
 package placement
@@ -84,6 +86,8 @@
 	// Speed is the number of prompt tokens that the engine prefills in a millisecond, 0 if it
 	// is not known.
 	Speed float64
+	// Key is a hash of the target's id.
+	Key uint64
 }
 
 // Limit limits the load of a target on which a request may start.
@@ -114,26 +118,41 @@
 
 // Pick returns the candidate with the lowest cost, or false if none has room.
 func Pick(r Request, candidates []Candidate, limit Limit) (Choice, bool) {
-	best, lowestCost := Choice{Index: -1}, time.Duration(0)
-	var shortest time.Duration
+	choice, _ := survey(r, candidates)
+	if choice.Index < 0 {
+		return choice, false
+	}
+	choice.Within = limit.allows(&candidates[choice.Index], choice.Wait)
+	return choice, true
+}
+
+// costs are the lowest cost of the candidates with room and the mean wait of all candidates.
+type costs struct{ lowest, meanWait time.Duration }
+
+// survey returns the candidate with the lowest cost, with index -1 if none has room.
+func survey(r Request, candidates []Candidate) (Choice, costs) {
+	best := Choice{Index: -1}
+	var all costs
+	var shortest, sum time.Duration
 	for i := range candidates {
 		c := &candidates[i]
+		wait := c.wait(r)
+		sum += wait
 		if !c.hasRoom(r) {
 			continue
 		}
-		wait := c.wait(r)
 		if best.Index < 0 || wait < shortest {
 			shortest = wait
 		}
-		if cost := c.cost(r, wait); best.Index < 0 || cost < lowestCost {
-			best, lowestCost = Choice{Index: i, Wait: wait, TimeToFirstEvent: c.timeToFirstEvent(r, wait)}, cost
+		if cost := c.cost(r, wait); best.Index < 0 || cost < all.lowest {
+			best, all.lowest = Choice{Index: i, Wait: wait, TimeToFirstEvent: c.timeToFirstEvent(r, wait)}, cost
 		}
 	}
-	if best.Index < 0 {
-		return best, false
+	if len(candidates) > 0 {
+		all.meanWait = sum / time.Duration(len(candidates))
 	}
-	best.Within, best.ShortestWait = limit.allows(&candidates[best.Index], best.Wait), shortest
-	return best, true
+	best.ShortestWait = shortest
+	return best, all
 }
 
 // timeToFirstEvent returns the expected time to the first event after the given wait.
