Scheduler: even load for services whose targets report a pace

Decisions need the age of the peers' loads, which the exchange did not tell, and nothing showed how often a request starts on an overloaded target while another one is idle.

Change: Scheduler.pick uses placement.Spread behind the switch even-load and Scheduler.paced, which is nil until load reports are connected. Table.LoadAge counts 200 ms for each relay on the way. All starts and the misplaced ones are counted; Scheduler.reported, also nil until then, gives what targets say.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -308,3 +308,34 @@
 		}
 	}
 }
+
+// heartbeatInterval is the time between two heartbeats of an instance.
+const heartbeatInterval = 200 * time.Millisecond
+
+// LoadAge returns how long ago a peer may have had the oldest of the loads in use: the time since their receipt
+// and a heartbeat interval for each relay on the way; reportTTL if no report is in use. Reports without loads do
+// not count, because instances without requests report less often.
+func (t *Table) LoadAge(now clock.Instant) time.Duration {
+	if now.Sub(t.summedAt) > reportTTL/4 {
+		t.recomputeTotals(now)
+	}
+	var oldest time.Duration
+	for _, r := range t.included {
+		if len(r.loads) == 0 {
+			continue
+		}
+		age := now.Sub(r.receivedAt)
+		switch r.scope {
+		case wire.ScopeRest:
+			age += 2 * heartbeatInterval
+		case wire.ScopeDataCentre:
+			age += heartbeatInterval
+		case wire.ScopeOwn, wire.ScopeKept, wire.ScopeNone:
+		}
+		oldest = max(oldest, age)
+	}
+	if len(t.included) == 0 {
+		return reportTTL
+	}
+	return min(oldest, reportTTL)
+}
--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -52,7 +52,7 @@
 		return decision{}
 	}
 	candidates, from := s.candidates(j, s.targetListFor(j, now), now)
-	choice, ok := placement.Pick(j.request(), candidates, limit)
+	choice, ok := s.pick(j, candidates, limit, now)
 	j.considered.record(candidates, from, choice, now)
 	if !ok {
 		return decision{}
@@ -69,6 +69,7 @@
 	if judgement.Trial {
 		s.evidence.RecordTrial(j.traits, now)
 	}
+	s.countPlaced(candidates, from, choice.Index)
 	return decision{placement: s.start(j, from[choice.Index], candidates[choice.Index], choice, now)}
 }
 
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -56,6 +56,8 @@
 	// traits identify what the job may share with others that crash targets.
 	traits   *quarantine.Traits
 	prepared bool
+	// idHash is the hash of ID.
+	idHash uint64
 	// rankedTargets holds the first targets in the rendezvous order of homeHash, as
 	// indices into the target list of generation rankedGeneration, and -1 where there are
 	// fewer targets.
@@ -79,6 +81,7 @@
 	}
 	j.prepared = true
 	j.traits = traitsOf(j)
+	j.idHash = membership.Hash(j.ID)
 	chain := ""
 	for i, p := range j.Parts {
 		chain += p.ID + ","
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -26,7 +26,9 @@
 	"medlarwind.dev/medlarwind/internal/feature"
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/inventory"
+	"medlarwind.dev/medlarwind/internal/loadreport"
 	"medlarwind.dev/medlarwind/internal/locate"
+	"medlarwind.dev/medlarwind/internal/membership"
 	"medlarwind.dev/medlarwind/internal/pacing"
 	"medlarwind.dev/medlarwind/internal/placement"
 	"medlarwind.dev/medlarwind/internal/quarantine"
@@ -118,6 +120,13 @@
 	// candidateBuffer and targetBuffer are reused from one decision to the next.
 	candidateBuffer []placement.Candidate
 	targetBuffer    []*usableTarget
+	// selfHash is the hash of the instance's id.
+	selfHash uint64
+	// paced reports whether the targets of a service report a pace, nil if none do.
+	paced func(fleet.ServiceID) bool
+	// reported returns what a start of a target, named by usableTarget.startID, last reported, nil if none do.
+	reported func(startID fleet.TargetID) (loadreport.Report, bool)
+	starts   startCounts
 }
 
 // targetState holds what this instance has observed of one target.
@@ -174,6 +183,7 @@
 		recentUsage:   make(map[fleet.CustomerID]exchange.Usage),
 		targetLists:   make(map[fleet.ServiceID]*targetList),
 		generation:    1,
+		selfHash:      membership.Hash(string(o.Self)),
 	}
 	s.inventory.MaxAge = o.ListingMaxAge
 	return s
--- a/internal/scheduler/sharereport.go
+++ b/internal/scheduler/sharereport.go
@@ -27,6 +27,10 @@
 	OldestReport       time.Duration
 	// Queued is the number of waiting jobs of this instance.
 	Queued int
+	// Starts is the number of requests that this instance has started on targets, MisplacedStarts of them on an
+	// overloaded target while another one was idle. LoadAge is the greatest age of the peers' loads.
+	Starts, MisplacedStarts int64
+	LoadAge                 time.Duration
 	// Customers is the number of customers with a demand, and Largest those with the
 	// largest.
 	Customers int
@@ -50,6 +54,7 @@
 	defer s.mu.Unlock()
 	now := s.options.Now()
 	r := ShareReport{Window: s.options.ShareWindow, Instances: len(s.alive), Queued: len(s.queue)}
+	r.Starts, r.MisplacedStarts, r.LoadAge = s.starts.all, s.starts.misplaced, s.loadAge(now)
 	largest, customers := s.meter.Largest(maxReportedCustomers, now)
 	r.Customers = customers
 	for _, c := range largest {
--- a/internal/scheduler/targets.go
+++ b/internal/scheduler/targets.go
@@ -150,6 +150,7 @@
 		Distance:    target.distance,
 		FailureRate: target.state.failureRate,
 		Speed:       target.state.speed,
+		Key:         target.hash,
 	}
 	if j.Service.Engine == nil {
 		c.Slots *= plainSlotFactor
