Gateway: gauges of starts on overloaded targets

Cause: the share of misplaced starts was not visible from outside.

Change: /debug/vars has starts (total, misplaced, load_age_ms), the line shares has starts, misplaced_starts and load_age_ms.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -196,6 +196,7 @@
 	all.Set("retries_refused", &m.retriesRefused)
 	all.Set("gave_up_unreplaced", &m.gaveUp)
 	all.Set("shares", expvar.Func(func() any { return m.shareGauges() }))
+	all.Set("starts", expvar.Func(func() any { return m.startGauges() }))
 	all.Set("report_age_ms", expvar.Func(func() any { return m.summary(m.reportAge) }))
 	all.Set("platform_calls", &m.platformCalls)
 	all.Set("platform_failures", &m.platformFailures)
--- a/internal/gateway/sharelog.go
+++ b/internal/gateway/sharelog.go
@@ -31,6 +31,7 @@
 	}
 	line.Int64("window_ms", r.Window.Milliseconds()).Int64("throughput", int64(r.Throughput)).
 		Int("instances", r.Instances).Int("reports", r.Reports).Int64("reports_age_ms", r.OldestReport.Milliseconds()).
+		Int64("starts", r.Starts).Int64("misplaced_starts", r.MisplacedStarts).Int64("load_age_ms", r.LoadAge.Milliseconds()).
 		Int("queued", r.Queued).Int("customers", r.Customers).Array("largest", largest).Msg("")
 }
 
