--- a/internal/loadreport/belief.go
+++ b/internal/loadreport/belief.go
@@ -83,6 +83,9 @@
 	return pace(b.last), true
 }
 
+// Last returns the last report.
+func (b *Belief) Last() Report { return b.last }
+
 // Slots returns the slots of the last report.
 func (b *Belief) Slots() int { return b.last.Slots }
 
--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -57,9 +57,7 @@
 		return decision{}
 	}
 	candidates, from := s.candidates(j, list, now)
-	r := s.request(j)
-	r.TimeLeft = j.Deadline.Sub(now)
-	choice, ok := placement.Pick(r, candidates, limit)
+	choice, ok := s.pick(j, candidates, limit, now)
 	j.considered.record(candidates, from, choice, now)
 	if !ok {
 		return decision{}
@@ -76,6 +74,7 @@
 	if judgement.Trial {
 		s.evidence.RecordTrial(j.traits, now)
 	}
+	s.countPlaced(candidates, from, choice.Index, now)
 	return decision{placement: s.start(j, from[choice.Index], candidates[choice.Index], choice, now)}
 }
 
--- a/internal/scheduler/isolation.go
+++ b/internal/scheduler/isolation.go
@@ -97,7 +97,7 @@
 			state = &isolatedService{}
 			s.isolation.services[id] = state
 		}
-		state.enabled = list.reportsPace(now)
+		state.enabled = s.paced[id]
 		_, counts := isolation.Choose(list.isolationTargets(), state.shareInForce(), state.counts)
 		if !maps.Equal(counts, state.counts) {
 			state.counts = counts
@@ -138,16 +138,6 @@
 	return changes
 }
 
-// reportsPace reports whether a target of the list reports its pace.
-func (l *targetList) reportsPace(now clock.Instant) bool {
-	for i := range l.targets {
-		if t := &l.targets[i]; t.belief.Has(t.entry.StartMillis, now) {
-			return true
-		}
-	}
-	return false
-}
-
 // isolationTargets returns the targets as the choice of those set aside needs them.
 func (l *targetList) isolationTargets() []isolation.Target {
 	all := make([]isolation.Target, len(l.targets))
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -64,6 +64,8 @@
 	longPrefill bool
 	// replacing is set while a replacement of a running run is placed.
 	replacing bool
+	// idHash is the hash of ID.
+	idHash uint64
 	// rankedTargets holds the first targets in the rendezvous order of homeHash, as
 	// indices into the target list of generation rankedGeneration, and -1 where there are
 	// fewer targets.
@@ -87,6 +89,7 @@
 	}
 	j.prepared = true
 	j.traits = traitsOf(j)
+	j.idHash = membership.Hash(j.ID)
 	chain := ""
 	for i, p := range j.Parts {
 		chain += p.ID + ","
--- a/internal/scheduler/loads.go
+++ b/internal/scheduler/loads.go
@@ -36,6 +36,8 @@
 	// runTimes are the mean times for which a request of an engine service takes a slot.
 	runTimes map[fleet.ServiceID]time.Duration
 	odd      map[fleet.TargetID]int64
+	// pacedAt is when Scheduler.paced was last updated.
+	pacedAt clock.Instant
 }
 
 func newLoads(o *Options) loads {
@@ -73,6 +75,23 @@
 	}
 }
 
+// pacedInterval is the time between two updates of the services whose targets report a pace.
+const pacedInterval = time.Second
+
+// updatePaced finds the services of which a target reports its pace now and then. s.mu must be held.
+func (s *Scheduler) updatePaced(now clock.Instant) {
+	if !s.loads.enabled || s.loads.pacedAt != 0 && now.Sub(s.loads.pacedAt) < pacedInterval {
+		return
+	}
+	s.loads.pacedAt = now
+	clear(s.paced)
+	for id := range s.targets {
+		if e, ok := s.inventory.Get(id); ok && !s.paced[e.Service] {
+			s.paced[e.Service] = s.loads.reports.Of(id).Has(e.StartMillis, now)
+		}
+	}
+}
+
 // request returns the job's parameters for placement. s.mu must be held.
 func (s *Scheduler) request(j *Job) placement.Request {
 	r := j.request()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -28,6 +28,7 @@
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/inventory"
 	"medlarwind.dev/medlarwind/internal/locate"
+	"medlarwind.dev/medlarwind/internal/membership"
 	"medlarwind.dev/medlarwind/internal/pacing"
 	"medlarwind.dev/medlarwind/internal/placement"
 	"medlarwind.dev/medlarwind/internal/quarantine"
@@ -126,6 +127,11 @@
 	// candidateBuffer and targetBuffer are reused from one decision to the next.
 	candidateBuffer []placement.Candidate
 	targetBuffer    []*usableTarget
+	// selfHash is the hash of the instance's id.
+	selfHash uint64
+	// paced holds the services whose targets report a pace, as of the last update.
+	paced  map[fleet.ServiceID]bool
+	starts startCounts
 }
 
 // targetState holds what this instance has observed of one target.
@@ -171,6 +177,7 @@
 		ownMeter:      quota.NewMeter(o.ShareWindow),
 		cache:         affinity.New(),
 		prefixes:      newPrefixState(),
+		paced:         make(map[fleet.ServiceID]bool),
 		isolation:     prefillIsolation{services: make(map[fleet.ServiceID]*isolatedService)},
 		speeds:        speed.New(placement.AssumedSpeed),
 		meanSpeeds:    make(map[fleet.ServiceID]float64),
@@ -188,6 +195,7 @@
 		recentUsage:   make(map[fleet.CustomerID]exchange.Usage),
 		targetLists:   make(map[fleet.ServiceID]*targetList),
 		generation:    1,
+		selfHash:      membership.Hash(string(o.Self)),
 	}
 	s.inventory.MaxAge = o.ListingMaxAge
 	return s
@@ -308,6 +316,7 @@
 	}
 	s.updateSpeeds()
 	s.updatePrefixes()
+	s.updatePaced(now)
 	s.updateIsolation(now)
 	s.startQueued()
 }
