Isolation and even load act where engines fetch prefixes, too

Change: long prefills are kept apart where the engines fetch prefixes from each other, because the shared part would otherwise be read again on an engine set aside. The draw among near candidates acts there and where targets report a pace.

--- a/internal/scheduler/evenload.go
+++ b/internal/scheduler/evenload.go
@@ -3,24 +3,25 @@
 import (
 	"time"
 
+	"medlarwind.dev/medlarwind/internal/catalog"
 	"medlarwind.dev/medlarwind/internal/clock"
 	"medlarwind.dev/medlarwind/internal/feature"
-	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/loadreport"
 	"medlarwind.dev/medlarwind/internal/membership"
 	"medlarwind.dev/medlarwind/internal/placement"
 )
 
-// isSpread reports whether instances spread the jobs of a service over targets of similar cost. s.mu must be held.
-func (s *Scheduler) isSpread(id fleet.ServiceID) bool {
-	return s.paced[id] && s.options.Features.Enabled(feature.EvenLoad)
+// isSpread reports whether instances spread the jobs of a service over targets of similar cost: those of services whose
+// targets report a pace, and those of engines that fetch prefixes from each other. s.mu must be held.
+func (s *Scheduler) isSpread(service *catalog.Service) bool {
+	return s.options.Features.Enabled(feature.EvenLoad) && (s.paced[service.ID] || s.fetchesPrefixes(service))
 }
 
 // pick chooses one of the candidates for a job. s.mu must be held.
 func (s *Scheduler) pick(j *Job, candidates []placement.Candidate, limit placement.Limit, now clock.Instant) (placement.Choice, bool) {
 	r := s.request(j)
 	r.TimeLeft = j.Deadline.Sub(now)
-	if !s.isSpread(j.Service.ID) {
+	if !s.isSpread(j.Service) {
 		return placement.Pick(r, candidates, limit)
 	}
 	spread := placement.Spread{
--- a/internal/scheduler/isolation.go
+++ b/internal/scheduler/isolation.go
@@ -23,7 +23,8 @@
 
 // isolatedService is the state of one service of engines.
 type isolatedService struct {
-	// enabled is set while the service's targets report a pace.
+	// enabled is set while the engines fetch prefixes from each other: the shared part of a long prompt would
+	// otherwise be read again on an engine set aside.
 	enabled bool
 	share   isolation.Share
 	// counts is how many engines of each data centre are set aside.
@@ -87,7 +88,7 @@
 // updateIsolation decides now and then which engines are set aside, and returns what has changed. s.mu must be
 // held.
 func (s *Scheduler) updateIsolation(now clock.Instant) {
-	if !s.options.Features.Enabled(feature.PrefillIsolation) || s.isolation.updatedAt != 0 && now.Sub(s.isolation.updatedAt) < isolationInterval {
+	if s.catalog == nil || !s.options.Features.Enabled(feature.PrefillIsolation) || s.isolation.updatedAt != 0 && now.Sub(s.isolation.updatedAt) < isolationInterval {
 		return
 	}
 	s.isolation.updatedAt = now
@@ -97,7 +98,8 @@
 			state = &isolatedService{}
 			s.isolation.services[id] = state
 		}
-		state.enabled = s.paced[id]
+		service, ok := s.catalog.Service(id)
+		state.enabled = ok && s.fetchesPrefixes(service)
 		_, counts := isolation.Choose(list.isolationTargets(), state.shareInForce(), state.counts)
 		if !maps.Equal(counts, state.counts) {
 			state.counts = counts
