The draw keeps requests with their cached parts, short ones, too

Change: a candidate that would prefill 64 tokens or more beyond the best one is not drawn (1,000 before).

--- a/internal/placement/spread.go
+++ b/internal/placement/spread.go
@@ -21,8 +21,9 @@
 	// is drawn that costs a whole objective more than the best.
 	steepnessOfObjective = 1.0 / windowSteepness
 	// maxSpreadPrefill is the number of tokens of shared parts from which a candidate that would prefill
-	// so many more than the best one is not drawn. It is the length from which fetching a prefix pays.
-	maxSpreadPrefill = 1000
+	// so many more than the best one is not drawn. Drawn away from their cached parts, requests with short
+	// shared parts made engines prefill a half more of these again.
+	maxSpreadPrefill = 64
 )
 
 // Spread draws the target of a request among those whose costs are near the lowest, so that instances that
