Plan copies of large runs on services whose engines offer them

Cause: what the first target of a stream has computed is lost when it crashes.

Change: the scheduler keeps the crashes of targets of such services (found down by a broken run, unreachable, or reported by peers), chooses with package backup which first run of a stream carries a copy, counts the copy's memory at its target until the engine frees it, and places a broken run on that target. Switch run-backups; backups and handle_s are decoded. A continuation draws on no retry budget, is not charged again, and is refused like a retry if its request crashes targets.

--- a/internal/backup/backup.go
+++ b/internal/backup/backup.go
@@ -87,14 +87,15 @@
 	LinkShare float64
 }
 
-// Choose returns the engine that takes the copy of a run, and false if the run carries none.
-func Choose(r *Run, record *Record, fleetSize Sizes, candidates []Candidate, now clock.Instant) (Choice, bool) {
+// Choose returns the engine that takes the copy of a run, and false if the run carries none. candidates
+// is called only if a copy pays.
+func Choose(r *Run, record *Record, sizes Sizes, candidates func() []Candidate, now clock.Instant) (Choice, bool) {
 	c := Choice{Index: -1}
 	if r.Tokens < MinTokens || r.Copies >= max(minCopies, int(copiesPerRun*float64(r.Running))) {
 		return c, false
 	}
 	duration := max(r.Time, minTime)
-	c.Chance, c.CrashAge = record.Chance(r.Service, r.DataCentre, r.Target, fleetSize, duration, now)
+	c.Chance, c.CrashAge = record.Chance(r.Service, r.DataCentre, r.Target, sizes, duration, now)
 	loss := r.Prefill
 	if !r.Repeatable {
 		loss += duration
@@ -106,7 +107,7 @@
 	if c.Saves <= c.Costs || r.SourceShare+c.LinkShare > MaxLinkShare {
 		return c, false
 	}
-	c.Index = r.pick(record, candidates, c.LinkShare, now)
+	c.Index = r.pick(record, candidates(), c.LinkShare, now)
 	return c, c.Index >= 0
 }
 
--- a/internal/backup/backup_test.go
+++ b/internal/backup/backup_test.go
@@ -70,7 +70,7 @@
 			if test.change != nil {
 				test.change(&r)
 			}
-			c, ok := backup.Choose(&r, &record, sizes, engines(), start)
+			c, ok := backup.Choose(&r, &record, sizes, engines, start)
 			if ok != test.want {
 				t.Errorf("got %v with %+v, want %v", ok, c, test.want)
 			}
@@ -108,7 +108,7 @@
 		r.Time = time.Duration(rapid.Int64Range(-1, 1e11).Draw(t, "time"))
 		r.Copies, r.Running = rapid.IntRange(0, 60).Draw(t, "copies"), rapid.IntRange(0, 100).Draw(t, "running")
 		r.SourceShare = rapid.Float64Range(0, 0.4).Draw(t, "source")
-		c, ok := backup.Choose(&r, &record, sizes, all, now)
+		c, ok := backup.Choose(&r, &record, sizes, func() []backup.Candidate { return all }, now)
 		if c.Chance < 0 || c.Chance > 1 {
 			t.Fatalf("chance %v", c.Chance)
 		}
--- a/internal/backup/record.go
+++ b/internal/backup/record.go
@@ -12,6 +12,9 @@
 	// Window is how long a crash counts. Its weight falls evenly, with a mean of 1, since crashes of
 	// one cause come within seconds of each other.
 	Window = 10 * time.Second
+	// sameCrash is the time within which reports on one target are taken for one crash. Peers report for
+	// 2 s, and a restarted target is listed with its new start meanwhile.
+	sameCrash = 3 * time.Second
 	// maxCrashes bounds the record. The oldest crash is dropped first.
 	maxCrashes = 256
 )
@@ -28,11 +31,14 @@
 // Record holds the crashes of the last Window, the oldest first.
 type Record struct{ crashes []Crash }
 
-// Add records a crash. It returns false if that of this start is known.
+// Add records a crash. It returns false if it is known: the same start, or the same target within
+// sameCrash.
 func (r *Record) Add(c Crash) bool {
 	r.expire(c.At)
-	if r.Knows(c.Target, c.StartMillis) {
-		return false
+	for i := range r.crashes {
+		if known := &r.crashes[i]; known.Target == c.Target && (known.StartMillis == c.StartMillis || c.At.Sub(known.At) < sameCrash) {
+			return false
+		}
 	}
 	if len(r.crashes) == maxCrashes {
 		r.crashes = r.crashes[1:]
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -101,6 +101,10 @@
 	// engine's link in Mbit/s. Each is 0 if it is unknown.
 	TokenBytes int
 	LinkMbps   float64
+	// Backups is set if engines send the memory of a run to another engine as it grows. HandleTime is how
+	// long a copy of a run that did not end well is kept after its last part.
+	Backups    bool
+	HandleTime time.Duration
 }
 
 // Service is a set of interchangeable targets.
--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -27,10 +27,12 @@
 	PrefillIsolation Name = "prefill-isolation"
 	// AdmissionOrder orders waiting requests by rank, share and the time that is left.
 	AdmissionOrder Name = "admission-order"
+	// RunBackups lets large runs go on from a copy after their target crashed.
+	RunBackups Name = "run-backups"
 )
 
 // names are all parts, in the order in which they are listed for operators.
-var names = []Name{EarlyRefusals, HandOver, LoadReports, PrefixFetch, EvenLoad, PrefillIsolation, AdmissionOrder}
+var names = []Name{EarlyRefusals, HandOver, LoadReports, PrefixFetch, EvenLoad, PrefillIsolation, AdmissionOrder, RunBackups}
 
 // Set is the set of parts that are switched on. The zero value has all of them.
 type Set struct{ disabled map[Name]bool }
--- a/internal/scheduler/evidence.go
+++ b/internal/scheduler/evidence.go
@@ -60,11 +60,14 @@
 }
 
 // NeedsCrashCheck reports whether the placement ended with a broken connection of which it
-// is not known whether the target crashed.
+// is not known whether the target crashed, or that it carries a copy.
 func (p *Placement) NeedsCrashCheck() bool {
 	s := p.scheduler
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if p.Backup != nil || s.offersBackups(p.job.Service) && !s.backups.record.Knows(p.Target.ID, p.Target.StartMillis) {
+		return true
+	}
 	return slices.ContainsFunc(s.brokenRuns, func(r brokenRun) bool { return r.traits == p.job.traits })
 }
 
@@ -76,6 +79,7 @@
 	// The end of a planned stop is no crash.
 	if s.inventory.IsServing(p.Target.ID, p.Target.StartMillis) {
 		s.recordCrash(p.Target.ID, p.Target.StartMillis, s.options.Now())
+		s.noteCrash(p.Target.ID, p.Target.StartMillis, s.options.Now())
 	}
 }
 
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -78,6 +78,9 @@
 		if !t.suspect(now) {
 			continue
 		}
+		if t.suspicion.since == now {
+			s.noteCrash(id, e.StartMillis, now)
+		}
 		t.avoidUntil = max(t.avoidUntil, now.Add(peerBrokenAvoid))
 		if s.catalog == nil {
 			continue
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -64,6 +64,8 @@
 	longPrefill bool
 	// replacing is set while a replacement of a running run is placed.
 	replacing bool
+	// ran is set once a run of the job may have begun and has ended.
+	ran bool
 	// idHash is the hash of ID.
 	idHash uint64
 	// rankedTargets holds the first targets in the rendezvous order of homeHash, as
@@ -263,6 +265,8 @@
 	Rank int
 	// Fetch is what the target is to fetch from another one, nil for nothing.
 	Fetch *Fetch
+	// Backup is the copy of the run on another target, nil for none.
+	Backup *Backup
 	// Reported is set if the choice rested on the target's own report of its load. ReportAge is the age of that
 	// report, Pace the estimated pace as a factor.
 	Reported  bool
@@ -289,5 +293,9 @@
 	// believed is the number of tokens of the long prefix that the target was believed to have
 	// cached or to fetch, aheadUnread the tokens that it had to prefill before this request.
 	believed, aheadUnread int
-	ended                 bool
+	// continues is set for a run that goes on from its copy. copyAbandoned is when the run ended and left
+	// its copy behind, 0 if it has not.
+	continues     bool
+	copyAbandoned clock.Instant
+	ended         bool
 }
--- a/internal/scheduler/loads.go
+++ b/internal/scheduler/loads.go
@@ -222,7 +222,7 @@
 
 // observeRunTime adds the time of a completed request of an engine to the mean of its service. s.mu must be held.
 func (s *Scheduler) observeRunTime(p *Placement, o Outcome, now clock.Instant) {
-	if o != Completed || !s.loads.enabled || p.job.Service.Engine == nil || s.processor.Delay >= maxObservedDelay {
+	if o != Completed || p.continues || !s.loads.enabled || p.job.Service.Engine == nil || s.processor.Delay >= maxObservedDelay {
 		return
 	}
 	mean := cmp.Or(s.loads.runTimes[p.job.Service.ID], initialRunTime)
--- a/internal/scheduler/prefixes.go
+++ b/internal/scheduler/prefixes.go
@@ -217,7 +217,7 @@
 // endPrefixes records the end of a request: the engine has used its prefixes until now. s.mu must be
 // held.
 func (s *Scheduler) endPrefixes(p *Placement, o Outcome, now clock.Instant) {
-	if o != Completed || p.job.Prompt == 0 || !s.fetchesPrefixes(p.job.Service) {
+	if o != Completed || p.continues || p.job.Prompt == 0 || !s.fetchesPrefixes(p.job.Service) {
 		return
 	}
 	id := p.job.Service.ID
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -125,6 +125,7 @@
 		s.refundUsage(p, now)
 	}
 	s.endPrefixes(p, o, now)
+	s.endBackup(p, o, now)
 	s.recordOutcome(p, t, o, now)
 	s.observeRunTime(p, o, now)
 	s.startQueued()
@@ -143,7 +144,7 @@
 // refundUsage returns the tokens that were charged to the customer for a request that did
 // not run. s.mu must be held.
 func (s *Scheduler) refundUsage(p *Placement, now clock.Instant) {
-	if p.job.Prompt == 0 {
+	if p.job.Prompt == 0 || p.continues {
 		return
 	}
 	s.meter.AddUsage(p.job.Customer, -p.job.weight(), now)
@@ -161,7 +162,9 @@
 		if !p.answering {
 			s.evidence.RecordAnswering(p.job.traits, now)
 		}
-		s.evidence.RecordCompleted(p.job.traits, now)
+		if !p.continues {
+			s.evidence.RecordCompleted(p.job.traits, now)
+		}
 	case Failed, Rejected, Unreachable, DialTimedOut, Broken, Silent:
 		t.failureRate += failureWeight * (1 - t.failureRate)
 		t.countFailure(p, o, now)
@@ -169,6 +172,7 @@
 	case Abandoned, Unsent:
 	}
 	if s.isDown(t, o) {
+		s.noteCrash(p.Target.ID, p.Target.StartMillis, now)
 		t.brokenAt = now
 		t.suspicion = suspicion{since: now, reportedAt: now}
 		s.inventory.MarkBroken(p.Target.ID, p.job.Service.ColdPeriod, now)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -77,6 +77,7 @@
 	ownPart  ownPart
 	cache    *affinity.Cache
 	prefixes prefixState
+	backups  backups
 	alive    []roster.Member
 	// entries are the live instances that callers are directed to. What the fleet divides between
 	// instances goes to them, since the others get few requests.
@@ -177,6 +178,7 @@
 		ownMeter:      quota.NewMeter(o.ShareWindow),
 		cache:         affinity.New(),
 		prefixes:      newPrefixState(),
+		backups:       newBackups(),
 		paced:         make(map[fleet.ServiceID]bool),
 		isolation:     prefillIsolation{services: make(map[fleet.ServiceID]*isolatedService)},
 		speeds:        speed.New(placement.AssumedSpeed),
@@ -318,6 +320,7 @@
 	s.updatePrefixes()
 	s.updatePaced(now)
 	s.updateIsolation(now)
+	s.expireCopies(now)
 	s.startQueued()
 }
 
