Send copies with requests, and let broken streams go on from them

Cause: a stream whose route may not resume was lost with its target.

Change: the first run of a stream names the target of its copy. Once its connection has ended and the target is found down, or has closed the stream, the run goes on from the copy, at most once, as the same run: after the last whole event, on routes that may not resume, too, and without counting against max_attempts. If that does not deliver the rest, the request is where the first run left it. Log fields backup_* and continuation, counters run_backups and run_continuations.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -208,6 +208,7 @@
 		ListingConfirmedAt: g.listingConfirmedAt, ListingMaxAge: listingMaxAge(s.ChangeWithin), Features: s.Features,
 	})
 	g.metrics.prefixes = g.scheduler.PrefixCounters
+	g.metrics.backups = g.scheduler.BackupCounters
 	g.scheduler.SetAlive(g.roster.Alive(o.Now()))
 	g.metrics.loads = g.scheduler.LoadState
 	g.metrics.isolation = g.scheduler.IsolationCounters
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -39,6 +39,10 @@
 	logDropped          func() int64
 	// prefixes returns the counters of prefix fetches. It may be nil.
 	prefixes func() scheduler.PrefixCounters
+	// backups returns the counters of the copies of runs, continuations counts the broken runs with a copy
+	// by what became of them.
+	backups       func() scheduler.BackupCounters
+	continuations expvar.Map
 	// loads returns what is known of the load of targets by their reports.
 	loads func() scheduler.LoadState
 	// isolation returns the counters of the isolation of long prefills.
@@ -94,6 +98,7 @@
 	m.failureCauses.Init()
 	m.early.Init()
 	m.handedOver.Init()
+	m.continuations.Init()
 	m.shares.Store(&scheduler.ShareReport{})
 	return m
 }
@@ -144,6 +149,9 @@
 	if r.Reason != "" {
 		m.reasons.Add(r.Reason, 1)
 	}
+	if r.Continuation != "" {
+		m.continuations.Add(string(r.Continuation), 1)
+	}
 	if r.RetryRefused != "" {
 		m.retriesRefused.Add(r.RetryRefused, 1)
 		if r.GaveUp {
@@ -263,6 +271,10 @@
 	if m.prefixes != nil {
 		all.Set("prefix_fetch", expvar.Func(func() any { return gaugesOf(m.prefixes()) }))
 	}
+	if m.backups != nil {
+		all.Set("run_backups", expvar.Func(func() any { return m.backups() }))
+	}
+	all.Set("run_continuations", &m.continuations)
 	if m.isolation != nil {
 		all.Set("prefill_isolation", expvar.Func(func() any { return m.isolation() }))
 	}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -71,6 +71,9 @@
 			x.sends++
 			x.runs++
 			retry = true
+			if x.continueRun(ctx) {
+				return
+			}
 		}
 		if x.result.NoRetry = x.noRetryReason(ctx, result); x.result.NoRetry != "" {
 			x.fail(ctx)
@@ -157,6 +160,9 @@
 	x.result.Target, x.result.ExpectedWait = p.Target.ID, p.Wait
 	x.result.Cached, x.result.Rank, x.result.Fetch = p.Cached, p.Rank, p.Fetch
 	x.result.LoadReported, x.result.LoadAge, x.result.Pace = p.Reported, p.ReportAge, p.Pace
+	if p.Backup != nil {
+		x.result.Backup = p.Backup
+	}
 	x.runEvents = 0
 	if s == nil && !p.Validity().Usable {
 		return x.unsent(p, errTargetLeft)
@@ -339,6 +345,9 @@
 		return
 	}
 	down := x.checkCrash(ctx, p)
+	if p.Backup != nil {
+		x.lost = &brokenRun{placement: p, over: down || closedByTarget(err)}
+	}
 	x.logBrokenRun(p, down, x.runEvents, err)
 }
 
@@ -379,6 +388,8 @@
 	x.observePause(p, info)
 	x.observeLoad(p, resp.Status, info)
 	switch {
+	case isCopyMissing(p, resp):
+		return x.noCopy(p, resp)
 	case info.NotRun:
 		resp.Finish(discardRest(resp))
 		p.End(scheduler.Rejected)
--- a/internal/ingress/codec.go
+++ b/internal/ingress/codec.go
@@ -56,8 +56,16 @@
 	// FetchFrom is the address of a target from which this one fetches the parts of the prompt that
 	// it lacks, empty for none.
 	FetchFrom string
+	// CopyTo is the address of a target to which this one copies the run's memory as it grows, empty for
+	// none.
+	CopyTo string
+	// Continues is the run that goes on from its copy, the zero value for a run that begins.
+	Continues Continued
 }
 
+// Continued names a run by the address of the target that holds its copy and the caller's id of it.
+type Continued struct{ Addr, ID string }
+
 // ResponseInfo holds what the target's headers say about its response.
 type ResponseInfo struct {
 	// NotRun reports that the target did not run the request and never will.
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -171,6 +171,8 @@
 	// memory is the memory of the current attempt's response.
 	memory  *answerPart
 	standby *standby
+	// lost is the run that broke last if it has a copy, nil for none.
+	lost *brokenRun
 	// failure is the error of the last attempt that failed after it was sent, nil if there is none
 	// beside its reason.
 	failure error
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -141,7 +141,11 @@
 			return x.markBroken(ctx, p, err)
 		}
 		if resumed {
-			if err := x.position.checkNext(e, !begun); err != nil {
+			err := x.position.checkNext(e, !begun)
+			if err == nil && p.Continues() && !begun {
+				err = x.position.checkDirect(e)
+			}
+			if err != nil {
 				x.flushEvents(flusher)
 				return x.refuseResumed(p, resp, err)
 			}
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -47,6 +47,10 @@
 	Cached, Rank int
 	// Fetch is what the target was to fetch from another one, nil for nothing.
 	Fetch *scheduler.Fetch
+	// Backup is the copy of the first run on another target, nil for none. Continuation says what became of
+	// the run after it broke, empty if it has no copy or did not break.
+	Backup       *scheduler.Backup
+	Continuation Continuation
 	// Version is the version of the configuration, 0 if there was none.
 	Version uint64
 	// Waited is the time from arrival to the first send, ExpectedWait the expected wait at
@@ -213,6 +217,7 @@
 	if f := r.Fetch; f != nil {
 		line = line.Str("fetch_source", string(f.Source.ID)).Int("fetch_tokens", f.Tokens).Int64("fetch_belief_age_ms", f.Age.Milliseconds())
 	}
+	line = appendBackup(line, r)
 	if x.customer != "" {
 		line = line.Str("customer", string(x.customer))
 	}
--- a/internal/ingress/standby.go
+++ b/internal/ingress/standby.go
@@ -222,7 +222,7 @@
 		Host:   x.r.Host,
 		Header: o.Codec.ForwardHeader(x.r.Header, Forwarding{
 			Remaining: x.job.Deadline.Sub(o.Now()), Target: p.Target.ID, Customer: x.customer, ResumeAfter: resumeAfter,
-			FetchFrom: p.Fetch.Addr(),
+			FetchFrom: p.Fetch.Addr(), CopyTo: p.Backup.Addr(), Continues: x.continued(p),
 		}),
 		Body:    body,
 		Ready:   func() error { return x.sendable(p) },
