Where a job would go: a dry run of the decision

Cause: an operator who asks why a request waits or is refused has only the log of requests that were sent. What was ruled out: reading variants of all functions on the way of a decision; sliding windows, shares and sums are brought up to date by reading, and each variant could come to differ from what it stands for.

Change: Scheduler.Where decides on a copy of what reading changes, with the functions of Admit (place, decide, candidates, pick, enqueue), and describes candidates and targets left out. Split off: planFetch into fetchOf, passQueue into sortQueue, pick into spread. decide starts nothing on the copy.

--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -71,6 +71,9 @@
 		}
 		return decision{}
 	}
+	if s.dryRun {
+		return decision{placement: s.wouldStart(j, from[choice.Index], choice, now)}
+	}
 	if judgement.Trial {
 		s.evidence.RecordTrial(j.traits, now)
 	}
--- a/internal/scheduler/evenload.go
+++ b/internal/scheduler/evenload.go
@@ -24,10 +24,12 @@
 	if !s.isSpread(j.Service) {
 		return placement.Pick(r, candidates, limit)
 	}
-	spread := placement.Spread{
-		Seed: membership.Score(j.idHash, s.selfHash), Age: s.loadAge(now), Objective: j.Route.FirstByteSLO,
-	}
-	return spread.Pick(r, candidates, limit)
+	return s.spread(j, now).Pick(r, candidates, limit)
+}
+
+// spread returns the draw among candidates for a job. s.mu must be held.
+func (s *Scheduler) spread(j *Job, now clock.Instant) placement.Spread {
+	return placement.Spread{Seed: membership.Score(j.idHash, s.selfHash), Age: s.loadAge(now), Objective: j.Route.FirstByteSLO}
 }
 
 // loadAge returns the greatest age of the peers' loads, 0 for an instance without peers. s.mu must be held.
--- a/internal/scheduler/prefixes.go
+++ b/internal/scheduler/prefixes.go
@@ -115,6 +115,21 @@
 	if !l.inForce {
 		return nil, 0
 	}
+	f, believed := s.fetchOf(j, target, now)
+	if f == nil {
+		return nil, believed
+	}
+	c.Cached = max(c.Cached, l.tokens)
+	s.prefixes.index.BeginFetch(f.Source.ID, f.time, now)
+	s.prefixes.counters.Fetches++
+	s.prefixes.counters.FetchedTokens += int64(f.Tokens)
+	return f, believed
+}
+
+// fetchOf returns what the target would fetch, nil for nothing, and the number of tokens of the located prefix that it
+// then needs not prefill. It changes nothing. locate must have been called for the job. s.mu must be held.
+func (s *Scheduler) fetchOf(j *Job, target *usableTarget, now clock.Instant) (*Fetch, int) {
+	l := &s.prefixes.located
 	kept, _ := s.heldTokens(j, target, now)
 	tokens := l.tokens - kept
 	source, took := s.bestSource(j, target, tokens)
@@ -123,14 +138,9 @@
 	}
 	from := source.target.entry.Target
 	prefix := j.hashOf(l.tokens)
-	f := &Fetch{
+	return &Fetch{
 		Source: from, Tokens: tokens, Age: s.prefixes.index.Get(from.ID, from.StartMillis, prefix).Age(now), prefix: prefix, time: took,
-	}
-	c.Cached = max(c.Cached, l.tokens)
-	s.prefixes.index.BeginFetch(from.ID, took, now)
-	s.prefixes.counters.Fetches++
-	s.prefixes.counters.FetchedTokens += int64(tokens)
-	return f, l.tokens
+	}, l.tokens
 }
 
 // heldTokens returns the number of tokens of the job's longest prefix that the target keeps, and of
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -160,15 +160,20 @@
 	}
 }
 
-// passQueue examines the queued jobs in order. It returns the number of jobs that have left the
-// queue. s.mu must be held.
-func (s *Scheduler) passQueue(now clock.Instant) int {
+// sortQueue puts the queued jobs in the order in which they are examined. s.mu must be held.
+func (s *Scheduler) sortQueue(now clock.Instant) {
 	for _, w := range s.queue {
 		w.used = s.meter.Usage(w.job.Customer, now)
 	}
 	slices.SortStableFunc(s.queue, func(a, b *waiter) int {
 		return cmp.Or(cmp.Compare(a.used, b.used), cmp.Compare(a.enqueuedAt, b.enqueuedAt))
 	})
+}
+
+// passQueue examines the queued jobs in order. It returns the number of jobs that have left the
+// queue. s.mu must be held.
+func (s *Scheduler) passQueue(now clock.Instant) int {
+	s.sortQueue(now)
 	misses, done := 0, 0
 	for _, w := range slices.Clone(s.queue) {
 		if !w.retry && s.overLimit.has(w.job, s.loadLimit(w.job, now), now) && now < w.job.Deadline {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -132,6 +132,8 @@
 	// paced holds the services whose targets report a pace, as of the last update.
 	paced  map[fleet.ServiceID]bool
 	starts startCounts
+	// dryRun is set in the copy on which Where decides: decide then starts nothing.
+	dryRun bool
 }
 
 // targetState holds what this instance has observed of one target.
