medlarwind where: ask an instance where a request would go

Cause: Scheduler.Where could be asked by no operator.

Change: ingress.Handler.Where finds route, customer and service as for a request, without recording the budget; POST /debug/where on the operators' address; the command with text and JSON. The callers' address answers no_route.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -224,6 +224,16 @@
 	return customer, ok
 }
 
+// CustomerNamed returns the customer with the given id. It goes through all customers.
+func (c *Catalog) CustomerNamed(id fleet.CustomerID) (*Customer, bool) {
+	for i := range c.customers {
+		if c.customers[i].ID == id {
+			return &c.customers[i], true
+		}
+	}
+	return nil, false
+}
+
 // Service returns the service with the given id.
 func (c *Catalog) Service(id fleet.ServiceID) (*Service, bool) {
 	s, ok := c.services[id]
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -78,6 +78,7 @@
 			CallCommand(stdout, stderr),
 			StatusCommand(stdout, stderr),
 			ExplainCommand(stdout, stderr),
+			WhereCommand(stdout, stderr),
 			RulesCommand(stdout, stderr),
 			SettingsCommand(stdout, stderr),
 			StandinCommand(stdout, stderr),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -353,7 +353,7 @@
 		{"callers", s.CallerAddr, g.handler},
 		{"readiness", s.ReadyAddr, o.Endpoints.Readiness(g.isReady)},
 		{"directory", s.DirectoryAddr, o.Endpoints.Directory(g.locate)},
-		{"operators", s.OperatorAddr, g.metrics.handler()},
+		{"operators", s.OperatorAddr, g.operatorHandler()},
 	}
 	var l listeners
 	var err error
--- a/internal/ingress/patience.go
+++ b/internal/ingress/patience.go
@@ -50,6 +50,25 @@
 		m = &budgetMaxima{}
 		t.routes[route] = m
 	}
+	return m.elapsed(budget, now)
+}
+
+// peek returns what elapsed would return, without recording the budget.
+func (t *callerTimeouts) peek(route string, budget time.Duration, now clock.Instant) (elapsed, maxBudget time.Duration) {
+	if budget <= 0 {
+		return 0, 0
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var m budgetMaxima
+	if known := t.routes[route]; known != nil {
+		m = *known
+	}
+	return m.elapsed(budget, now)
+}
+
+// elapsed does the work of callerTimeouts.elapsed for one route.
+func (m *budgetMaxima) elapsed(budget time.Duration, now clock.Instant) (elapsed, maxBudget time.Duration) {
 	if period := int64(time.Duration(now) / timeoutPeriod); period != m.period {
 		m.previous = 0
 		if period == m.period+1 {
