A fetched copy costs the prefill of what it evicts

A copy was charged one transfer for what it evicts.

Change: a fetched copy costs as much as a prefilled one: the prefill time of its tokens, for each request that runs.

--- a/internal/placement/copy.go
+++ b/internal/placement/copy.go
@@ -23,21 +23,21 @@
 // copyCost returns what a further copy of the shared parts on the candidate costs others, besides the
 // time of the request itself.
 //
-// A copy evicts as many tokens of other parts, which are then fetched again: the time of one more
-// transfer. Tokens that must be prefilled also delay all requests that run on the target, because an
-// engine prefills between their tokens: the prefill time for each of them. The first copy has to be
+// A copy evicts as many tokens of other parts, also if it is fetched; at an engine whose memory is full within
+// seconds these are soon prefilled again. Tokens that must be prefilled delay all requests that run on the
+// target, because an engine prefills between their tokens: the prefill time for each of them. The first copy has to be
 // prefilled somewhere and costs nothing more at its home.
 func (c *Candidate) copyCost(r Request) time.Duration {
 	lacking := max(r.Shared-c.Cached, 0)
 	if !c.Copy.Located {
 		return recomputeWeight * prefillTime(lacking, AssumedSpeed)
 	}
-	cost := c.Copy.Doubt
-	if !c.Copy.Joins {
-		cost += c.Copy.Transfer
+	added := 0
+	if c.Copy.Transfer > 0 && !c.Copy.Joins {
+		added = r.Shared
 	}
 	if !c.Copy.First {
-		cost += time.Duration(1+c.Load.Running) * c.prefillTime(lacking)
+		added += lacking
 	}
-	return cost
+	return c.Copy.Doubt + time.Duration(1+c.Load.Running)*c.prefillTime(added)
 }
