No engines are set aside under overload

Change: no engine is set aside while 1.5 times as much is requested as started, until it is less than 1.2 times. The test of the isolation no longer counts each arrival twice.

--- a/internal/isolation/isolation.go
+++ b/internal/isolation/isolation.go
@@ -60,6 +60,29 @@
 	return s.long / s.all
 }
 
+// Limits of the demand, as a multiple of what is started. While much more is asked for than engines take, no
+// engine is set aside: each of them is needed for whatever has the best claim. The limits differ, since each
+// change moves the homes of prompt parts.
+const (
+	overloadFrom = 1.5
+	overloadTo   = 1.2
+)
+
+// Overload tells whether much more is asked for than is started. The zero value says no.
+type Overload struct{ on bool }
+
+// Update takes the tokens that were requested and started within the same time, and reports whether that is an
+// overload.
+func (o *Overload) Update(requested, started float64) bool {
+	switch {
+	case requested > overloadFrom*started:
+		o.on = true
+	case requested < overloadTo*started:
+		o.on = false
+	}
+	return o.on
+}
+
 // Target is an engine that may be set aside.
 type Target struct {
 	// Order is the engine's place in an order that all instances agree on, such as a rendezvous score.
--- a/internal/isolation/isolation_test.go
+++ b/internal/isolation/isolation_test.go
@@ -58,6 +58,19 @@
 	}
 }
 
+// Engines must not be moved to and fro by a demand near the limit.
+func TestOverloadHasHysteresis(t *testing.T) {
+	var o isolation.Overload
+	for i, test := range []struct {
+		requested float64
+		want      bool
+	}{{100, false}, {140, false}, {160, true}, {130, true}, {110, false}, {140, false}, {0, false}} {
+		if got := o.Update(test.requested, 100); got != test.want {
+			t.Errorf("step %d: %v of 100 requested: overload %v, want %v", i, test.requested, got, test.want)
+		}
+	}
+}
+
 // Instances that measure slightly different shares must agree on nearly all engines, every data centre keeps
 // most of its engines for others, and a small change of the share moves none.
 func TestChosenTargetsAgree(t *testing.T) {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -178,6 +178,16 @@
 	return total / m.window.Seconds()
 }
 
+// Requested returns the tokens per second that all customers together requested within the window. It
+// takes O(n) time for n customers.
+func (m *Meter) Requested(now clock.Instant) float64 {
+	total := 0.0
+	for c := range m.customers {
+		total += m.Demand(c, now)
+	}
+	return total / m.window.Seconds()
+}
+
 // CustomerTokens are the tokens that a customer demanded and used within the window.
 type CustomerTokens struct {
 	Customer      fleet.CustomerID
--- a/internal/scheduler/isolation.go
+++ b/internal/scheduler/isolation.go
@@ -17,14 +17,15 @@
 // prefillIsolation is the state of the isolation of long prefills.
 type prefillIsolation struct {
 	services  map[fleet.ServiceID]*isolatedService
+	overload  isolation.Overload
 	updatedAt clock.Instant
 	counters  IsolationCounters
 }
 
 // isolatedService is the state of one service of engines.
 type isolatedService struct {
-	// enabled is set while the engines fetch prefixes from each other: the shared part of a long prompt would
-	// otherwise be read again on an engine set aside.
+	// enabled is set while the engines fetch prefixes from each other, since the shared part of a long prompt would
+	// otherwise be read again on an engine set aside, and there is no overload.
 	enabled bool
 	share   isolation.Share
 	// counts is how many engines of each data centre are set aside.
@@ -55,16 +56,13 @@
 	return s.isolation.counters
 }
 
-// isolates returns the state of the job's service if its long prefills are kept apart, nil otherwise. s.mu
+// isolates returns the state of the job's service if its long prefills may be kept apart, nil otherwise. s.mu
 // must be held.
 func (s *Scheduler) isolates(j *Job) *isolatedService {
-	if j.Service.Engine == nil {
+	if j.Service.Engine == nil || !s.fetchesPrefixes(j.Service) {
 		return nil
 	}
-	if state := s.isolation.services[j.Service.ID]; state != nil && state.enabled {
-		return state
-	}
-	return nil
+	return s.isolation.services[j.Service.ID]
 }
 
 // noteArrival adds a new generation to the share of long prefills. s.mu must be held.
@@ -92,6 +90,7 @@
 		return
 	}
 	s.isolation.updatedAt = now
+	overload := s.isolation.overload.Update(s.meter.Requested(now), s.meter.Throughput(now))
 	for id, list := range s.targetLists {
 		state := s.isolation.services[id]
 		if state == nil {
@@ -99,7 +98,7 @@
 			s.isolation.services[id] = state
 		}
 		service, ok := s.catalog.Service(id)
-		state.enabled = ok && s.fetchesPrefixes(service)
+		state.enabled = ok && !overload && s.fetchesPrefixes(service)
 		_, counts := isolation.Choose(list.isolationTargets(), state.shareInForce(), state.counts)
 		if !maps.Equal(counts, state.counts) {
 			state.counts = counts
--- a/internal/scheduler/isolation_test.go
+++ b/internal/scheduler/isolation_test.go
@@ -23,7 +23,6 @@
 		if i%20 == 0 {
 			j.Prompt = 40_000
 		}
-		ts.RecordArrival(j)
 		p, err := ts.admit(t.Context(), j)
 		if err != nil {
 			t.Fatal(err)
