Parts that are off unless they are asked for

Change: run-backups and admission-order are optional: medlarwind route -enable switches them on. Tests of these parts ask for them.

--- a/internal/cli/route.go
+++ b/internal/cli/route.go
@@ -10,7 +10,6 @@
 	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"medlarwind.dev/medlarwind/internal/clock"
@@ -24,10 +23,11 @@
 // platform. SIGINT or SIGTERM starts a graceful stop, SIGHUP reloads the settings.
 func RouteCommand(stdout, stderr io.Writer) *ffcli.Command {
 	flags := newFlags("medlarwind route", stderr)
+	enable := flags.String("enable", "", "parts to switch on that are off otherwise, separated by commas: "+feature.Optional())
 	disable := flags.String("disable", "", "parts to switch off, separated by commas: "+feature.List())
 	return &ffcli.Command{
 		Name:       "route",
-		ShortUsage: "medlarwind route [-disable PART,...]",
+		ShortUsage: "medlarwind route [-enable PART,...] [-disable PART,...]",
 		ShortHelp:  "run one instance on the users' platform",
 		LongHelp: "Runs one instance that serves callers over plain HTTP. The environment names the settings file;\n" +
 			"docs/operators/route.md lists its fields. SIGINT or SIGTERM starts a graceful stop, SIGHUP reloads the settings.",
@@ -37,8 +37,8 @@
 			if err != nil {
 				return &UsageError{err}
 			}
-			if s.Gateway.Features, err = feature.Without(*disable); err != nil {
-				return &UsageError{errors.Wrap(err, "-disable")}
+			if s.Gateway.Features, err = feature.New(*enable, *disable); err != nil {
+				return &UsageError{err}
 			}
 			return route(ctx, s, stdout)
 		},
--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -34,33 +34,68 @@
 // names are all parts, in the order in which they are listed for operators.
 var names = []Name{EarlyRefusals, HandOver, LoadReports, PrefixFetch, EvenLoad, PrefillIsolation, AdmissionOrder, RunBackups}
 
-// Set is the set of parts that are switched on. The zero value has all of them.
-type Set struct{ disabled map[Name]bool }
+// optional are the parts that are off unless they are asked for.
+var optional = []Name{AdmissionOrder, RunBackups}
+
+// Set is the set of parts that are switched on. The zero value has all but the optional ones.
+type Set struct{ enabled, disabled map[Name]bool }
 
 // Enabled reports whether a part is switched on.
-func (s Set) Enabled(n Name) bool { return !s.disabled[n] }
+func (s Set) Enabled(n Name) bool {
+	return !s.disabled[n] && (s.enabled[n] || !slices.Contains(optional, n))
+}
+
+// New returns the set of the parts that are on by default, with those in a comma-separated list and without those
+// in another one. Both may be empty. The error names the first part that does not exist.
+func New(enabled, disabled string) (Set, error) {
+	var s Set
+	var err error
+	if s.enabled, err = parse(enabled); err != nil {
+		return Set{}, err
+	}
+	if s.disabled, err = parse(disabled); err != nil {
+		return Set{}, err
+	}
+	return s, nil
+}
 
-// Without returns the set of all parts but those in a comma-separated list, which may be empty. The error
-// names the first one that does not exist.
-func Without(list string) (Set, error) {
-	s := Set{disabled: make(map[Name]bool)}
+// Without returns the set without the parts in a comma-separated list.
+func Without(list string) (Set, error) { return New("", list) }
+
+// All returns the set of all parts.
+func All() Set {
+	s := Set{enabled: make(map[Name]bool)}
+	for _, n := range names {
+		s.enabled[n] = true
+	}
+	return s
+}
+
+// parse returns the parts in a comma-separated list.
+func parse(list string) (map[Name]bool, error) {
+	parts := make(map[Name]bool)
 	for field := range strings.SplitSeq(list, ",") {
 		n := Name(strings.TrimSpace(field))
 		if n == "" {
 			continue
 		}
 		if !slices.Contains(names, n) {
-			return Set{}, errors.Errorf("unknown part %q, want one of %s", n, List())
+			return nil, errors.Errorf("unknown part %q, want one of %s", n, join(names))
 		}
-		s.disabled[n] = true
+		parts[n] = true
 	}
-	return s, nil
+	return parts, nil
 }
 
 // List returns the names of all parts, separated by commas.
-func List() string {
-	all := make([]string, len(names))
-	for i, n := range names {
+func List() string { return join(names) }
+
+// Optional returns the names of the parts that are off unless they are asked for, separated by commas.
+func Optional() string { return join(optional) }
+
+func join(parts []Name) string {
+	all := make([]string, len(parts))
+	for i, n := range parts {
 		all[i] = string(n)
 	}
 	return strings.Join(all, ", ")
--- a/internal/scheduler/backups_test.go
+++ b/internal/scheduler/backups_test.go
@@ -90,7 +90,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		for _, disable := range []string{"run-backups", "prefix-fetch", ""} {
 			ts, service := newCopyScheduler()
-			ts.options.Features, _ = feature.Without(disable)
+			ts.options.Features, _ = feature.New("run-backups", disable)
 			service.Engine.Backups = disable != ""
 			if p := ts.startOn("e1", service, streaming); p.Backup != nil || p.NeedsCrashCheck() {
 				t.Errorf("without %q: copy %+v", disable, p.Backup)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -13,6 +13,7 @@
 
 	"medlarwind.dev/medlarwind/internal/catalog"
 	"medlarwind.dev/medlarwind/internal/clock"
+	"medlarwind.dev/medlarwind/internal/feature"
 	"medlarwind.dev/medlarwind/internal/fleet"
 	"medlarwind.dev/medlarwind/internal/inventory"
 	"medlarwind.dev/medlarwind/internal/records"
@@ -52,7 +53,7 @@
 	now := clock.Monotonic()
 	s := New(Options{
 		Self: "r0", DataCentre: "a", Regions: map[fleet.DataCentreID]fleet.RegionID{"a": "ra", "b": "rb"}, Now: now,
-		ShareWindow: 4 * time.Second, RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second,
+		ShareWindow: 4 * time.Second, RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second, Features: feature.All(),
 	})
 	s.SetCatalog(catalog.New(catalog.Config{
 		Version: 1, Services: []catalog.Service{engines, plain}, Limits: catalog.Limits{TokensPerSecond: 430000},
