Admission: customers over their share use the room that engines have

Cause: at services whose engines fetch prefixes, a customer over its share was refused as over_share while engines ran a third of their slots. The limit of its wait was a number of tokens (18 ms on deployment A), divided by up to the fourth power of its usage, and a customer starved at an instance short of CPU held all others back (fairShares.lead) although it could not use what they left. The preferred engine alone decided.

Change: package admission derives the limit from the route's objective (an eighth of it for a customer at its effective share, three eighths at most), never below the load at which an engine counts as having room (a twentieth of the objective, half of the slots). A starved customer holds others back only while fewer than a quarter of the engines have room. If the preferred engine is over the limit, one within it that costs up to an eighth of the objective more is taken. Jobs of customers over their effective share wait if there was room within the time that they wait. Services whose engines do not fetch prefixes, and instances with admission-order disabled, keep their limits (TestAdmissionOrderActsOnlyWhereEnginesFetch).

--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -97,7 +97,7 @@
 func (s *Scheduler) shareLimit(j *Job, now clock.Instant) placement.Limit {
 	used, shares := s.meter.Usage(j.Customer, now), s.shares(now)
 	if used >= shares.nominal {
-		return shares.spareLimit(used, j.isLate(), s.meanSpeed(j.Service.ID))
+		return s.spareLimit(j, used, shares, now)
 	}
 	if j.Route.FirstByteSLO == 0 {
 		return placement.Limit{Wait: defaultNominalShareWait}
--- a/internal/scheduler/evenload.go
+++ b/internal/scheduler/evenload.go
@@ -21,13 +21,15 @@
 func (s *Scheduler) pick(j *Job, candidates []placement.Candidate, limit placement.Limit, now clock.Instant) (placement.Choice, bool) {
 	r := s.request(j)
 	r.TimeLeft = j.Deadline.Sub(now)
-	if !s.isSpread(j.Service) {
-		return placement.Pick(r, candidates, limit)
-	}
 	spread := placement.Spread{
 		Seed: membership.Score(j.idHash, s.selfHash), Age: s.loadAge(now), Objective: j.Route.FirstByteSLO,
 	}
-	return spread.Pick(r, candidates, limit)
+	pick := spread.Pick
+	if !s.isSpread(j.Service) {
+		pick = placement.Pick
+	}
+	choice, ok := pick(r, candidates, limit)
+	return s.detour(j, r, candidates, limit, spread, choice), ok
 }
 
 // loadAge returns the greatest age of the peers' loads, 0 for an instance without peers. s.mu must be held.
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -67,7 +67,7 @@
 		return nil, s.refusal(j, ReasonTargetLimit, now, now)
 	case len(s.queue) >= maxQueueLength:
 		return nil, s.refusal(j, ReasonQueueFull, now, now)
-	case overShare && s.queuedJobs(j.Customer) >= s.maxSpareQueue(j.Customer, waitLimit, now):
+	case overShare && s.queuedJobs(j.Customer) >= s.maxSpareQueue(j, waitLimit, now):
 		return nil, s.refusal(j, ReasonOverShare, now, now)
 	}
 	w := &waiter{job: j, retry: retry, enqueuedAt: now, waitLimit: waitLimit, decision: make(chan decision, 1)}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -130,8 +130,9 @@
 	// selfHash is the hash of the instance's id.
 	selfHash uint64
 	// paced holds the services whose targets report a pace, as of the last update.
-	paced  map[fleet.ServiceID]bool
-	starts startCounts
+	paced     map[fleet.ServiceID]bool
+	starts    startCounts
+	admission admissionState
 }
 
 // targetState holds what this instance has observed of one target.
