Admission: refused callers are told their customer's next turn

Cause: all callers of a customer over its share were told the same pause (a sixth of their timeout), so that what was refused within a moment came back within a moment, and a customer that asked more often was told the same as one that waited.

Change, for services whose engines fetch prefixes, where a request is refused for load: the pause ends with the customer's next turn. Turns follow each other at the rate at which the customer's requests start at this instance; the first comes after the expected time to the start, and no sooner than the pause told before. Turns later than the caller can wait are not kept; those callers are spread over the last quarter of the longest pause, by the content of the request, so that sending it again changes nothing. A caller that comes back is ahead of its customer's new requests, because less of its time is left; its turn is not reserved beyond that. Other services keep their pauses.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -18,8 +18,10 @@
 
 // admissionState is the state of admission that decisions share.
 type admissionState struct {
-	rooms    map[fleet.ServiceID]serviceRoom
-	starts   map[fleet.ServiceID]*pacing.StartCounter
+	rooms  map[fleet.ServiceID]serviceRoom
+	starts map[fleet.ServiceID]*pacing.StartCounter
+	// turns are the last times at which customers were told to come back.
+	turns    map[turnKey]clock.Instant
 	counters AdmissionCounters
 }
 
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -97,3 +98,43 @@
 	}
 	counter.Add(now)
 }
+
+// maxTurns bounds the customers whose turns are remembered. When it is reached, turns that are past are dropped, or
+// else all.
+const maxTurns = 1024
+
+// givesTurns reports whether a refused job is told its turn. Other reasons than load have times of their own. s.mu must
+// be held.
+func (s *Scheduler) givesTurns(j *Job, reason Reason) bool {
+	return (reason == ReasonBusy || reason == ReasonOverShare || reason == ReasonQueueFull) && s.ordersAdmission(j.Service)
+}
+
+// turn returns when a refused job is to come back. s.mu must be held.
+func (s *Scheduler) turn(j *Job, least, most time.Duration, since, now clock.Instant) time.Duration {
+	key := turnKey{customer: j.Customer, service: j.Service.ID}
+	c := admission.Comeback{
+		Least: least, Most: most, LastTurn: s.admission.turns[key], Seed: j.Fingerprint,
+		Expected: s.outlook(j, s.waitingOf(j, s.rank(j), since, now), now).Expected(),
+	}
+	if counter := s.startCounters[j.Customer]; counter != nil {
+		c.StartsPerSecond = float64(counter.Count(rateWindow, now)) / rateWindow.Seconds()
+	}
+	pause, turn := c.Pause(now)
+	if s.admission.turns == nil {
+		s.admission.turns = make(map[turnKey]clock.Instant)
+	}
+	if len(s.admission.turns) >= maxTurns {
+		maps.DeleteFunc(s.admission.turns, func(_ turnKey, at clock.Instant) bool { return at <= now })
+	}
+	if len(s.admission.turns) >= maxTurns {
+		clear(s.admission.turns)
+	}
+	s.admission.turns[key] = turn
+	return pause
+}
+
+// turnKey identifies the requests that share a sequence of turns.
+type turnKey struct {
+	customer fleet.CustomerID
+	service  fleet.ServiceID
+}
--- a/internal/scheduler/order_test.go
+++ b/internal/scheduler/order_test.go
@@ -92,3 +92,23 @@
 		}
 	})
 }
+
+// Refused callers of a customer must be told different times, later ones for later requests. Elsewhere the pauses stay as they are.
+func TestRefusedCallersGetTurns(t *testing.T) {
+	for service, wantTurns := range map[*catalog.Service]bool{&fetching: true, &engines: false} {
+		synctest.Test(t, func(t *testing.T) {
+			ts := newTestScheduler(4)
+			ts.useService(*service)
+			last := time.Duration(0)
+			for i := range 20 {
+				j := ts.job("customer", "part", 2000)
+				j.Service = service
+				pause := ts.refusal(j, ReasonBusy, ts.now(), ts.now()).RetryAfter
+				if wantTurns && pause <= last || !wantTurns && pause != baseRetryDelay {
+					t.Errorf("refusal %d: come back after %s, the one before after %s", i, pause, last)
+				}
+				last = pause
+			}
+		})
+	}
+}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -100,7 +100,11 @@
 	if reason == ReasonTargetLimit {
 		pause = max(pause, j.heldUntil.Sub(now))
 	}
-	pause = min(pause, time.Duration(retryFraction*float64(remaining)))
+	most := time.Duration(retryFraction * float64(remaining))
+	if s.givesTurns(j, reason) {
+		pause = s.turn(j, pause, most, enqueuedAt, now)
+	}
+	pause = min(pause, most)
 	return &Refusal{Reason: reason, RetryAfter: max(pause, 0), Waited: now.Sub(enqueuedAt), Inputs: s.inputs(j, now)}
 }
 
