--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -210,7 +210,7 @@
 	g.metrics.prefixes = g.scheduler.PrefixCounters
 	g.scheduler.SetAlive(g.roster.Alive(o.Now()))
 	g.metrics.loads = g.scheduler.LoadState
-	g.metrics.isolation = g.scheduler.IsolationCounters
+	g.metrics.isolation, g.metrics.admission = g.scheduler.IsolationCounters, g.scheduler.AdmissionCounters
 	g.upstream = upstream.NewClient(o.Dial)
 	g.callers = newCallerConns(s.MaxCallerConns, o.Now)
 	g.callers.onUnanswered = g.noteUnanswered
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -43,6 +43,8 @@
 	loads func() scheduler.LoadState
 	// isolation returns the counters of the isolation of long prefills.
 	isolation func() scheduler.IsolationCounters
+	// admission returns the counters of the admission order.
+	admission func() scheduler.AdmissionCounters
 	// early counts the new connections that were read while the processor was late, by verdict.
 	// drainedBytes is what was read of refused bodies after the refusal, drainsCut how many were not
 	// read whole.
@@ -263,6 +265,9 @@
 	if m.prefixes != nil {
 		all.Set("prefix_fetch", expvar.Func(func() any { return gaugesOf(m.prefixes()) }))
 	}
+	if m.admission != nil {
+		all.Set("admission", expvar.Func(func() any { return m.admission() }))
+	}
 	if m.isolation != nil {
 		all.Set("prefill_isolation", expvar.Func(func() any { return m.isolation() }))
 	}
--- a/internal/scheduler/admission_test.go
+++ b/internal/scheduler/admission_test.go
@@ -46,7 +46,7 @@
 			limit := admission.Room(stream.FirstByteSLO)
 			for _, r := range f.refusals {
 				if r.Reason == ReasonOverShare && r.Inputs.ShortestWait <= limit.Wait && r.Inputs.PreferredRunning < 16 {
-					t.Errorf("seed %d: refused as %s while an engine would start after %s", seed, r.Reason, r.Inputs.ShortestWait)
+					t.Errorf("seed %d: refused as %s after %s while an engine would start after %s: %+v", seed, r.Reason, r.Waited, r.Inputs.ShortestWait, r.Inputs)
 				}
 			}
 		})
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -110,11 +110,11 @@
 }
 
 // turn returns when a refused job is to come back. s.mu must be held.
-func (s *Scheduler) turn(j *Job, least, most time.Duration, since, now clock.Instant) time.Duration {
+func (s *Scheduler) turn(j *Job, outlook admission.Outlook, least, most time.Duration, now clock.Instant) time.Duration {
 	key := turnKey{customer: j.Customer, service: j.Service.ID}
 	c := admission.Comeback{
 		Least: least, Most: most, LastTurn: s.admission.turns[key], Seed: j.Fingerprint,
-		Expected: s.outlook(j, s.waitingOf(j, s.rank(j), since, now), now).Expected(),
+		Expected: outlook.Expected(),
 	}
 	if counter := s.startCounters[j.Customer]; counter != nil {
 		c.StartsPerSecond = float64(counter.Count(rateWindow, now)) / rateWindow.Seconds()
@@ -138,3 +138,25 @@
 	customer fleet.CustomerID
 	service  fleet.ServiceID
 }
+
+// AdmissionInputs are the values on which the admission order refused a job and told its caller when to come back.
+type AdmissionInputs struct {
+	// Ordered is set if package admission decided on the job.
+	Ordered bool
+	// Rank is the job's rank, Ahead how many jobs of its service were before it, and StartsPerSecond how many of them
+	// started at this instance in the last second.
+	Rank, Ahead     int
+	StartsPerSecond float64
+	// RoomKnown is set if targets had room for all since this instance looked, RoomAge before.
+	RoomKnown bool
+	RoomAge   time.Duration
+}
+
+// admissionInputs returns the inputs of a refusal. s.mu must be held.
+func (s *Scheduler) admissionInputs(j *Job, outlook admission.Outlook, rank int, now clock.Instant) AdmissionInputs {
+	in := AdmissionInputs{Ordered: true, Rank: rank, Ahead: outlook.Ahead, StartsPerSecond: outlook.StartsPerSecond}
+	if at := s.admission.rooms[j.Service.ID].enoughAt; at != 0 {
+		in.RoomKnown, in.RoomAge = true, now.Sub(at)
+	}
+	return in
+}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -101,11 +101,15 @@
 		pause = max(pause, j.heldUntil.Sub(now))
 	}
 	most := time.Duration(retryFraction * float64(remaining))
+	inputs := s.inputs(j, now)
 	if s.givesTurns(j, reason) {
-		pause = s.turn(j, pause, most, enqueuedAt, now)
+		rank := s.rank(j)
+		outlook := s.outlook(j, s.waitingOf(j, rank, enqueuedAt, now), now)
+		inputs.Admission = s.admissionInputs(j, outlook, rank, now)
+		pause = s.turn(j, outlook, pause, most, now)
 	}
 	pause = min(pause, most)
-	return &Refusal{Reason: reason, RetryAfter: max(pause, 0), Waited: now.Sub(enqueuedAt), Inputs: s.inputs(j, now)}
+	return &Refusal{Reason: reason, RetryAfter: max(pause, 0), Waited: now.Sub(enqueuedAt), Inputs: inputs}
 }
 
 // await waits for the decision on a queued job, until the job's wait limit passes or ctx
