--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -131,19 +131,6 @@
 	Keys []string
 	// Regions lists the regions that may serve the customer; empty means all.
 	Regions []fleet.RegionID
-	// Priority is the urgency of the customer's requests, nil for that of their routes; 0 is the most urgent.
-	Priority *int
-}
-
-// CustomerPriority returns the urgency of a customer's requests, false if it has none of its own. It takes O(n) time for n
-// customers.
-func (c *Catalog) CustomerPriority(id fleet.CustomerID) (int, bool) {
-	for i := range c.customers {
-		if c.customers[i].ID == id && c.customers[i].Priority != nil {
-			return *c.customers[i].Priority, true
-		}
-	}
-	return 0, false
 }
 
 // Limits holds the limits on what callers may send.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -211,7 +211,7 @@
 	g.metrics.backups = g.scheduler.BackupCounters
 	g.scheduler.SetAlive(g.roster.Alive(o.Now()))
 	g.metrics.loads = g.scheduler.LoadState
-	g.metrics.isolation, g.metrics.admission = g.scheduler.IsolationCounters, g.scheduler.AdmissionCounters
+	g.metrics.isolation = g.scheduler.IsolationCounters
 	g.upstream = upstream.NewClient(o.Dial)
 	g.callers = newCallerConns(s.MaxCallerConns, o.Now)
 	g.callers.onUnanswered = g.noteUnanswered
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -47,8 +47,6 @@
 	loads func() scheduler.LoadState
 	// isolation returns the counters of the isolation of long prefills.
 	isolation func() scheduler.IsolationCounters
-	// admission returns the counters of the admission order.
-	admission func() scheduler.AdmissionCounters
 	// early counts the new connections that were read while the processor was late, by verdict.
 	// drainedBytes is what was read of refused bodies after the refusal, drainsCut how many were not
 	// read whole.
@@ -277,9 +275,6 @@
 		all.Set("run_backups", expvar.Func(func() any { return m.backups() }))
 	}
 	all.Set("run_continuations", &m.continuations)
-	if m.admission != nil {
-		all.Set("admission", expvar.Func(func() any { return m.admission() }))
-	}
 	if m.isolation != nil {
 		all.Set("prefill_isolation", expvar.Func(func() any { return m.isolation() }))
 	}
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -288,12 +288,6 @@
 	if in.HeldTargets > 0 {
 		line = line.Int("held_targets", in.HeldTargets).Int64("held_for_ms", in.HeldFor.Milliseconds())
 	}
-	if a := in.Admission; a.Ordered {
-		line = line.Int("rank", a.Rank).Int("ahead", a.Ahead).Float64("starts_per_s", a.StartsPerSecond)
-		if a.RoomKnown {
-			line = line.Int64("room_age_ms", a.RoomAge.Milliseconds())
-		}
-	}
 	if refusal.Reason == scheduler.ReasonInstanceBusy {
 		line = line.Int64("processor_delay_ms", in.ProcessorDelay.Milliseconds())
 	}
--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -100,7 +100,7 @@
 func (s *Scheduler) shareLimit(j *Job, now clock.Instant) placement.Limit {
 	used, shares := s.meter.Usage(j.Customer, now), s.shares(now)
 	if used >= shares.nominal {
-		return s.spareLimit(j, used, shares, now)
+		return shares.spareLimit(used, j.isLate(), s.meanSpeed(j.Service.ID))
 	}
 	if j.Route.FirstByteSLO == 0 {
 		return placement.Limit{Wait: defaultNominalShareWait}
@@ -141,9 +141,6 @@
 	t.starts.Add(now)
 	s.countIsolation(j, target)
 	s.beginBackup(p, target, now)
-	if s.ordersAdmission(j.Service) {
-		s.countServiceStart(j.Service.ID, now)
-	}
 	// After consecutive failures one request probes the target before others follow.
 	t.probing = t.consecutiveFailures >= probeThreshold
 	return p
--- a/internal/scheduler/dryrun.go
+++ b/internal/scheduler/dryrun.go
@@ -22,7 +22,6 @@
 		exchange: s.exchange.Clone(), limits: s.limits, evidence: s.evidence.Clone(), startCounters: s.startCounters,
 		overLimit: maps.Clone(s.overLimit), vainPassAt: s.vainPassAt, fairShares: s.fairShares,
 		targetLists: make(map[fleet.ServiceID]*targetList), generation: s.generation, selfHash: s.selfHash, paced: s.paced,
-		admission: s.admission.clone(),
 	}
 	d.prefixes.located = located{}
 	d.loads.reports = s.loads.reports.Clone()
--- a/internal/scheduler/evenload.go
+++ b/internal/scheduler/evenload.go
@@ -21,13 +21,10 @@
 func (s *Scheduler) pick(j *Job, candidates []placement.Candidate, limit placement.Limit, now clock.Instant) (placement.Choice, bool) {
 	r := s.request(j)
 	r.TimeLeft = j.Deadline.Sub(now)
-	pick := placement.Pick
-	spread := s.spread(j, now)
-	if s.isSpread(j.Service) {
-		pick = spread.Pick
+	if !s.isSpread(j.Service) {
+		return placement.Pick(r, candidates, limit)
 	}
-	choice, ok := pick(r, candidates, limit)
-	return s.detour(j, r, candidates, limit, spread, choice), ok
+	return s.spread(j, now).Pick(r, candidates, limit)
 }
 
 // spread returns the draw among candidates for a job. s.mu must be held.
--- a/internal/scheduler/inputs.go
+++ b/internal/scheduler/inputs.go
@@ -51,8 +51,6 @@
 	ProcessorDelay time.Duration
 	// Suspect is the judgement that refused a job because requests like it crash targets.
 	Suspect quarantine.Judgement
-	// Admission are the inputs of the admission order.
-	Admission AdmissionInputs
 	// Retries and RetriesAllowed are the state of the retry budget that refused a retry.
 	Retries, RetriesAllowed float64
 }
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"medlarwind.dev/medlarwind/internal/admission"
 	"medlarwind.dev/medlarwind/internal/clock"
 )
 
@@ -51,9 +50,6 @@
 	// used is the number of tokens used by the job's customer when the queue was last
 	// sorted.
 	used float64
-	// ordered says that the job's service has an admission order, and waiting is the job's place in it.
-	ordered bool
-	waiting admission.Waiting
 }
 
 // enqueue puts a job in the queue. It refuses the job if the queue is full, if no target may
@@ -71,16 +67,10 @@
 		return nil, s.refusal(j, ReasonTargetLimit, now, now)
 	case len(s.queue) >= maxQueueLength:
 		return nil, s.refusal(j, ReasonQueueFull, now, now)
-	case overShare && s.queuedJobs(j.Customer) >= s.maxSpareQueue(j, waitLimit, now):
+	case overShare && s.queuedJobs(j.Customer) >= s.maxSpareQueue(j.Customer, waitLimit, now):
 		return nil, s.refusal(j, ReasonOverShare, now, now)
 	}
 	w := &waiter{job: j, retry: retry, enqueuedAt: now, waitLimit: waitLimit, decision: make(chan decision, 1)}
-	if w.ordered = s.ordersAdmission(j.Service); w.ordered {
-		w.waiting = s.waitingOf(j, s.rank(j), now, now)
-		if refusal := s.refuseEarly(j, w.waiting, waitLimit, now); refusal != nil {
-			return nil, refusal
-		}
-	}
 	s.queue = append(s.queue, w)
 	return w, nil
 }
@@ -100,16 +90,8 @@
 	if reason == ReasonTargetLimit {
 		pause = max(pause, j.heldUntil.Sub(now))
 	}
-	most := time.Duration(retryFraction * float64(remaining))
-	inputs := s.inputs(j, now)
-	if s.givesTurns(j, reason) {
-		rank := s.rank(j)
-		outlook := s.outlook(j, s.waitingOf(j, rank, enqueuedAt, now), now)
-		inputs.Admission = s.admissionInputs(j, outlook, rank, now)
-		pause = s.turn(j, outlook, pause, most, now)
-	}
-	pause = min(pause, most)
-	return &Refusal{Reason: reason, RetryAfter: max(pause, 0), Waited: now.Sub(enqueuedAt), Inputs: inputs}
+	pause = min(pause, time.Duration(retryFraction*float64(remaining)))
+	return &Refusal{Reason: reason, RetryAfter: max(pause, 0), Waited: now.Sub(enqueuedAt), Inputs: s.inputs(j, now)}
 }
 
 // await waits for the decision on a queued job, until the job's wait limit passes or ctx
@@ -164,8 +146,7 @@
 }
 
 // startQueued starts the queued jobs that may start now: those of the customers that have
-// used the least of their share first, and the oldest first for each customer; orderQueue decides
-// where package admission does. After a pass
+// used the least of their share first, and the oldest first for each customer. After a pass
 // that found no job to start, the next one follows at the earliest after passInterval: under
 // load each answer leads to a pass, and a pass costs as much as a dozen decisions. Tick makes
 // up for the passes that were left out. s.mu must be held.
@@ -187,7 +168,6 @@
 	slices.SortStableFunc(s.queue, func(a, b *waiter) int {
 		return cmp.Or(cmp.Compare(a.used, b.used), cmp.Compare(a.enqueuedAt, b.enqueuedAt))
 	})
-	s.orderQueue(now)
 }
 
 // passQueue examines the queued jobs in order. It returns the number of jobs that have left the
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -133,8 +133,6 @@
 	// paced holds the services whose targets report a pace, as of the last update.
 	paced  map[fleet.ServiceID]bool
 	starts startCounts
-	// admission is the state of the admission order.
-	admission admissionState
 	// dryRun is set in the copy on which Where decides: decide then starts nothing.
 	dryRun bool
 }
--- a/internal/scheduler/spare.go
+++ b/internal/scheduler/spare.go
@@ -103,9 +103,8 @@
 
 // maxSpareQueue returns how many jobs of a customer over its nominal share may wait: about as
 // many as start within the wait limit at the rate of the last second. s.mu must be held.
-func (s *Scheduler) maxSpareQueue(j *Job, waitLimit time.Duration, now clock.Instant) int {
-	c := j.Customer
-	if s.meter.Usage(c, now) > s.shares(now).effective && !s.hadRoom(j, waitLimit, now) {
+func (s *Scheduler) maxSpareQueue(c fleet.CustomerID, waitLimit time.Duration, now clock.Instant) int {
+	if s.meter.Usage(c, now) > s.shares(now).effective {
 		return 0
 	}
 	started := 0
