--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -25,17 +25,15 @@
 	EvenLoad Name = "even-load"
 	// PrefillIsolation keeps long prefills apart from the streams that they would hold up.
 	PrefillIsolation Name = "prefill-isolation"
-	// AdmissionOrder orders waiting requests by rank, share and the time that is left.
-	AdmissionOrder Name = "admission-order"
 	// RunBackups lets large runs go on from a copy after their target crashed.
 	RunBackups Name = "run-backups"
 )
 
 // names are all parts, in the order in which they are listed for operators.
-var names = []Name{EarlyRefusals, HandOver, LoadReports, PrefixFetch, EvenLoad, PrefillIsolation, AdmissionOrder, RunBackups}
+var names = []Name{EarlyRefusals, HandOver, LoadReports, PrefixFetch, EvenLoad, PrefillIsolation, RunBackups}
 
 // optional are the parts that are off unless they are asked for.
-var optional = []Name{AdmissionOrder, RunBackups}
+var optional = []Name{RunBackups}
 
 // Set is the set of parts that are switched on. The zero value has all but the optional ones.
 type Set struct{ enabled, disabled map[Name]bool }
--- a/internal/feature/feature_test.go
+++ b/internal/feature/feature_test.go
@@ -14,7 +14,10 @@
 	if s, err = feature.Without(""); err != nil || !s.Enabled(feature.LoadReports) {
 		t.Errorf("got %+v, %v for an empty list, want all parts", s, err)
 	}
-	if s, err = feature.New("run-backups", ""); err != nil || !s.Enabled(feature.RunBackups) || s.Enabled(feature.AdmissionOrder) || !s.Enabled(feature.EvenLoad) {
+	if s, err = feature.New("", ""); err != nil || s.Enabled(feature.RunBackups) {
+		t.Errorf("got %+v, %v, want run-backups off", s, err)
+	}
+	if s, err = feature.New("run-backups", ""); err != nil || !s.Enabled(feature.RunBackups) || !s.Enabled(feature.EvenLoad) {
 		t.Errorf("got %+v, %v, want run-backups beside the parts that are on by default", s, err)
 	}
 	// A part that is misspelt would stay on without notice.
--- a/internal/replay/hotparts.go
+++ b/internal/replay/hotparts.go
@@ -7,7 +7,7 @@
 )
 
 // HotParts returns a spec with the engines, classes and long shared parts of deployment A of
-// docs/HARD-LOAD.md, 12 routers whose heartbeats take up to 400 ms (so that a report is 0 to 600 ms
+// docs/design/0019-hard-load.md, 12 routers whose heartbeats take up to 400 ms (so that a report is 0 to 600 ms
 // old), and a peak of twice the mean load in the middle. load is a factor on the published rates,
 // which the mean of the spec has at 1.
 func HotParts(load float64) Spec {
