--- a/internal/faults/page_test.go
+++ b/internal/faults/page_test.go
@@ -44,6 +44,17 @@
 	{"the store or a peer sends without end, or very many records", "reading records",
 		"`platform.TestEndlessStoreAnswerIsCutOff`, `platform.TestEndlessStorePagesAreCutOff`, `publisher.TestEndlessReplyIsCutOff`, `records.TestRecordsFromPeerFitInMemory`"},
 	{"a caller's compressed message has a very long text", "any request", "`entry.TestCompressedMessageIsNotDecompressedBeyondLimit`"},
+	{"a target answers with a malformed status", "first run, retry, replacement, resumed stream, calls",
+		"`upstream.TestMalformedStatusIsAnError`, `target.TestMalformedStatusPromisesNothing`, `platform.TestMalformedStatusIsBrokenAnswer`"},
+	{"a target answers early and resets", "a request that is being written",
+		"`upstream.TestEarlyAnswerResetDuringUploadIsNotComplete`, `platform.TestEarlyAnswerResetDuringUploadIsNotPassedOn`, `target.TestEarlyAnswerResetDuringCallIsNotComplete`"},
+	{"a peer refuses, ends, hangs or sends nonsense", "connections handed over",
+		"`gateway.TestRefusedConnectionIsTriedElsewhereOnce`, `gateway.TestRequestOfLostPeerIsNotRepeated`, `gateway.TestSilentPeerIsBounded`, `gateway.TestOddPeersDoNotBlockHandOver`"},
+	{"an instance gets more than its processor bears", "new connections", "`platform.TestOverloadedProcess`, `platform.TestLateInstancesDoNotHandOverToEachOther`"},
+	{"a source of prompt parts is gone, cold, failing, forbidden or empty", "fetching a prefix", "`scheduler` (`prefixes_test.go`), `prefixindex`"},
+	{"a target crashes, and the copy is missing, unreachable or does not fit", "a stream with a copy", "`platform` (`run_backup_test.go`)"},
+	{"a region is lost", "new sends", "`platform.TestNewSendsToLostRegionEnd`"},
+	{"the wall clock jumps", "ages, estimates, deadlines", "`scheduler.TestWallClockJumpChangesNoBelief`, `scheduler.TestDecisionsReadNoClock`"},
 	{"an instance sends without end", "any answer to a caller", "`client.TestEndlessMessageIsNotKept`, `client.TestEndlessAnswerIsCutOff`"},
 }
 
