--- a/internal/placement/spread.go
+++ b/internal/placement/spread.go
@@ -7,7 +7,7 @@
 	"medlarwind.dev/medlarwind/internal/membership"
 )
 
-// Constants of Spread, chosen by the comparison in docs/design/0017-even-load.md.
+// Constants of Spread; docs/design/0017-even-load.md compares other ways with them.
 const (
 	// steepnessOfAge is the steepness as a fraction of the age of the loads.
 	steepnessOfAge = 0.2
--- a/internal/scheduler/isolation.go
+++ b/internal/scheduler/isolation.go
@@ -83,14 +83,14 @@
 	return isolation.IsLong(j.ownTokens(), s.meanSpeed(j.Service.ID), j.Route.GapSLO)
 }
 
-// updateIsolation decides now and then which engines are set aside, and returns what has changed. s.mu must be
-// held.
+// updateIsolation decides now and then which engines are set aside. s.mu must be held.
 func (s *Scheduler) updateIsolation(now clock.Instant) {
 	if s.catalog == nil || !s.options.Features.Enabled(feature.PrefillIsolation) || s.isolation.updatedAt != 0 && now.Sub(s.isolation.updatedAt) < isolationInterval {
 		return
 	}
 	s.isolation.updatedAt = now
 	overload := s.isolation.overload.Update(s.meter.Requested(now), s.meter.Throughput(now))
+	changed := false
 	for id, list := range s.targetLists {
 		state := s.isolation.services[id]
 		if state == nil {
@@ -103,9 +103,12 @@
 		if !maps.Equal(counts, state.counts) {
 			state.counts = counts
 			s.noteIsolationChange(id, list, state)
-			s.invalidateTargetLists()
+			changed = true
 		}
 	}
+	if changed {
+		s.invalidateTargetLists()
+	}
 }
 
 // shareInForce returns the share of long prefills, 0 while they are not kept apart.
