Leaving a home costs as much as before, also for a fetch

With a copy at some hundred ms, failure rates that change from second to second (all engines fail 45 in 100 requests for 4 s) moved the parts about.

Change: a copy costs 14 times its prefill at the assumed speed, as for parts of which it is not known who keeps them. What is chosen without the part fetches it.

--- a/internal/placement/copy.go
+++ b/internal/placement/copy.go
@@ -24,9 +24,9 @@
 // time of the request itself.
 //
 // A copy evicts as many tokens of other parts, also if it is fetched; at an engine whose memory is full within
-// seconds these are soon prefilled again. Tokens that must be prefilled delay all requests that run on the
-// target, because an engine prefills between their tokens: the prefill time for each of them. The first copy has to be
-// prefilled somewhere and costs nothing more at its home.
+// seconds these are soon prefilled again. It costs as much as for parts of which it is not known who keeps them: with a
+// cost of some hundred milliseconds, failures that change from second to second moved the parts about. The first copy has
+// to be prefilled somewhere and costs nothing more at its home.
 func (c *Candidate) copyCost(r Request) time.Duration {
 	lacking := max(r.Shared-c.Cached, 0)
 	if !c.Copy.Located {
@@ -39,5 +39,5 @@
 	if !c.Copy.First {
 		added += lacking
 	}
-	return c.Copy.Doubt + time.Duration(1+c.Load.Running)*c.prefillTime(added)
+	return c.Copy.Doubt + recomputeWeight*prefillTime(added, AssumedSpeed)
 }
