The end of a request closes its target's connection at once

At the end of a request its connection only got a deadline in the past; the goroutine that reads it, which then closes it, waits for the processor once more.

Change: the function that interrupts the connection also closes it.

Result: the tests of upstream (with and without the race detector) and ingress pass.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -203,7 +203,11 @@
 		return nil, &Error{Err: err}
 	}
 	resp := &Response{ctx: ctx, client: c, conn: cn}
-	resp.stopCancel = context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
+	resp.stopCancel = context.AfterFunc(ctx, func() {
+		_ = cn.SetDeadline(time.Unix(1, 0))
+		// The end of the connection ends the run. The goroutine that reads it may wait long for a late processor.
+		_ = cn.Close()
+	})
 	if err := resp.writeRequest(r); err != nil {
 		resp.stopCancel()
 		return nil, &Error{Sent: true, Err: cause(ctx, err)}
