--- a/internal/placement/copy.go
+++ b/internal/placement/copy.go
@@ -24,9 +24,9 @@
 // time of the request itself.
 //
 // A copy evicts as many tokens of other parts, also if it is fetched; at an engine whose memory is full within
-// seconds these are soon prefilled again. It costs as much as for parts of which it is not known who keeps them: with a
-// cost of some hundred milliseconds, failures that change from second to second moved the parts about. The first copy has
-// to be prefilled somewhere and costs nothing more at its home.
+// seconds these are soon prefilled again. It costs as much as for parts of which it is not known who keeps them: with
+// a cost of some hundred milliseconds parts were prefilled again twice as often while many requests failed
+// (docs/design/0016-prefix-fetch.md). The first copy has to be prefilled somewhere and costs nothing more at its home.
 func (c *Candidate) copyCost(r Request) time.Duration {
 	lacking := max(r.Shared-c.Cached, 0)
 	if !c.Copy.Located {
